--- /dev/null
+++ b/source/core/messages.h
@@ -0,0 +1,154 @@
+/// The messages instances send each other, as values. The peer codec turns
+/// them into bytes; the core never sees bytes.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "common/ids.h"
+
+namespace sassafrasdyke::core {
+
+/// The two documents that the platform publishes.
+enum class DocumentKind : std::uint8_t { kConfiguration = 0, kInstances = 1 };
+
+/// A part of a document, named by a path such as "targets/105". The core does
+/// not look into the body.
+struct DocumentEntry {
+  std::string path;
+  std::string body;  ///< JSON text of the part.
+
+  friend bool operator==(const DocumentEntry&, const DocumentEntry&) = default;
+};
+
+/// One whole revision of a document, entries sorted by path.
+struct Document {
+  DocumentKind kind{DocumentKind::kConfiguration};
+  common::Revision revision;
+  std::vector<DocumentEntry> entries;
+
+  friend bool operator==(const Document&, const Document&) = default;
+};
+
+/// What an instance has of one document.
+struct DocumentDigest {
+  DocumentKind kind{DocumentKind::kConfiguration};
+  common::Revision revision;
+  std::uint64_t digest{0};  ///< Hash over the sorted entries.
+
+  friend bool operator==(const DocumentDigest&,
+                         const DocumentDigest&) = default;
+};
+
+/// Sent by a watcher and answered by the watched one.
+struct Heartbeat {
+  common::Incarnation incarnation;
+  std::uint64_t sequence{0};
+  bool answer{false};   ///< True when it replies to a heartbeat.
+  bool leaving{false};  ///< The sender is stopping.
+  bool stale{false};    ///< The sender's lease has run out.
+  std::vector<DocumentDigest> digests;
+};
+
+/// A watcher's word on an instance it watches.
+struct SuspicionReport {
+  common::InstanceId about;
+  common::Incarnation incarnation;
+  bool suspected{false};
+};
+
+/// Asks for a document; the answer is a delta or a whole copy.
+struct DocumentRequest {
+  DocumentKind kind{DocumentKind::kConfiguration};
+  /// What the sender has; revision 0 asks for a whole copy.
+  DocumentDigest have;
+};
+
+/// The change from one revision to a later one.
+struct DocumentDelta {
+  DocumentKind kind{DocumentKind::kConfiguration};
+  common::Revision from;
+  common::Revision to;
+  std::uint64_t digest{0};  ///< Of the document after the change.
+  std::vector<DocumentEntry> changed;
+  std::vector<std::string> removed;
+};
+
+/// A whole copy.
+struct DocumentCopy {
+  Document document;
+  std::uint64_t digest{0};
+};
+
+/// What a prober has seen of a target.
+enum class TargetHealth : std::uint8_t {
+  kUnknown = 0,
+  kHealthy = 1,
+  kShedding = 2,  ///< Says that it takes less; new flows avoid it.
+  kFailing = 3,
+};
+
+/// A change of a target's state, passed on once. Higher versions win.
+struct TargetHealthChange {
+  common::TargetId target;
+  TargetHealth health{TargetHealth::kUnknown};
+  std::uint64_t version{0};
+  common::InstanceId seen_by;
+};
+
+/// Names one partition of one service.
+struct PartitionKey {
+  common::ServiceId service;
+  common::PartitionNumber partition;
+
+  friend auto operator<=>(const PartitionKey&, const PartitionKey&) = default;
+};
+
+/// One flow that is not at its partition's fallback.
+struct FlowException {
+  common::Fingerprint flow;
+  common::TargetId target;
+
+  friend bool operator==(const FlowException&, const FlowException&) = default;
+};
+
+/// Copies a partition's exceptions from its owner to another instance.
+/// Applied only in order of `sequence` within one `generation` of one sender's
+/// life; a gap is answered with a request for the whole partition.
+struct ExceptionCopy {
+  PartitionKey partition;
+  common::Incarnation incarnation;  ///< Of the sender.
+  std::uint64_t generation{0};      ///< Grows when the fallback changes.
+  std::uint64_t sequence{0};        ///< From 0 within the generation.
+  common::TargetId fallback;
+  bool whole{false};  ///< Starts the partition's set anew.
+  bool last{false};   ///< Ends a hand-over: the receiver knows everything.
+  std::vector<FlowException> added;
+  std::vector<common::Fingerprint> ended;
+};
+
+/// Confirms copies up to and including `sequence`.
+struct ExceptionCopyAck {
+  PartitionKey partition;
+  common::Incarnation incarnation;  ///< Of the owner that sent the copies.
+  std::uint64_t generation{0};
+  std::uint64_t sequence{0};
+  bool resend_whole{false};  ///< Something is missing.
+};
+
+/// Every message between instances.
+using PeerMessage =
+    std::variant<Heartbeat, SuspicionReport, DocumentRequest, DocumentDelta,
+                 DocumentCopy, TargetHealthChange, ExceptionCopy,
+                 ExceptionCopyAck>;
+
+/// A message with its destination.
+struct OutgoingMessage {
+  common::InstanceId to;
+  PeerMessage message;
+};
+
+}  // namespace sassafrasdyke::core
