Let the documents' reader judge a change of configuration

Cause: two valid revisions may still not follow each other: another hash seed or count of partitions moves nearly every flow to an owner that knows none of them.

Change: DocumentReader gets CheckChange(in_force, next) with a default that allows all, so that stand-ins of the reader need not implement it.

--- a/source/core/fleet/fleet.h
+++ b/source/core/fleet/fleet.h
@@ -40,6 +40,14 @@
       const Document& document) const = 0;
   virtual tl::expected<InstanceList, DocumentFaults> ReadInstances(
       const Document& document) const = 0;
+
+  /// What forbids that `next` follows `in_force`, though each is valid by
+  /// itself: the fleet's name, the hash seed and a service's partitions are
+  /// fixed. Empty when it may follow.
+  virtual DocumentFaults CheckChange(const Configuration& /*in_force*/,
+                                     const Configuration& /*next*/) const {
+    return {};
+  }
 };
 
 /// A newer revision was put in force.
