--- a/source/config/value_format.h
+++ b/source/config/value_format.h
@@ -37,7 +37,7 @@
 struct WholeNumber {
   std::uint64_t least{0};
   std::uint64_t greatest{UINT32_MAX};
-  std::string_view unit;
+  std::string_view unit{};
 
   template <typename Number>
   bool Read(const Json& json, Number& value) const {
--- a/tests/config/settings_test.cc
+++ b/tests/config/settings_test.cc
@@ -71,7 +71,7 @@
     {R"({"a/b~c": 1})", "/a~1b~0c"},
 };
 
-BOOST_DATA_TEST_CASE(refuses_a_wrong_key_by_its_path, kFaults, row) {
+BOOST_DATA_TEST_CASE(refuses_a_wrong_setting_by_its_path, kFaults, row) {
   auto json = nlohmann::json::parse(kSettings, nullptr, true, true);
   json.merge_patch(nlohmann::json::parse(row.patch));
 
