Give member reports a speaker and versions, and spread reachability

A suspicion that is passed on must say who holds it and against which of the accused instance's own words, else a refutation can't be told from an older report. Reachability of a failure domain is known to a few instances only and must reach the others. Heartbeats carry hashes of both tables so that a lost report is noticed. The prober's findings enter through OnTargetProbed and leave, once each, through FleetOutbox::health.

--- a/source/core/fleet/fleet.h
+++ b/source/core/fleet/fleet.h
@@ -81,6 +81,9 @@
   std::shared_ptr<const Configuration> configuration;
   /// Set when the belief changed.
   std::optional<FleetView> view;
+  /// Changes of targets that are new here, for the flow side. The flow side
+  /// takes them from here only, not from the peers' messages.
+  std::vector<TargetHealthChange> health;
 };
 
 /// What this instance is called and where it belongs.
@@ -123,6 +126,11 @@
                              std::chrono::milliseconds now,
                              FleetOutbox& outbox) = 0;
 
+  /// Takes what this instance's own prober found of a target.
+  virtual void OnTargetProbed(common::TargetId target, TargetHealth health,
+                              std::chrono::milliseconds now,
+                              FleetOutbox& outbox) = 0;
+
   /// Does periodic work: heartbeats, suspicion, leases, digests. Called about
   /// 10 times a second.
   virtual void OnTick(std::chrono::milliseconds now, FleetOutbox& outbox) = 0;
--- a/source/core/messages.h
+++ b/source/core/messages.h
@@ -51,13 +51,43 @@
   bool leaving{false};  ///< The sender is stopping.
   bool stale{false};    ///< The sender's lease has run out.
   std::vector<DocumentDigest> digests;
+  std::uint64_t members{0};  ///< Hash over the member reports it holds.
+  std::uint64_t health{0};   ///< Hash over the target health it holds.
 };
 
-/// A watcher's word on an instance it watches.
-struct SuspicionReport {
+/// What one instance says of another, or of itself.
+enum class MemberWord : std::uint8_t {
+  kAlive = 0,
+  kSuspected = 1,  ///< Only a watcher says so.
+  kLeaving = 2,    ///< Only the instance itself says so.
+};
+
+/// One instance's word on an instance, passed on unchanged to everybody. Of
+/// two reports with the same `about` and `by`, the greater (`incarnation`,
+/// `version`) wins.
+struct MemberReport {
   common::InstanceId about;
-  common::Incarnation incarnation;
-  bool suspected{false};
+  common::Incarnation incarnation;  ///< Of `about`.
+  common::InstanceId by;  ///< Equal to `about` when it speaks for itself.
+  std::uint64_t version{0};
+  /// The newest version of the instance's own word that `by` knew. A suspicion
+  /// older than the instance's own word counts for nothing.
+  std::uint64_t own_version{0};
+  MemberWord word{MemberWord::kAlive};
+
+  friend bool operator==(const MemberReport&, const MemberReport&) = default;
+};
+
+/// What one instance with links to another failure domain says of that domain.
+/// Spread inside the speaker's own domain; the greater version wins.
+struct ReachabilityReport {
+  common::DomainId domain;
+  common::InstanceId by;
+  std::uint64_t version{0};
+  bool reachable{true};
+
+  friend bool operator==(const ReachabilityReport&,
+                         const ReachabilityReport&) = default;
 };
 
 /// Asks for a document; the answer is a delta or a whole copy.
@@ -141,9 +171,9 @@
 
 /// Every message between instances.
 using PeerMessage =
-    std::variant<Heartbeat, SuspicionReport, DocumentRequest, DocumentDelta,
+    std::variant<Heartbeat, MemberReport, DocumentRequest, DocumentDelta,
                  DocumentCopy, TargetHealthChange, ExceptionCopy,
-                 ExceptionCopyAck>;
+                 ExceptionCopyAck, ReachabilityReport>;
 
 /// A message with its destination.
 struct OutgoingMessage {
