Put documents of the platform in force behind MakeFleet

The process needs something behind the fleet's interface. Documents are taken from the platform only; revisions only grow, an invalid one is refused whole and said once, and the view is the published list with everybody alive.

Not here yet: peers, members, leases, budgets.

--- /dev/null
+++ b/tests/core/fleet/documents_test.cc
@@ -0,0 +1,93 @@
+/// Documents that come from the platform.
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <ostream>
+
+#include "core/fleet/fleet.h"
+#include "core/fleet/sample_documents.h"
+
+namespace sassafrasdyke::core {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t kTargets = 18;
+
+std::unique_ptr<Fleet> FleetOf(const SampleReader& reader) {
+  return MakeFleet({{1}, {1}, {1}}, reader, 7);
+}
+
+BOOST_AUTO_TEST_CASE(a_published_document_is_in_force_and_logged) {
+  const SampleReader reader;
+  const auto fleet = FleetOf(reader);
+  FleetOutbox outbox;
+
+  fleet->OnPlatformDocument(ConfigurationOf(7, kTargets), 1ms, outbox);
+
+  BOOST_REQUIRE(outbox.configuration != nullptr);
+  BOOST_TEST(outbox.configuration->revision.value == 7U);
+  const auto* accepted = std::get_if<DocumentAccepted>(&outbox.decisions.at(0));
+  BOOST_REQUIRE(accepted != nullptr);
+  BOOST_TEST(accepted->revision.value == 7U);
+  BOOST_TEST(fleet->Status().configuration.revision.value == 7U);
+}
+
+// The platform's service fails over to a copy that lags and hands out an older
+// revision, or the same one again. Users would see a target that was removed
+// come back.
+BOOST_DATA_TEST_CASE(an_older_revision_is_ignored,
+                     boost::unit_test::data::make({1U, 6U, 7U}), revision) {
+  const SampleReader reader;
+  const auto fleet = FleetOf(reader);
+  FleetOutbox before;
+  fleet->OnPlatformDocument(ConfigurationOf(7, kTargets), 1ms, before);
+  FleetOutbox outbox;
+
+  fleet->OnPlatformDocument(ConfigurationOf(revision, kTargets), 2ms, outbox);
+
+  BOOST_TEST(outbox.configuration == nullptr);
+  BOOST_TEST(outbox.decisions.empty());
+  BOOST_TEST(fleet->Status().configuration.revision.value == 7U);
+}
+
+// An operator publishes a document with a mistake. The last good one must stay
+// in force on every instance, and the log must say what is wrong, once.
+BOOST_AUTO_TEST_CASE(an_invalid_document_is_refused_whole_and_said_once) {
+  const SampleReader reader;
+  const auto fleet = FleetOf(reader);
+  FleetOutbox before;
+  fleet->OnPlatformDocument(ConfigurationOf(7, kTargets), 1ms, before);
+  FleetOutbox outbox;
+  const Document bad =
+      WithEntry(ConfigurationOf(8, kTargets), 8, "targets/00003", "invalid");
+
+  fleet->OnPlatformDocument(bad, 2ms, outbox);
+  fleet->OnPlatformDocument(bad, 3ms, outbox);
+
+  BOOST_TEST(outbox.configuration == nullptr);
+  BOOST_REQUIRE(outbox.decisions.size() == 1U);
+  const auto* refused = std::get_if<DocumentRefused>(&outbox.decisions.at(0));
+  BOOST_REQUIRE(refused != nullptr);
+  BOOST_TEST(refused->faults.at(0).path == "/targets/00003");
+  BOOST_TEST(fleet->Status().configuration.revision.value == 7U);
+  BOOST_TEST(fleet->Status().documents_refused == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(the_instance_list_becomes_the_view) {
+  const SampleReader reader;
+  const auto fleet = FleetOf(reader);
+  FleetOutbox outbox;
+
+  fleet->OnPlatformDocument(
+      InstancesOf(3, {{.id = 1}, {.id = 2, .leaving = true}, {.id = 3}}), 1ms,
+      outbox);
+
+  BOOST_REQUIRE(outbox.view.has_value());
+  BOOST_REQUIRE(outbox.view->instances.size() == 3U);
+  BOOST_TEST((outbox.view->instances[0].use == InstanceUse::kOwner));
+  BOOST_TEST((outbox.view->instances[1].use == InstanceUse::kLeaving));
+}
+
+}  // namespace
+}  // namespace sassafrasdyke::core
