Check the shape of JSON texts without a parser callback

Cause: with a callback the library looks through all members of an object each time one of them ends, which is quadratic.

Change: a SAX handler finds keys that stand twice and deep nesting, and the value is parsed without a callback.

--- a/source/config/json_text.cc
+++ b/source/config/json_text.cc
@@ -10,68 +10,85 @@
 constexpr std::size_t kQuotedLimit = 64;
 constexpr std::size_t kSyntaxMessageLimit = 200;
 
-/// Watches the parser's events for what its result can't show any more: keys
-/// that stood twice, and values that were too deep to keep.
-class DocumentWatcher {
+std::string SyntaxMessage(const std::string& what) {
+  // The library's messages start with "[json.exception...] ".
+  const std::size_t end = what.find("] ");
+  const std::string message =
+      end == std::string::npos ? what : what.substr(end + 2);
+  return "is not JSON: " + message.substr(0, kSyntaxMessageLimit);
+}
+
+/// Reads a text without keeping it, for what the parsed value can't show any
+/// more: keys that stand twice, and nesting too deep to keep.
+class ShapeChecker final : public nlohmann::json_sax<Json> {
  public:
-  DocumentWatcher(std::string root, core::DocumentFaults& faults)
+  ShapeChecker(std::string root, core::DocumentFaults& faults)
       : root(std::move(root)), faults(faults) {}
 
-  /// Returns whether the parser shall keep the value.
-  bool OnEvent(int depth, Json::parse_event_t event, const Json& parsed) {
-    const auto level = static_cast<std::size_t>(depth);
-    switch (event) {
-      case Json::parse_event_t::object_start:
-        this->scopes.resize(level + 1);
-        this->scopes.emplace_back();
-        return this->CheckDepth(level);
-      case Json::parse_event_t::array_start:
-        return this->CheckDepth(level);
-      case Json::parse_event_t::key:
-        this->OnKey(level, parsed.get_ref<const std::string&>());
-        return true;
-      default:
-        return true;
+  bool null() override { return true; }
+  bool boolean(bool /*value*/) override { return true; }
+  bool number_integer(number_integer_t /*value*/) override { return true; }
+  bool number_unsigned(number_unsigned_t /*value*/) override { return true; }
+  bool number_float(number_float_t /*value*/,
+                    const string_t& /*text*/) override {
+    return true;
+  }
+  bool string(string_t& /*value*/) override { return true; }
+  bool binary(binary_t& /*value*/) override { return true; }
+
+  bool start_object(std::size_t /*members*/) override {
+    return this->Enter({});
+  }
+  bool end_object() override { return this->Leave(); }
+  bool start_array(std::size_t /*members*/) override { return this->Enter({}); }
+  bool end_array() override { return this->Leave(); }
+
+  // The parser keeps the last of two equal keys. An operator who copies a
+  // target's block and forgets its name would lose the first one without a
+  // word.
+  bool key(string_t& name) override {
+    Scope& scope = this->scopes.back();
+    scope.current = name;
+    if (!scope.keys.insert(name).second) {
+      this->faults.push_back({this->Path(), "stands twice in its object"});
     }
+    return true;
+  }
+
+  bool parse_error(std::size_t /*position*/, const std::string& /*token*/,
+                   const nlohmann::detail::exception& error) override {
+    this->faults.push_back({this->root, SyntaxMessage(error.what())});
+    return false;
   }
 
  private:
-  /// The object that is being read at one depth.
+  /// An object or array that is being read.
   struct Scope {
     std::unordered_set<std::string> keys;
-    std::string current;
+    std::string current;  ///< Empty in an array.
   };
 
   // A text of a megabyte of "[" nests so deep that code which walks it by
   // recursion overruns its stack: one would see every instance that read the
-  // revision die at once. What is deeper than any real document isn't kept.
-  bool CheckDepth(std::size_t level) {
-    if (level < kDepthLimit) {
-      return true;
-    }
-    if (!this->too_deep) {
-      this->too_deep = true;
-      this->faults.push_back({this->root, "is nested too deep"});
+  // revision die at once.
+  bool Enter(Scope scope) {
+    if (this->scopes.size() == kDepthLimit) {
+      this->faults.push_back({this->Path(), "is nested too deep"});
+      return false;
     }
-    return false;
+    this->scopes.push_back(std::move(scope));
+    return true;
   }
 
-  // The parser keeps the last of two equal keys. An operator who copies a
-  // target's block and forgets its name would lose the first one without a
-  // word.
-  void OnKey(std::size_t level, const std::string& key) {
-    this->scopes.resize(level + 1);
-    Scope& scope = this->scopes[level];
-    scope.current = key;
-    if (!scope.keys.insert(key).second) {
-      this->faults.push_back({this->Path(), "stands twice in its object"});
-    }
+  bool Leave() {
+    this->scopes.pop_back();
+    return true;
   }
 
   std::string Path() const {
     std::string path = this->root;
     for (const Scope& scope : this->scopes) {
-      if (!scope.keys.empty()) {
+      if (!scope.current.empty()) {
         path = ChildPath(path, scope.current);
       }
     }
@@ -81,37 +98,24 @@
   std::string root;
   core::DocumentFaults& faults;
   std::vector<Scope> scopes;
-  bool too_deep{false};
 };
 
-std::string SyntaxMessage(const std::string& what) {
-  // The library's messages start with "[json.exception...] ".
-  const std::size_t end = what.find("] ");
-  const std::string message =
-      end == std::string::npos ? what : what.substr(end + 2);
-  return "is not JSON: " + message.substr(0, kSyntaxMessageLimit);
-}
-
 }  // namespace
 
 tl::expected<Json, core::DocumentFaults> ParseJson(std::string_view text,
                                                    const std::string& root) {
+  constexpr bool kStrict = true;
+  constexpr bool kIgnoreComments = true;
   core::DocumentFaults faults;
-  DocumentWatcher watcher(root, faults);
-  const auto on_event = [&watcher](int depth, Json::parse_event_t event,
-                                   const Json& parsed) {
-    return watcher.OnEvent(depth, event, parsed);
-  };
-  try {
-    Json json = Json::parse(text, on_event, /*allow_exceptions=*/true,
-                            /*ignore_comments=*/true);
-    if (faults.empty()) {
-      return json;
-    }
-  } catch (const Json::exception& error) {
-    faults.push_back({root, SyntaxMessage(error.what())});
+  ShapeChecker checker(root, faults);
+  Json::sax_parse(text, &checker, Json::input_format_t::json, kStrict,
+                  kIgnoreComments);
+  if (!faults.empty()) {
+    return tl::unexpected(std::move(faults));
   }
-  return tl::unexpected(std::move(faults));
+  // The first reading found no fault, so the second one doesn't throw.
+  return Json::parse(text, nullptr, /*allow_exceptions=*/false,
+                     kIgnoreComments);
 }
 
 std::string ChildPath(const std::string& path, std::string_view key) {
