--- /dev/null
+++ b/tests/common/backoff_test.cc
@@ -0,0 +1,37 @@
+/// Waits between tries.
+#include "common/backoff.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+namespace sassafrasdyke::common {
+namespace {
+
+using namespace std::chrono_literals;
+
+// The platform is down for an hour while hundreds of instances want it. Waits
+// that grew without bound would leave some of them on the old configuration
+// long after it is back; waits of equal length would bring all of them at once.
+BOOST_AUTO_TEST_CASE(waits_are_spread_below_a_bound_that_grows_and_ends) {
+  Backoff backoff(100ms, 1000ms, 1);
+  const std::chrono::milliseconds bounds[] = {100ms, 200ms,  400ms,
+                                              800ms, 1000ms, 1000ms};
+  std::chrono::milliseconds least = 1000ms;
+  std::chrono::milliseconds greatest = 0ms;
+
+  for (int round = 0; round < 200; ++round) {
+    for (const std::chrono::milliseconds bound : bounds) {
+      const std::chrono::milliseconds wait = backoff.Fail();
+      BOOST_TEST((wait >= 0ms && wait <= bound));
+      least = std::min(least, wait);
+      greatest = std::max(greatest, wait);
+    }
+    backoff.Succeed();
+  }
+
+  BOOST_TEST((least < 10ms));
+  BOOST_TEST((greatest > 900ms));
+}
+
+}  // namespace
+}  // namespace sassafrasdyke::common
