--- /dev/null
+++ b/tests/peer/main.cc
@@ -0,0 +1,3 @@
+/// The test program of source/peer.
+#define BOOST_TEST_MODULE peer
+#include <boost/test/unit_test.hpp>
