Open streams between instances by nghttp2, with mutual TLS

Cause: instances must hand each other messages without a broken, foreign or silent peer doing harm or taking memory.

Each instance opens its own stream to a peer, so two connections opened at the same moment need no agreement. A hello names the fleet, the protocol's version, both ends and the incarnation; it must match the published list and the address it comes from. What doesn't is refused or cut off and counted by reason.

--- /dev/null
+++ b/source/peer/incoming_link.h
@@ -0,0 +1,80 @@
+/// The stream on which one peer sends this instance messages.
+#pragma once
+
+#include <ev++.h>
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "common/address.h"
+#include "common/ids.h"
+#include "peer/frame_splitter.h"
+#include "peer/hello.h"
+#include "peer/http2_connection.h"
+#include "peer/peer_context.h"
+#include "peer/socket.h"
+
+namespace sassafrasdyke::peer {
+
+/// Names an accepted connection for as long as it lasts.
+using IncomingLinkId = common::Id<struct IncomingLinkTag, std::uint64_t>;
+
+/// Keeps the incoming links. No function may destroy the link at once.
+class IncomingLinkOwner {
+ public:
+  virtual ~IncomingLinkOwner() = default;
+
+  /// The link's peer was let in; another link from the same peer is obsolete.
+  virtual void OnAdmitted(IncomingLinkId link) = 0;
+  /// The link is of no more use.
+  virtual void OnIncomingEnded(IncomingLinkId link) = 0;
+};
+
+/// One accepted connection.
+class IncomingLink final : public Http2Handler {
+ public:
+  /// `context` and `owner` must outlive the link.
+  IncomingLink(PeerContext& context, IncomingLinkOwner& owner,
+               IncomingLinkId id, AcceptedSocket accepted);
+
+  /// The peer that was let in; 0 before that.
+  common::InstanceId Peer() const { return this->hello.from; }
+  /// The life of the peer that was let in.
+  common::Incarnation PeerIncarnation() const {
+    return this->hello.incarnation;
+  }
+  const common::IpAddress& Source() const { return this->source; }
+  /// Ends the link at once and counts why; the owner isn't told.
+  void Stop(CutReason reason);
+
+  void OnAnswer(bool accepted) override;
+  void OnBody(std::string_view bytes) override;
+  std::size_t NextBody(std::span<char> into) override;
+  void OnAlive() override;
+  void OnEnded(CutReason reason) override;
+
+ private:
+  enum class State { kWaiting, kAdmitted, kRefused, kStopped };
+
+  void OnFrame(const std::string& frame);
+  void OnHello(const std::string& frame);
+  void OnMessage(const std::string& frame);
+  void Refuse(CutReason reason);
+  void OnDeadline(ev::timer& timer, int events);
+  void Count(CutReason reason);
+
+  PeerContext& context;
+  IncomingLinkOwner& owner;
+  const IncomingLinkId id;
+  const common::IpAddress source;
+  FrameSplitter splitter;
+  Hello hello;  ///< All 0 until the peer is let in.
+  State state{State::kWaiting};
+  ev::timer deadline;
+  std::unique_ptr<Http2Connection> connection;
+};
+
+}  // namespace sassafrasdyke::peer
