Decide about packets: partitions, owners, placement, records and copies

Change: MakeBalancer with a service directory, target subsets that don't depend on who is alive, owner and standby in rendezvous order, policies by name, ramps, ejection and a bound on reported health, a bounded flow table with a wheel for expiry, silent flows, and the first version of the exchange of exceptions (copies, hand-over, asking the previous owner). Not yet measured: several instances, speed.

--- /dev/null
+++ b/source/core/exchange/exchange.cc
@@ -0,0 +1,694 @@
+#include "core/exchange/exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sassafrasdyke::core {
+namespace {
+
+/// Longest time a new owner asks the one before it. By then a hand-over within
+/// the byte budget has long ended, unless the other is stuck.
+constexpr std::chrono::milliseconds kAskLimit{std::chrono::minutes{1}};
+/// Time to ask after a cut has healed or a lease has come back.
+constexpr std::chrono::milliseconds kAskAfterSilence{std::chrono::seconds{10}};
+/// A denial may be lost; it is repeated no more often than this.
+constexpr std::chrono::milliseconds kDenyInterval{std::chrono::seconds{1}};
+/// Copies of an instance that no longer owns are dropped after this.
+constexpr std::chrono::milliseconds kKeepCopies{std::chrono::minutes{1}};
+constexpr std::chrono::milliseconds kCleanInterval{std::chrono::seconds{10}};
+/// Pending flows looked at in one tick.
+constexpr std::size_t kQueueBatch = 2000;
+/// Burst of the budgets, in seconds of their average.
+constexpr std::size_t kBurstSeconds = 4;
+/// The fallback moves when another target has more than this many times the
+/// flows, and a margin so that a few flows don't move it to and fro.
+constexpr std::uint32_t kFlipFactor = 2;
+constexpr std::uint32_t kFlipMargin = 16;
+/// Factors on the deviation threshold with the budget half and nearly used.
+constexpr double kHalfUsed = 0.5;
+constexpr double kNearlyUsed = 0.25;
+constexpr double kHalfReluctance = 2.0;
+constexpr double kNearlyReluctance = 8.0;
+
+bool Contains(const std::vector<common::DomainId>& domains,
+              common::DomainId domain) {
+  return std::find(domains.begin(), domains.end(), domain) != domains.end();
+}
+
+CopyLimits LimitsFor(std::size_t bytes_per_second) {
+  return {bytes_per_second, kBurstSeconds * bytes_per_second};
+}
+
+}  // namespace
+
+Exchange::Exchange(common::InstanceId self, common::Incarnation incarnation,
+                   FlowWorld& world)
+    : self(self), world(world), sender(incarnation) {}
+
+void Exchange::OnConfiguration(const std::vector<common::TargetId>& ended,
+                               std::chrono::milliseconds now, Outbox& outbox) {
+  const FleetPolicy& policy = this->world.InForce().policy;
+  // Hand-overs have what the whole budget leaves beside the copies: they come
+  // seldom, and a leaving instance waits for them.
+  const std::size_t rest =
+      policy.control_bytes_per_second -
+      std::min(policy.control_bytes_per_second, policy.copy_bytes_per_second);
+  this->sender.SetLimits(LimitsFor(policy.copy_bytes_per_second),
+                         LimitsFor(std::max<std::size_t>(rest, 1000)));
+  for (const common::TargetId target : ended) {
+    this->store.EraseTarget(target);
+  }
+  if (!this->world.IsReady()) {
+    return;
+  }
+  for (std::uint32_t i = 0; i < this->world.Partitions().size(); ++i) {
+    this->RefreshFallback(PartitionIndex{i}, outbox);
+  }
+  this->Reconcile(now, outbox);
+}
+
+void Exchange::OnView(const FleetView& before, std::chrono::milliseconds now,
+                      Outbox& outbox) {
+  if (!this->world.IsReady()) {
+    return;
+  }
+  this->Reconcile(now, outbox);
+  const FleetView& view = this->world.Owners().View();
+  for (const common::DomainId domain : before.unreachable) {
+    if (!Contains(view.unreachable, domain)) {
+      this->AskHealed(domain, now);
+    }
+  }
+  if (before.lease != Lease::kStale || view.lease != Lease::kHeld) {
+    return;
+  }
+  // While this instance was stale, its standbys placed in its stead.
+  for (std::uint32_t i = 0; i < this->world.Partitions().size(); ++i) {
+    const PartitionIndex partition{i};
+    if (this->world.StateOf(partition).owned) {
+      this->AskFor(partition, this->world.Owners().At(partition).standby,
+                   now + kAskAfterSilence);
+    }
+  }
+}
+
+void Exchange::AskHealed(common::DomainId domain,
+                         std::chrono::milliseconds now) {
+  for (std::uint32_t i = 0; i < this->world.Partitions().size(); ++i) {
+    const PartitionIndex partition{i};
+    if (this->world.StateOf(partition).owned) {
+      this->AskFor(partition,
+                   this->world.Owners().NextBeside(
+                       this->world.Subsets().HashOf(partition), domain),
+                   now + kAskAfterSilence);
+    }
+  }
+}
+
+void Exchange::AskFor(PartitionIndex partition, common::InstanceId previous,
+                      std::chrono::milliseconds until) {
+  PartitionState& state = this->world.StateOf(partition);
+  if (state.previous.value == 0 && previous != this->self) {
+    state.previous = previous;
+    state.ask_until = until;
+  }
+}
+
+void Exchange::Reconcile(std::chrono::milliseconds now, Outbox& outbox) {
+  for (std::uint32_t i = 0; i < this->world.Partitions().size(); ++i) {
+    this->ReconcileOne(PartitionIndex{i}, now, outbox);
+  }
+}
+
+void Exchange::ReconcileOne(PartitionIndex partition,
+                            std::chrono::milliseconds now, Outbox& outbox) {
+  const common::InstanceId owner = this->world.Owners().At(partition).owner;
+  PartitionState& state = this->world.StateOf(partition);
+  const std::optional<CopyDestination> destination = this->DestinationOf(owner);
+  const common::Incarnation incarnation =
+      destination ? destination->incarnation : common::Incarnation{};
+  const bool replaced = owner == state.seen_owner &&
+                        incarnation != state.seen_incarnation &&
+                        state.seen_incarnation.value != 0;
+  if (owner == this->self) {
+    if (!state.owned) {
+      this->Take(partition, now, outbox);
+    }
+    this->UpdateStandby(partition);
+  } else if (state.owned) {
+    this->GiveUp(partition, now, outbox);
+  } else if (state.remembers && owner != state.given_up_to) {
+    // The heir went, too: the next one is told everything.
+    state.given_up_to = owner;
+    state.handed_over = false;
+    this->sender.Stop(PartitionKey(this->world.Directory().KeyOf(partition)));
+  } else if (replaced) {
+    // A new life of the owner at the same address knows nothing of what its
+    // earlier life copied here.
+    this->StartHandOver(partition);
+  }
+  state.seen_owner = owner;
+  state.seen_incarnation = incarnation;
+}
+
+std::optional<CopyDestination> Exchange::DestinationOf(
+    common::InstanceId id) const {
+  const InstanceView* const instance = this->world.Owners().Find(id);
+  if (instance == nullptr) {
+    return std::nullopt;
+  }
+  return CopyDestination{id, instance->incarnation};
+}
+
+common::InstanceId Exchange::PreviousOf(PartitionIndex partition) const {
+  const PartitionState& state = this->world.StateOf(partition);
+  const OwnerMap& owners = this->world.Owners();
+  if (state.seen_owner.value != 0) {
+    return state.seen_owner;
+  }
+  // This instance has just joined. Without it the partition would be with the
+  // next in the order, so that one knows.
+  if (owners.At(partition).adopted) {
+    return {};
+  }
+  return owners.NextBeside(this->world.Subsets().HashOf(partition),
+                           owners.View().domain);
+}
+
+void Exchange::Take(PartitionIndex partition, std::chrono::milliseconds now,
+                    Outbox& outbox) {
+  PartitionState& state = this->world.StateOf(partition);
+  const PartitionKey& key = this->world.Directory().KeyOf(partition);
+  const OwnerMap& owners = this->world.Owners();
+  const common::InstanceId before = this->PreviousOf(partition);
+  state.owned = true;
+  state.owned_since = now;
+  state.given_up_to = {};
+  state.handed_over = false;
+  this->sender.Stop(key);
+  if (!state.remembers) {
+    state.fallback = kNoSlot;
+    state.unresolved = {};
+    state.fallback_guessed = true;
+  }
+  state.remembers = false;
+  const CopySet* const set = this->store.SetFrom(key, before);
+  if (set != nullptr && set->complete && set->fallback.value != 0) {
+    this->AdoptFallback(partition, set->fallback);
+  }
+  if (state.fallback == kNoSlot && !owners.At(partition).adopted) {
+    state.fallback = this->world.DefaultTarget(partition);
+  }
+  const bool told = set != nullptr && set->handed_over;
+  if (before.value != 0 && owners.IsAnswering(before) && !told) {
+    this->AskFor(partition, before, now + kAskLimit);
+  } else {
+    this->AbsorbAll(partition, now);
+  }
+  const InstanceView* const other = owners.Find(before);
+  if (other != nullptr && other->use == InstanceUse::kSuspected) {
+    state.contested_until = now + this->world.InForce().policy.lease;
+  }
+  this->Note(partition, PartitionEvent::kTaken, before, outbox);
+}
+
+void Exchange::GiveUp(PartitionIndex partition, std::chrono::milliseconds now,
+                      Outbox& outbox) {
+  PartitionState& state = this->world.StateOf(partition);
+  const common::InstanceId owner = this->world.Owners().At(partition).owner;
+  state.owned = false;
+  state.remembers = true;
+  state.handed_over = false;
+  state.given_up_to = owner;
+  this->Note(partition, PartitionEvent::kGivenUp, owner, outbox);
+  if (!this->WhomToAsk(partition, now)) {
+    this->StartHandOver(partition);
+  }
+}
+
+void Exchange::StartHandOver(PartitionIndex partition) {
+  const PartitionKey& key = this->world.Directory().KeyOf(partition);
+  const auto destination =
+      this->DestinationOf(this->world.Owners().At(partition).owner);
+  if (destination) {
+    this->sender.Start(key, *destination, CopyPurpose::kHandOver,
+                       this->FallbackId(partition));
+  }
+}
+
+void Exchange::StartDeferred(std::chrono::milliseconds now) {
+  for (std::uint32_t i = 0; i < this->world.Partitions().size(); ++i) {
+    const PartitionIndex partition{i};
+    PartitionState& state = this->world.StateOf(partition);
+    if (state.previous.value != 0 && !this->WhomToAsk(partition, now)) {
+      state.previous = {};
+      if (state.owned) {
+        this->AbsorbAll(partition, now);
+      }
+    }
+    const PartitionKey& key = this->world.Directory().KeyOf(partition);
+    const OutgoingSet* const set = this->sender.Find(key);
+    const bool started =
+        set != nullptr && set->purpose == CopyPurpose::kHandOver;
+    // "Everything is handed over" would not be true while this instance itself
+    // still learns from the one before it.
+    if (state.IsHandingOver() && state.previous.value == 0 && !started) {
+      this->StartHandOver(partition);
+    }
+  }
+}
+
+void Exchange::UpdateStandby(PartitionIndex partition) {
+  const PartitionKey& key = this->world.Directory().KeyOf(partition);
+  const auto destination =
+      this->DestinationOf(this->world.Owners().At(partition).standby);
+  if (!destination) {
+    this->sender.Stop(key);
+    return;
+  }
+  this->sender.Start(key, *destination, CopyPurpose::kStandby,
+                     this->FallbackId(partition));
+}
+
+void Exchange::OnCopy(common::InstanceId from, const ExceptionCopy& copy,
+                      std::chrono::milliseconds now, Outbox& outbox) {
+  const auto partition = this->world.IsReady()
+                             ? this->world.Directory().Find(copy.partition)
+                             : std::nullopt;
+  if (!partition) {
+    return;  // No answer: the sender tries again when we know the service.
+  }
+  const CopyOutcome outcome = this->store.Apply(from, copy, now);
+  if (outcome.ack) {
+    outbox.messages.push_back({from, *outcome.ack});
+  }
+  PartitionState& state = this->world.StateOf(*partition);
+  const CopySet* const set = this->store.SetFrom(copy.partition, from);
+  const bool learns = state.owned || state.previous == from;
+  if (outcome.handed_over && learns) {
+    if (set->fallback.value != 0 &&
+        (state.previous == from || state.fallback_guessed)) {
+      this->AdoptFallback(*partition, set->fallback);
+    }
+    this->Absorb(*partition, *set, now);
+    if (state.previous == from) {
+      state.previous = {};
+      this->AbsorbAll(*partition, now);
+    }
+    if (state.owned) {
+      this->UpdateStandby(*partition);
+    }
+    return;
+  }
+  const bool copied_back = state.remembers && state.handed_over &&
+                           from == state.given_up_to && set->complete &&
+                           !set->arriving;
+  if (copied_back) {
+    state.Forget();
+  }
+}
+
+void Exchange::OnAck(common::InstanceId from, const ExceptionCopyAck& ack,
+                     std::chrono::milliseconds now, Outbox& outbox) {
+  if (!this->sender.OnAck(from, ack, now)) {
+    return;
+  }
+  const auto partition = this->world.Directory().Find(ack.partition);
+  this->sender.Stop(ack.partition);
+  if (!partition) {
+    return;
+  }
+  PartitionState& state = this->world.StateOf(*partition);
+  if (!state.IsHandingOver()) {
+    return;  // What it told was only placed on behalf of the owner.
+  }
+  state.handed_over = true;
+  this->Note(*partition, PartitionEvent::kHandedOver, from, outbox);
+  // The standby keeps its records until the new owner has copied them back:
+  // else the death of the new owner right now would lose them.
+  if (this->world.Owners().At(*partition).standby != this->self) {
+    state.Forget();
+  }
+}
+
+void Exchange::OnOpened(common::Fingerprint flow, PartitionIndex partition,
+                        const FlowRecord& record,
+                        std::chrono::milliseconds now) {
+  const PartitionState& state = this->world.StateOf(partition);
+  const PartitionKey& key = this->world.Directory().KeyOf(partition);
+  if (!state.owned) {
+    // Placed in the owner's stead. It must learn of the flow at once: the next
+    // packet may reach it directly.
+    if (this->sender.Find(key) == nullptr) {
+      this->StartHandOver(partition);
+    }
+    this->sender.Add(
+        key, {flow, this->world.Targets().At(record.target).target.id}, now);
+    return;
+  }
+  if (record.target != state.fallback) {
+    const ServiceIndex service = this->world.Directory().ServiceOf(partition);
+    this->pending.push_back(
+        {flow, key.service,
+         now + this->world.Directory().At(service).policy.copy_after});
+  }
+}
+
+void Exchange::OnEnded(common::Fingerprint flow, const FlowRecord& record,
+                       std::chrono::milliseconds now) {
+  const auto partition = this->world.PartitionOf(flow, record.service);
+  if (record.copied && partition && this->world.IsLive(record, *partition)) {
+    this->sender.End(this->world.Directory().KeyOf(*partition), flow, now);
+  }
+}
+
+void Exchange::OnAskedInVain(PartitionIndex partition, common::InstanceId asker,
+                             std::chrono::milliseconds now) {
+  PartitionState& state = this->world.StateOf(partition);
+  const bool recently =
+      state.denied_at.count() >= 0 && now - state.denied_at < kDenyInterval;
+  if (state.IsHandingOver() || recently ||
+      asker != this->world.Owners().At(partition).owner) {
+    return;
+  }
+  state.denied_at = now;
+  this->StartHandOver(partition);
+}
+
+void Exchange::OnTick(std::chrono::milliseconds now, Outbox& outbox) {
+  if (!this->world.IsReady()) {
+    return;
+  }
+  this->StartDeferred(now);
+  this->FlipFallbacks(now, outbox);
+  this->QueueDue(now);
+  this->Gather(now);
+  this->sender.Flush(now, outbox);
+  this->DropOldCopies(now);
+}
+
+void Exchange::QueueDue(std::chrono::milliseconds now) {
+  for (std::size_t looks = 0; looks < kQueueBatch; ++looks) {
+    if (this->pending.empty() || this->pending.front().due > now) {
+      return;
+    }
+    const Pending next = this->pending.front();
+    this->pending.pop_front();
+    const auto partition = this->world.PartitionOf(next.flow, next.service);
+    FlowRecord* const record =
+        partition ? this->world.LiveRecord(next.flow, *partition) : nullptr;
+    if (record == nullptr || record->copied ||
+        record->state == FlowState::kClosing ||
+        record->target == this->world.StateOf(*partition).fallback) {
+      continue;
+    }
+    record->copied = true;
+    this->sender.Add(
+        this->world.Directory().KeyOf(*partition),
+        {next.flow, this->world.Targets().At(record->target).target.id}, now);
+  }
+}
+
+void Exchange::Gather(std::chrono::milliseconds now) {
+  const std::map<PartitionKey, Gathering> wanted = this->sender.Wanted();
+  if (wanted.empty()) {
+    return;
+  }
+  struct Order {
+    Gathering gathering{Gathering::kNone};
+    bool hand_over{false};
+    TargetSlot fallback{kNoSlot};
+    std::vector<FlowException> flows;
+  };
+  std::vector<Order> orders(this->world.Partitions().size());
+  for (const auto& [key, gathering] : wanted) {
+    const auto partition = this->world.Directory().Find(key);
+    if (!partition) {
+      this->sender.Stop(key);
+      continue;
+    }
+    const PartitionState& state = this->world.StateOf(*partition);
+    const OutgoingSet* const set = this->sender.Find(key);
+    Order& order = orders[partition->value];
+    order.gathering = gathering;
+    order.hand_over = set->purpose == CopyPurpose::kHandOver;
+    order.fallback = set->fallback.value == 0 ? kNoSlot : state.fallback;
+    order.flows = this->CopiesToReturn(*partition, *set);
+  }
+  this->world.ForEachRecord([this, &orders](common::Fingerprint flow,
+                                            FlowRecord& record) {
+    const auto partition = this->world.PartitionOf(flow, record.service);
+    if (!partition || !this->world.IsLive(record, *partition)) {
+      return;
+    }
+    Order& order = orders[partition->value];
+    // A SYN that is sent again must find its target, wherever it is; any other
+    // flow at the fallback is found without being named.
+    const bool is_named = record.target != order.fallback ||
+                          (order.hand_over && record.state == FlowState::kSyn);
+    const bool is_new = order.gathering == Gathering::kWhole || !record.copied;
+    const TargetRecord& target = this->world.Targets().At(record.target);
+    if (order.gathering != Gathering::kNone && is_named && is_new &&
+        !target.gone) {
+      order.flows.push_back({flow, target.target.id});
+      record.copied = true;
+    }
+  });
+  for (std::uint32_t i = 0; i < orders.size(); ++i) {
+    if (orders[i].gathering != Gathering::kNone) {
+      this->sender.Load(this->world.Directory().KeyOf(PartitionIndex{i}),
+                        std::move(orders[i].flows), now);
+    }
+  }
+}
+
+std::vector<FlowException> Exchange::CopiesToReturn(
+    PartitionIndex partition, const OutgoingSet& outgoing) const {
+  std::vector<FlowException> flows;
+  if (outgoing.purpose != CopyPurpose::kHandOver) {
+    return flows;
+  }
+  const CopyDestination& destination = outgoing.destination;
+  for (const CopySet& set :
+       this->store.SetsOf(this->world.Directory().KeyOf(partition))) {
+    const bool knows_itself = set.from == destination.to &&
+                              set.incarnation >= destination.incarnation;
+    if (knows_itself) {
+      continue;
+    }
+    for (const auto& [flow, target] : AllFlows(set)) {
+      flows.push_back({flow, target});
+    }
+  }
+  return flows;
+}
+
+void Exchange::Absorb(PartitionIndex partition, const CopySet& set,
+                      std::chrono::milliseconds now) {
+  const common::InstanceId from = set.from;
+  for (const auto& [flow, target] : AllFlows(set)) {
+    this->AbsorbFlow(partition, {flow, target}, now);
+  }
+  this->store.EraseSet(this->world.Directory().KeyOf(partition), from);
+}
+
+void Exchange::AbsorbAll(PartitionIndex partition,
+                         std::chrono::milliseconds now) {
+  const PartitionKey key = this->world.Directory().KeyOf(partition);
+  for (const CopySet& set : this->store.SetsOf(key)) {
+    this->Absorb(partition, set, now);
+  }
+}
+
+void Exchange::AbsorbFlow(PartitionIndex partition,
+                          const FlowException& exception,
+                          std::chrono::milliseconds now) {
+  const PartitionKey& key = this->world.Directory().KeyOf(partition);
+  const auto slot = this->world.Targets().Find(exception.target);
+  if (!slot || this->world.Targets().At(*slot).target.service != key.service) {
+    return;
+  }
+  const PartitionState& state = this->world.StateOf(partition);
+  const FlowRecord* const known =
+      this->world.LiveRecord(exception.flow, partition);
+  // A packet that came since this instance decides has settled the matter; a
+  // record from before is older than the word of whoever decided meanwhile.
+  if (known != nullptr &&
+      known->last_seen.Time() + std::chrono::milliseconds{Tick::kMilliseconds} >
+          state.owned_since) {
+    return;
+  }
+  FlowRecord record;
+  record.target = *slot;
+  record.state = FlowState::kEstablished;
+  record.last_seen = Tick::From(now);
+  record.payload_forwarded = true;
+  record.copied = state.owned && *slot != state.fallback;
+  if (this->world.OpenFlow(exception.flow, partition, record,
+                           Admission::kEstablishedFlow) != nullptr &&
+      record.copied) {
+    this->sender.Add(key, exception, now);
+  }
+}
+
+void Exchange::AdoptFallback(PartitionIndex partition,
+                             common::TargetId fallback) {
+  PartitionState& state = this->world.StateOf(partition);
+  const auto slot = this->world.Targets().Find(fallback);
+  const common::ServiceId service =
+      this->world.Directory().KeyOf(partition).service;
+  if (!slot) {
+    state.unresolved = fallback;
+    return;
+  }
+  if (this->world.Targets().At(*slot).target.service == service) {
+    state.fallback = *slot;
+    state.fallback_guessed = false;
+    state.unresolved = {};
+  }
+}
+
+common::TargetId Exchange::FallbackId(PartitionIndex partition) const {
+  const TargetSlot fallback = this->FallbackOf(partition);
+  return fallback == kNoSlot ? common::TargetId{}
+                             : this->world.Targets().At(fallback).target.id;
+}
+
+TargetSlot Exchange::FallbackOf(PartitionIndex partition) const {
+  const PartitionState& state = this->world.StateOf(partition);
+  if (state.owned || state.remembers) {
+    return state.fallback;
+  }
+  const PartitionKey& key = this->world.Directory().KeyOf(partition);
+  const CopySet* const set = this->store.SetFrom(key, state.seen_owner);
+  if (set == nullptr || !set->complete) {
+    return kNoSlot;
+  }
+  const auto slot = this->world.Targets().Find(set->fallback);
+  const bool same_service =
+      slot && this->world.Targets().At(*slot).target.service == key.service;
+  return same_service ? *slot : kNoSlot;
+}
+
+void Exchange::RefreshFallback(PartitionIndex partition, Outbox& outbox) {
+  PartitionState& state = this->world.StateOf(partition);
+  if (state.unresolved.value != 0) {
+    const common::TargetId wanted = state.unresolved;
+    this->AdoptFallback(partition, wanted);
+    state.unresolved = {};
+  }
+  if (!state.owned && !state.remembers) {
+    return;
+  }
+  const bool adopted = this->world.Owners().At(partition).adopted;
+  const bool usable = state.fallback != kNoSlot &&
+                      !this->world.Targets().At(state.fallback).gone;
+  if (usable || (adopted && state.fallback == kNoSlot)) {
+    return;
+  }
+  // The flows that had no record were at a target that is no more. Nothing of
+  // them is left to protect, so the default of today takes its place.
+  state.fallback = this->world.DefaultTarget(partition);
+  this->Note(partition, PartitionEvent::kFallbackChanged, {}, outbox);
+}
+
+void Exchange::FlipFallbacks(std::chrono::milliseconds now, Outbox& outbox) {
+  for (std::uint32_t i = 0; i < this->world.Partitions().size(); ++i) {
+    const PartitionIndex partition{i};
+    PartitionState& state = this->world.StateOf(partition);
+    if (!state.owned || state.counts.empty() || state.fallback == kNoSlot) {
+      continue;
+    }
+    const ServicePolicy& policy =
+        this->world.Directory()
+            .At(this->world.Directory().ServiceOf(partition))
+            .policy;
+    // An idle flow of an earlier owner has no record here and is found only by
+    // the fallback. It must have spoken or expired before the fallback moves.
+    if (now - state.owned_since < policy.established_idle) {
+      continue;
+    }
+    const auto most =
+        std::max_element(state.counts.begin(), state.counts.end(),
+                         [](const TargetCount& a, const TargetCount& b) {
+                           return a.flows < b.flows;
+                         });
+    const std::uint32_t stay = state.FlowsAt(state.fallback);
+    if (most->flows <= kFlipFactor * stay + kFlipMargin) {
+      continue;
+    }
+    state.fallback = most->slot;
+    this->UpdateStandby(partition);
+    this->Note(partition, PartitionEvent::kFallbackChanged, {}, outbox);
+  }
+}
+
+std::optional<common::InstanceId> Exchange::WhomToAsk(
+    PartitionIndex partition, std::chrono::milliseconds now) const {
+  const PartitionState& state = this->world.StateOf(partition);
+  if (state.previous.value == 0 || now >= state.ask_until ||
+      !this->world.Owners().IsAnswering(state.previous)) {
+    return std::nullopt;
+  }
+  return state.previous;
+}
+
+std::optional<TargetSlot> Exchange::FindCopy(common::Fingerprint flow,
+                                             PartitionIndex partition) const {
+  const PartitionKey& key = this->world.Directory().KeyOf(partition);
+  const auto target = this->store.Find(key, flow);
+  const auto slot = target ? this->world.Targets().Find(*target) : std::nullopt;
+  if (!slot || this->world.Targets().At(*slot).target.service != key.service) {
+    return std::nullopt;
+  }
+  return slot;
+}
+
+void Exchange::EraseCopy(common::Fingerprint flow, PartitionIndex partition) {
+  this->store.EraseFlow(this->world.Directory().KeyOf(partition), flow);
+}
+
+double Exchange::Reluctance() const {
+  const double left = this->sender.BudgetLeft();
+  if (left < kNearlyUsed) {
+    return kNearlyReluctance;
+  }
+  return left < kHalfUsed ? kHalfReluctance : 1.0;
+}
+
+void Exchange::DropOldCopies(std::chrono::milliseconds now) {
+  if (now - this->cleaned_at < kCleanInterval) {
+    return;
+  }
+  this->cleaned_at = now;
+  this->store.EraseUnless(
+      [this, now](const PartitionKey& key, const CopySet& set) {
+        const auto partition = this->world.Directory().Find(key);
+        if (!partition) {
+          return false;
+        }
+        const PartitionOwners& owners = this->world.Owners().At(*partition);
+        return set.from == owners.owner || owners.owner == this->self ||
+               now - set.updated_at < kKeepCopies;
+      });
+}
+
+std::size_t Exchange::CopiesWaiting() const {
+  return this->pending.size() + this->sender.Waiting();
+}
+
+bool Exchange::IsHandingOver() const {
+  const auto& partitions = this->world.Partitions();
+  return std::any_of(partitions.begin(), partitions.end(),
+                     [](const PartitionState& state) {
+                       return state.owned || state.IsHandingOver();
+                     });
+}
+
+void Exchange::Note(PartitionIndex partition, PartitionEvent event,
+                    common::InstanceId other, Outbox& outbox) const {
+  outbox.decisions.emplace_back(PartitionDecision{
+      this->world.Directory().KeyOf(partition), event, other});
+}
+
+}  // namespace sassafrasdyke::core
--- /dev/null
+++ b/source/core/flow/partition_state.cc
@@ -0,0 +1,44 @@
+#include "core/flow/partition_state.h"
+
+#include <algorithm>
+
+namespace sassafrasdyke::core {
+
+void PartitionState::Forget() {
+  ++this->tenure;
+  this->remembers = false;
+  this->counts.clear();
+}
+
+void PartitionState::Count(TargetSlot slot, int change) {
+  const auto found = std::find_if(
+      this->counts.begin(), this->counts.end(),
+      [slot](const TargetCount& count) { return count.slot == slot; });
+  if (found == this->counts.end()) {
+    this->counts.push_back({slot, static_cast<std::uint32_t>(change)});
+    return;
+  }
+  found->flows += static_cast<std::uint32_t>(change);
+  if (found->flows == 0) {
+    this->counts.erase(found);
+  }
+}
+
+std::uint32_t PartitionState::FlowsAt(TargetSlot slot) const {
+  for (const TargetCount& count : this->counts) {
+    if (count.slot == slot) {
+      return count.flows;
+    }
+  }
+  return 0;
+}
+
+std::size_t PartitionState::Exceptions() const {
+  std::size_t flows = 0;
+  for (const TargetCount& count : this->counts) {
+    flows += count.slot == this->fallback ? 0 : count.flows;
+  }
+  return flows;
+}
+
+}  // namespace sassafrasdyke::core
--- /dev/null
+++ b/source/core/flow/partition_state.h
@@ -0,0 +1,66 @@
+/// What an instance remembers of one partition.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "common/ids.h"
+#include "core/placement/target_slot.h"
+
+namespace sassafrasdyke::core {
+
+/// The known flows of one partition at one target.
+struct TargetCount {
+  TargetSlot slot;
+  std::uint32_t flows{0};
+};
+
+/// One partition as this instance sees it.
+struct PartitionState {
+  /// This instance is the owner.
+  bool owned{false};
+  /// The owner as last seen, and which life of it; 0 before the first view.
+  common::InstanceId seen_owner;
+  common::Incarnation seen_incarnation;
+  /// This instance was the owner and its flow records still count: they are
+  /// being handed over, or wait until the new owner has copied them back.
+  bool remembers{false};
+  /// To whom this instance gave the partition up; 0 once it owns it again.
+  common::InstanceId given_up_to;
+  /// The new owner has confirmed that it knows everything.
+  bool handed_over{false};
+  /// Records of an earlier tenure are void.
+  std::uint16_t tenure{0};
+  std::chrono::milliseconds owned_since{0};
+  /// The instance to ask about unknown flows, until `ask_until`; 0 for none.
+  common::InstanceId previous;
+  std::chrono::milliseconds ask_until{0};
+  /// Until then another instance may still believe that it is the owner.
+  std::chrono::milliseconds contested_until{0};
+  /// When this instance last told an owner that it has nothing.
+  std::chrono::milliseconds denied_at{-1};
+  /// Where established flows without a record are presumed to be.
+  TargetSlot fallback{kNoSlot};
+  /// The fallback is only what the configuration suggests; the word of an
+  /// instance that knows better replaces it.
+  bool fallback_guessed{true};
+  /// The fallback's published number while it can't be resolved: the sender's
+  /// configuration is newer. 0 when there is none.
+  common::TargetId unresolved;
+  /// Known flows by target.
+  std::vector<TargetCount> counts;
+
+  /// The former owner decides about the flows it has records of.
+  bool IsHandingOver() const { return this->remembers && !this->handed_over; }
+
+  /// Voids all records of the partition.
+  void Forget();
+
+  void Count(TargetSlot slot, int change);
+  std::uint32_t FlowsAt(TargetSlot slot) const;
+  std::size_t Exceptions() const;
+};
+
+}  // namespace sassafrasdyke::core
--- /dev/null
+++ b/source/core/flow_balancer.cc
@@ -0,0 +1,439 @@
+#include "core/flow_balancer.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "common/flow_key.h"
+#include "core/flow/silence.h"
+
+namespace sassafrasdyke::core {
+namespace {
+
+/// Flows looked at for expiry in one tick.
+constexpr std::size_t kExpiryBatch = 5000;
+/// Two SYNs closer than this are copies made by the network, not a sign that
+/// the first one found no answer.
+constexpr std::chrono::milliseconds kLeastSynGap{500};
+
+bool IsNewSyn(const PacketArrived& packet) {
+  return packet.flags.syn && !packet.flags.ack;
+}
+
+bool Ends(const PacketArrived& packet) {
+  return packet.flags.fin || packet.flags.rst;
+}
+
+/// Whether `from` handed the packet on.
+bool CameFrom(const PacketArrived& packet, common::InstanceId from) {
+  return packet.arrival.hops > 0 && packet.arrival.from == from;
+}
+
+}  // namespace
+
+std::unique_ptr<Balancer> MakeBalancer(common::InstanceId self,
+                                       common::Incarnation incarnation) {
+  return std::make_unique<FlowBalancer>(self, incarnation);
+}
+
+FlowBalancer::FlowBalancer(common::InstanceId self,
+                           common::Incarnation incarnation)
+    : self(self), exchange(self, incarnation, this->world) {}
+
+PacketAction FlowBalancer::OnPacket(const PacketArrived& packet,
+                                    std::chrono::milliseconds now,
+                                    Outbox& outbox) {
+  if (!this->world.IsReady()) {
+    return DropPacket{DropReason::kStale};
+  }
+  const ServiceDirectory& directory = this->world.Directory();
+  const std::optional<ServiceIndex> service =
+      directory.Find(packet.flow.service);
+  if (!service) {
+    return DropPacket{DropReason::kUnknownService};
+  }
+  const common::Fingerprint flow =
+      common::FingerprintOf(packet.flow, this->world.InForce().hash_seed);
+  return this->Route({packet, flow, *service,
+                      directory.PartitionOf(*service, flow), now, outbox});
+}
+
+PacketAction FlowBalancer::Route(const Context& context) {
+  const PacketArrived& packet = context.packet;
+  const PartitionOwners& owners = this->world.Owners().At(context.partition);
+  if (owners.owner == this->self) {
+    return this->DecideAsOwner(context);
+  }
+  if (packet.arrival.hops > 0 &&
+      packet.arrival.purpose == HopPurpose::kAskPrevious) {
+    return this->AnswerNewOwner(context);
+  }
+  const PartitionState& state = this->world.StateOf(context.partition);
+  if (state.IsHandingOver()) {
+    // The new owner would ask this instance anyway.
+    FlowRecord* const record =
+        this->world.LiveRecord(context.flow, context.partition);
+    if (record != nullptr &&
+        !(IsNewSyn(packet) && record->state == FlowState::kClosing)) {
+      return this->HandleKnown(context, *record);
+    }
+  }
+  // The instance that this one takes for the owner says that this one is: it
+  // knows best that it gave up. Two instances that each say so would play the
+  // packet to and fro, so one that has given up itself doesn't take it back.
+  if (CameFrom(packet, owners.owner) && state.given_up_to != owners.owner) {
+    return this->DecideAsOwner(context);
+  }
+  return this->Redirect(context, owners.owner, HopPurpose::kToOwner,
+                        DropReason::kUnreachable);
+}
+
+PacketAction FlowBalancer::Redirect(const Context& context,
+                                    common::InstanceId to, HopPurpose purpose,
+                                    DropReason otherwise) const {
+  const InstanceView* const instance = this->world.Owners().Find(to);
+  if (instance == nullptr) {
+    return DropPacket{otherwise};
+  }
+  const std::uint8_t hops = context.packet.arrival.hops;
+  if (hops >= kHopLimit) {
+    return DropPacket{DropReason::kHopLimit};
+  }
+  return RedirectToInstance{
+      to, instance->tunnel,
+      Arrival{static_cast<std::uint8_t>(hops + 1), this->self, purpose}};
+}
+
+PacketAction FlowBalancer::DecideAsOwner(const Context& context) {
+  FlowRecord* const record =
+      this->world.LiveRecord(context.flow, context.partition);
+  if (record != nullptr) {
+    return this->HandleKnown(context, *record);
+  }
+  return this->HandleUnknown(context);
+}
+
+PacketAction FlowBalancer::AnswerNewOwner(const Context& context) {
+  const PartitionState& state = this->world.StateOf(context.partition);
+  const common::InstanceId asker = context.packet.arrival.from;
+  const bool is_syn = IsNewSyn(context.packet);
+  if (state.IsHandingOver()) {
+    FlowRecord* const record =
+        this->world.LiveRecord(context.flow, context.partition);
+    if (record != nullptr &&
+        !(is_syn && record->state == FlowState::kClosing)) {
+      return this->HandleKnown(context, *record);
+    }
+  }
+  const auto copy = this->exchange.FindCopy(context.flow, context.partition);
+  if (copy) {
+    return this->Forward(*copy, PlacementReason::kAskedPrevious);
+  }
+  const auto earlier = this->exchange.WhomToAsk(context.partition, context.now);
+  if (earlier && *earlier != asker && context.packet.arrival.hops < kHopLimit) {
+    return this->Redirect(context, *earlier, HopPurpose::kAskPrevious,
+                          DropReason::kUnreachable);
+  }
+  if (state.IsHandingOver() && !is_syn && state.fallback != kNoSlot &&
+      !this->world.Targets().At(state.fallback).gone) {
+    return this->Forward(state.fallback, PlacementReason::kAskedPrevious);
+  }
+  this->exchange.OnAskedInVain(context.partition, asker, context.now);
+  return this->Redirect(context, asker, HopPurpose::kToOwner,
+                        DropReason::kUnreachable);
+}
+
+PacketAction FlowBalancer::HandleKnown(const Context& context,
+                                       FlowRecord& record) {
+  if (IsNewSyn(context.packet)) {
+    return this->HandleKnownSyn(context, record);
+  }
+  const TargetSlot slot = record.target;
+  const TargetRecord& target = this->world.Targets().At(slot);
+  if (target.gone) {
+    return this->EndAtGoneTarget(context);
+  }
+  NoteSequence(context.packet, context.now, record);
+  const ServicePolicy& policy =
+      this->world.Directory().At(context.service).policy;
+  if (this->world.HoldsLease() &&
+      IsSilent(record, policy.silent_repeats, target.answered_at)) {
+    return this->EndWithReset(context, ResetReason::kSilentPath);
+  }
+  this->NoteProgress(context, record);
+  return this->Forward(slot, PlacementReason::kRecord);
+}
+
+void FlowBalancer::NoteProgress(const Context& context, FlowRecord& record) {
+  const PacketArrived& packet = context.packet;
+  record.last_seen = Tick::From(context.now);
+  if (packet.payload_bytes > 0) {
+    record.payload_forwarded = true;
+  }
+  if (Ends(packet) && record.state != FlowState::kClosing) {
+    this->world.SetState(context.flow, record, FlowState::kClosing);
+  } else if (packet.flags.ack && record.state == FlowState::kSyn) {
+    this->world.Targets().OnAnswered(record.target, context.now);
+    this->world.SetState(context.flow, record, FlowState::kEstablished);
+  }
+}
+
+PacketAction FlowBalancer::HandleKnownSyn(const Context& context,
+                                          FlowRecord& record) {
+  const TargetSlot slot = record.target;
+  const bool is_repeat = record.state == FlowState::kSyn;
+  if (this->world.Targets().At(slot).gone) {
+    if (is_repeat && record.payload_forwarded) {
+      return this->EndAtGoneTarget(context);
+    }
+    this->EndFlow(context);
+    return this->PlaceNew(
+        context,
+        is_repeat ? std::optional(PlacementReason::kReplaced) : std::nullopt);
+  }
+  if (record.state == FlowState::kClosing) {
+    // The caller uses the port again.
+    this->EndFlow(context);
+    return this->PlaceNew(context, std::nullopt);
+  }
+  const bool waited = context.now - record.last_seen.Time() >= kLeastSynGap;
+  if (is_repeat && waited && !record.counted_unanswered) {
+    record.counted_unanswered = true;
+    this->world.Targets().OnUnanswered(
+        slot, this->world.Directory().At(context.service).policy, context.now);
+  }
+  record.last_seen = Tick::From(context.now);
+  record.payload_forwarded =
+      record.payload_forwarded || context.packet.payload_bytes > 0;
+  return this->Forward(slot, PlacementReason::kRecord);
+}
+
+PacketAction FlowBalancer::EndAtGoneTarget(const Context& context) {
+  // Without fresh word this instance can't know that the target is gone for
+  // good; a RST on a guess would end a flow that others still serve.
+  if (!this->world.HoldsLease()) {
+    return DropPacket{DropReason::kUnreachable};
+  }
+  return this->EndWithReset(context, ResetReason::kTargetGone);
+}
+
+PacketAction FlowBalancer::EndWithReset(const Context& context,
+                                        ResetReason reason) {
+  this->EndFlow(context);
+  this->Note(context, FlowReset{reason});
+  return ResetCaller{reason};
+}
+
+PacketAction FlowBalancer::HandleUnknown(const Context& context) {
+  const PacketArrived& packet = context.packet;
+  if (const auto copy =
+          this->exchange.FindCopy(context.flow, context.partition)) {
+    return this->FollowCopy(context, *copy);
+  }
+  const auto previous =
+      this->exchange.WhomToAsk(context.partition, context.now);
+  if (previous && !CameFrom(packet, *previous) &&
+      packet.arrival.hops < kHopLimit) {
+    return this->Redirect(context, *previous, HopPurpose::kAskPrevious,
+                          DropReason::kUnreachable);
+  }
+  if (this->world.Owners().View().lease == Lease::kStale) {
+    return this->HandleStale(context);
+  }
+  return IsNewSyn(packet) ? this->PlaceNew(context, std::nullopt)
+                          : this->Recover(context);
+}
+
+PacketAction FlowBalancer::HandleStale(const Context& context) const {
+  // A process that was paused may no longer be the owner: what it placed now,
+  // nobody would find again. The standby knows whether it has taken over.
+  const common::InstanceId standby =
+      this->world.Owners().At(context.partition).standby;
+  if (standby.value == 0 || CameFrom(context.packet, standby)) {
+    return DropPacket{DropReason::kStale};
+  }
+  return this->Redirect(context, standby, HopPurpose::kToOwner,
+                        DropReason::kStale);
+}
+
+PacketAction FlowBalancer::FollowCopy(const Context& context, TargetSlot slot) {
+  this->exchange.EraseCopy(context.flow, context.partition);
+  const FlowRecord record =
+      this->MakeRecord(context, slot, FlowState::kEstablished);
+  FlowRecord* const opened = this->world.OpenFlow(
+      context.flow, context.partition, record, Admission::kEstablishedFlow);
+  if (opened == nullptr) {
+    return this->Forward(slot, PlacementReason::kCopy);
+  }
+  this->exchange.OnOpened(context.flow, context.partition, *opened,
+                          context.now);
+  this->NoteProgress(context, *opened);
+  this->Note(context, FlowRecovered{this->world.Targets().At(slot).target.id,
+                                    PlacementReason::kCopy});
+  return this->Forward(slot, PlacementReason::kCopy);
+}
+
+PacketAction FlowBalancer::Recover(const Context& context) {
+  const TargetSlot fallback = this->exchange.FallbackOf(context.partition);
+  if (fallback == kNoSlot || this->world.Targets().At(fallback).gone) {
+    return DropPacket{DropReason::kUnreachable};
+  }
+  if (context.packet.flags.rst) {
+    return this->Forward(fallback, PlacementReason::kFallback);
+  }
+  const FlowRecord record =
+      this->MakeRecord(context, fallback, FlowState::kEstablished);
+  FlowRecord* const opened = this->world.OpenFlow(
+      context.flow, context.partition, record, Admission::kEstablishedFlow);
+  if (opened != nullptr) {
+    this->exchange.OnOpened(context.flow, context.partition, *opened,
+                            context.now);
+    this->NoteProgress(context, *opened);
+    this->Note(context,
+               FlowRecovered{this->world.Targets().At(fallback).target.id,
+                             PlacementReason::kFallback});
+  }
+  return this->Forward(fallback, PlacementReason::kFallback);
+}
+
+PacketAction FlowBalancer::PlaceNew(const Context& context,
+                                    std::optional<PlacementReason> reason) {
+  const PartitionState& state = this->world.StateOf(context.partition);
+  if (!this->world.Table().HasRoom(Admission::kNewFlow)) {
+    return this->Refuse(context, DropReason::kTableFull);
+  }
+  const PlacementRequest request{
+      .flow = context.flow,
+      .service = &this->world.Directory().At(context.service),
+      .targets = this->world.Subsets().At(context.partition),
+      .fallback = this->exchange.FallbackOf(context.partition),
+      .prefer_fallback = context.now < state.contested_until,
+      .reluctance = this->exchange.Reluctance()};
+  std::optional<Placement> placement =
+      Place(request, this->world.Targets(), context.now);
+  if (!placement) {
+    return this->Refuse(context, DropReason::kNoTarget);
+  }
+  const bool adopted = this->world.Owners().At(context.partition).adopted;
+  placement->reason =
+      adopted ? PlacementReason::kAdopted : reason.value_or(placement->reason);
+  const FlowRecord record =
+      this->MakeRecord(context, placement->slot, FlowState::kSyn);
+  FlowRecord* const opened = this->world.OpenFlow(
+      context.flow, context.partition, record, Admission::kNewFlow);
+  this->exchange.OnOpened(context.flow, context.partition, *opened,
+                          context.now);
+  this->Note(context,
+             FlowPlaced{this->world.Targets().At(placement->slot).target.id,
+                        placement->reason});
+  return this->Forward(placement->slot, placement->reason);
+}
+
+PacketAction FlowBalancer::Refuse(const Context& context, DropReason reason) {
+  const PartitionState& state = this->world.StateOf(context.partition);
+  const ServicePolicy& policy =
+      this->world.Directory().At(context.service).policy;
+  // "Not run" must be true. An owner that has just come may not know that an
+  // earlier one forwarded this SYN; after the life of a SYN's record it does.
+  const bool surely_new = state.owned && this->world.HoldsLease() &&
+                          state.previous.value == 0 &&
+                          context.now - state.owned_since >= policy.syn_idle;
+  if (surely_new) {
+    this->Note(context, FlowReset{ResetReason::kNotRun});
+    return ResetCaller{ResetReason::kNotRun};
+  }
+  this->Note(context, FlowDropped{reason});
+  return DropPacket{reason};
+}
+
+FlowRecord FlowBalancer::MakeRecord(const Context& context, TargetSlot slot,
+                                    FlowState state) const {
+  FlowRecord record;
+  record.target = slot;
+  record.state = state;
+  record.last_seen = Tick::From(context.now);
+  record.sequence = context.packet.sequence;
+  record.sequence_since = record.last_seen;
+  record.payload_forwarded =
+      state != FlowState::kSyn || context.packet.payload_bytes > 0;
+  return record;
+}
+
+ForwardToTarget FlowBalancer::Forward(TargetSlot slot,
+                                      PlacementReason reason) const {
+  const Target& target = this->world.Targets().At(slot).target;
+  return {target.id, target.tunnel, reason};
+}
+
+void FlowBalancer::EndFlow(const Context& context) {
+  if (const FlowRecord* const record =
+          this->world.LiveRecord(context.flow, context.partition)) {
+    this->exchange.OnEnded(context.flow, *record, context.now);
+    this->world.EndFlow(context.flow);
+  }
+}
+
+template <typename What>
+void FlowBalancer::Note(const Context& context, What what) const {
+  context.outbox.decisions.emplace_back(FlowDecision{
+      context.packet.flow, context.flow,
+      this->world.Directory().KeyOf(context.partition), std::move(what)});
+}
+
+void FlowBalancer::OnConfiguration(
+    std::shared_ptr<const Configuration> configuration,
+    std::chrono::milliseconds now, Outbox& outbox) {
+  if (this->world.HasConfiguration() &&
+      configuration->revision <= this->world.InForce().revision) {
+    return;
+  }
+  const std::vector<common::TargetId> ended =
+      this->world.SetConfiguration(std::move(configuration), now);
+  this->exchange.OnConfiguration(ended, now, outbox);
+}
+
+void FlowBalancer::OnFleetView(const FleetView& view,
+                               std::chrono::milliseconds now, Outbox& outbox) {
+  const FleetView before = this->world.Owners().View();
+  this->world.SetView(view);
+  this->exchange.OnView(before, now, outbox);
+}
+
+void FlowBalancer::OnPeerMessage(common::InstanceId from,
+                                 const PeerMessage& message,
+                                 std::chrono::milliseconds now,
+                                 Outbox& outbox) {
+  if (const auto* const copy = std::get_if<ExceptionCopy>(&message)) {
+    this->exchange.OnCopy(from, *copy, now, outbox);
+  } else if (const auto* const ack = std::get_if<ExceptionCopyAck>(&message)) {
+    this->exchange.OnAck(from, *ack, now, outbox);
+  } else if (const auto* const health =
+                 std::get_if<TargetHealthChange>(&message)) {
+    this->world.Targets().OnHealth(*health, now);
+  }
+}
+
+void FlowBalancer::OnTick(std::chrono::milliseconds now, Outbox& outbox) {
+  this->world.Expire(
+      now, kExpiryBatch,
+      [this, now](common::Fingerprint flow, const FlowRecord& record) {
+        this->exchange.OnEnded(flow, record, now);
+      });
+  this->exchange.OnTick(now, outbox);
+}
+
+BalancerStatus FlowBalancer::Status() const {
+  BalancerStatus status;
+  status.flows = this->world.Table().Size();
+  status.copies_held = this->exchange.CopiesHeld();
+  status.copies_waiting = this->exchange.CopiesWaiting();
+  for (const PartitionState& state : this->world.Partitions()) {
+    status.owned_partitions += state.owned ? 1 : 0;
+    status.exceptions += state.owned ? state.Exceptions() : 0;
+  }
+  status.handed_over =
+      this->world.Owners().View().leaving && !this->exchange.IsHandingOver();
+  return status;
+}
+
+}  // namespace sassafrasdyke::core
--- /dev/null
+++ b/source/core/placement/subset_map.h
@@ -0,0 +1,59 @@
+/// The targets that each partition may use, from the configuration alone.
+#pragma once
+
+#include <cstddef>
+#include <span>
+#include <vector>
+
+#include "common/ids.h"
+#include "core/configuration.h"
+#include "core/placement/service_directory.h"
+#include "core/placement/target_set.h"
+#include "core/placement/target_slot.h"
+
+namespace sassafrasdyke::core {
+
+/// The targets of one partition, most preferred first: the subset, then a
+/// reserve of the home domain for when much of the subset can't serve, then
+/// other domains' targets for when none of the home domain can.
+struct PartitionSubset {
+  common::DomainId home;
+  std::span<const TargetSlot> subset;
+  std::span<const TargetSlot> reserve;
+  std::span<const TargetSlot> spill;
+};
+
+/// Precomputed subsets of all partitions. They don't depend on which instances
+/// live, so that a change of instances moves no flow's default target.
+class SubsetMap {
+ public:
+  SubsetMap() = default;
+
+  /// `self` is this instance's failure domain: the home of every partition when
+  /// the fabric stays inside a domain.
+  SubsetMap(const Configuration& configuration,
+            const ServiceDirectory& directory, const TargetSet& targets,
+            common::DomainId self);
+
+  PartitionSubset At(PartitionIndex partition) const;
+
+  /// A hash that stands for the partition wherever instances must agree.
+  std::uint64_t HashOf(PartitionIndex partition) const {
+    return this->entries[partition.value].hash;
+  }
+
+ private:
+  struct Entry {
+    std::uint64_t hash{0};
+    common::DomainId home;
+    std::uint32_t first{0};
+    std::uint32_t subset{0};
+    std::uint32_t reserve{0};
+    std::uint32_t spill{0};
+  };
+
+  std::vector<Entry> entries;
+  std::vector<TargetSlot> slots;
+};
+
+}  // namespace sassafrasdyke::core
