Tell the linter about defaulted comparisons

clang-tidy 14 reports a literal 0 inside every defaulted operator<=> as modernize-use-nullptr wherever a file compares such a value. The operator has no such literal; two headers carry a note for the linter.

--- a/source/common/address.h
+++ b/source/common/address.h
@@ -32,6 +32,7 @@
   const Bytes& Raw() const { return this->bytes; }
   std::string ToString() const;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): the defaulted operator has none.
   friend auto operator<=>(const IpAddress&, const IpAddress&) = default;
 
  private:
@@ -47,6 +48,7 @@
   static std::optional<Endpoint> Parse(std::string_view text);
   std::string ToString() const;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): the defaulted operator has none.
   friend auto operator<=>(const Endpoint&, const Endpoint&) = default;
 };
 
--- a/source/common/flow_key.h
+++ b/source/common/flow_key.h
@@ -18,6 +18,7 @@
   /// "SRC:PORT->DST:PORT", as logs and `explain --flow` write it.
   std::string ToString() const;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): the defaulted operator has none.
   friend auto operator<=>(const FlowKey&, const FlowKey&) = default;
 };
 
