--- a/rig/main.cc
+++ b/rig/main.cc
@@ -6,7 +6,6 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
-#include <sstream>
 #include <string>
 
 #include "rig/report.h"
@@ -30,9 +29,13 @@
       "report.txt, report.json and faults.txt in the folder.");
   options.add_options()("scenario", "scenario file (JSON with comments)",
                         cxxopts::value<std::string>())(
+      "deployment", "deployment to use in place of the scenario's own",
+      cxxopts::value<std::string>()->default_value(""))(
       "seed", "seed of every choice",
       cxxopts::value<std::uint64_t>()->default_value("1"))(
-      "seconds", "length of the load; 0 is the scenario's own",
+      "seconds",
+      "length of the load, and of the timeline with it; 0 is "
+      "the scenario's own",
       cxxopts::value<std::int64_t>()->default_value("0"))(
       "net", "second byte of all addresses; 0 is the scenario's own",
       cxxopts::value<std::uint32_t>()->default_value("0"))(
@@ -48,11 +51,15 @@
 }
 
 void Adjust(Scenario& scenario, const cxxopts::ParseResult& given) {
+  const std::chrono::seconds own = scenario.length;
   if (const auto seconds = given["seconds"].as<std::int64_t>(); seconds > 0) {
     scenario.length = std::chrono::seconds{seconds};
   }
   scenario.length =
       std::min(scenario.length, std::chrono::seconds{kMostSeconds});
+  for (ScenarioStep& step : scenario.timeline) {
+    step.at = step.at * scenario.length.count() / own.count();
+  }
   if (const auto net = given["net"].as<std::uint32_t>(); net > 0) {
     scenario.net = net;
   }
@@ -79,13 +86,11 @@
     std::cerr << options.help();
     return given.count("help") > 0 ? 0 : kUsage;
   }
-  std::ifstream file(given["scenario"].as<std::string>());
-  std::ostringstream text;
-  text << file.rdbuf();
-  auto scenario = ReadScenario(text.str());
-  if (!file || !scenario) {
+  auto scenario = LoadScenario(given["scenario"].as<std::string>(),
+                               given["deployment"].as<std::string>());
+  if (!scenario) {
     std::cerr << "can't read the scenario\n";
-    for (const auto& fault : scenario ? ScenarioFaults{} : scenario.error()) {
+    for (const auto& fault : scenario.error()) {
       std::cerr << "  " << fault << '\n';
     }
     return kUsage;
--- a/rig/run.cc
+++ b/rig/run.cc
@@ -23,7 +23,6 @@
 constexpr double kMicrosecondsPerSecond = 1e6;
 constexpr unsigned kOk = 200;
 constexpr std::size_t kLineBytes = 512;
-constexpr int kTwoDigits = 10;
 constexpr std::uint32_t kWeight = 100;
 constexpr double kMedian = 0.5;
 constexpr double kTail = 0.99;
@@ -43,12 +42,6 @@
   return shape;
 }
 
-/// "diary", 3 -> "diary-03".
-std::string TargetName(const std::string& service, std::uint32_t number) {
-  const std::string digits = std::to_string(number);
-  return service + (number < kTwoDigits ? "-0" : "-") + digits;
-}
-
 double Seconds(std::chrono::microseconds time) {
   return static_cast<double>(time.count()) / kMicrosecondsPerSecond;
 }
--- a/rig/scenario.cc
+++ b/rig/scenario.cc
@@ -2,8 +2,11 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdio>
+#include <fstream>
 #include <optional>
 #include <set>
+#include <sstream>
 
 namespace sassafrasdyke::rig {
 namespace {
@@ -213,14 +216,37 @@
   }
 }
 
-}  // namespace
+/// Turns "service-1/3", "service-1" and "domain-2" into the deployment's names.
+std::string Resolve(const Scenario& scenario, const std::string& subject) {
+  std::size_t first = 0;
+  std::uint32_t second = 0;
+  const int found =
+      std::sscanf(subject.c_str(), "service-%zu/%u", &first, &second);
+  if (found >= 1 && first >= 1 && first <= scenario.services.size()) {
+    const std::string& service = scenario.services[first - 1].name;
+    return found == 2 ? TargetName(service, second) : service;
+  }
+  if (std::sscanf(subject.c_str(), "domain-%zu", &first) == 1 && first >= 1 &&
+      first <= scenario.domains.size()) {
+    return scenario.domains[first - 1].name;
+  }
+  return subject;
+}
 
-tl::expected<Scenario, ScenarioFaults> ReadScenario(std::string_view text) {
-  ScenarioFaults faults;
-  const Json json = Json::parse(text, nullptr, false, true);
-  if (json.is_discarded()) {
-    return tl::unexpected(ScenarioFaults{"/: isn't JSON"});
+tl::expected<Json, ScenarioFaults> ParseFile(
+    const std::filesystem::path& file) {
+  std::ostringstream text;
+  text << std::ifstream(file).rdbuf();
+  Json json = Json::parse(text.str(), nullptr, false, true);
+  if (!json.is_object()) {
+    return tl::unexpected(
+        ScenarioFaults{file.string() + ": isn't a file with a JSON object"});
   }
+  return json;
+}
+
+tl::expected<Scenario, ScenarioFaults> FromJson(const Json& json) {
+  ScenarioFaults faults;
   Scenario scenario;
   ObjectReader reader(json, "", faults);
   reader.Read("name", scenario.name)
@@ -240,7 +266,50 @@
   if (!faults.empty()) {
     return tl::unexpected(faults);
   }
+  for (ScenarioStep& step : scenario.timeline) {
+    step.subject = Resolve(scenario, step.subject);
+  }
   return scenario;
 }
 
+}  // namespace
+
+std::string TargetName(const std::string& service, std::uint32_t number) {
+  constexpr std::uint32_t kTwoDigits = 10;
+  return service + (number < kTwoDigits ? "-0" : "-") + std::to_string(number);
+}
+
+tl::expected<Scenario, ScenarioFaults> ReadScenario(std::string_view text) {
+  const Json json = Json::parse(text, nullptr, false, true);
+  if (json.is_discarded()) {
+    return tl::unexpected(ScenarioFaults{"/: isn't JSON"});
+  }
+  return FromJson(json);
+}
+
+tl::expected<Scenario, ScenarioFaults> LoadScenario(
+    const std::filesystem::path& file,
+    const std::filesystem::path& deployment) {
+  auto json = ParseFile(file);
+  if (!json) {
+    return tl::unexpected(json.error());
+  }
+  std::filesystem::path under = deployment;
+  if (const auto named = json->find("deployment"); named != json->end()) {
+    if (under.empty() && named->is_string()) {
+      under = file.parent_path() / named->get<std::string>();
+    }
+    json->erase(named);
+  }
+  if (under.empty()) {
+    return FromJson(*json);
+  }
+  auto whole = ParseFile(under);
+  if (!whole) {
+    return tl::unexpected(whole.error());
+  }
+  whole->merge_patch(*json);
+  return FromJson(*whole);
+}
+
 }  // namespace sassafrasdyke::rig
--- a/rig/scenario.h
+++ b/rig/scenario.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <filesystem>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <string_view>
@@ -94,7 +95,9 @@
   std::chrono::milliseconds at{0};  ///< Since the load began.
   StepKind kind{StepKind::kSet};
   /// What it is done to: a target's, service's or failure domain's name, an
-  /// instance's number, or "all" failure domains.
+  /// instance's number, or "all" failure domains. Written as "service-1/3"
+  /// (third target of the first service), "service-1" or "domain-2", it fits
+  /// any deployment.
   std::string subject;
   /// Of `set`: the JSON pointer in the configuration and its new value; of
   /// `lie`: what the health endpoint says; of `platform-slow`: the delay in ms.
@@ -121,7 +124,15 @@
 /// Everything that is wrong with a scenario, a sentence each.
 using ScenarioFaults = std::vector<std::string>;
 
+/// The published name of a service's target; targets count from 1.
+std::string TargetName(const std::string& service, std::uint32_t number);
+
 /// Reads a scenario's text.
 tl::expected<Scenario, ScenarioFaults> ReadScenario(std::string_view text);
 
+/// Reads a scenario's file, laid over the file that its key `deployment` names
+/// relative to it, or over `deployment` if that isn't empty.
+tl::expected<Scenario, ScenarioFaults> LoadScenario(
+    const std::filesystem::path& file, const std::filesystem::path& deployment);
+
 }  // namespace sassafrasdyke::rig
--- a/tests/rig/scenario_test.cc
+++ b/tests/rig/scenario_test.cc
@@ -5,8 +5,6 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
-#include <fstream>
-#include <sstream>
 #include <string>
 
 namespace sassafrasdyke::rig {
@@ -39,9 +37,10 @@
   std::size_t count = 0;
   for (const auto& entry :
        std::filesystem::directory_iterator("examples/scenarios")) {
-    std::ostringstream text;
-    text << std::ifstream(entry.path()).rdbuf();
-    const auto scenario = ReadScenario(text.str());
+    if (!entry.is_regular_file()) {
+      continue;
+    }
+    const auto scenario = LoadScenario(entry.path(), "");
     BOOST_TEST(scenario.has_value(),
                entry.path()
                    << ": " << (scenario ? "" : scenario.error().front()));
@@ -50,5 +49,15 @@
   BOOST_TEST(count >= 2);
 }
 
+BOOST_AUTO_TEST_CASE(a_scenario_fits_any_deployment) {
+  const std::filesystem::path folder = "examples/scenarios";
+  const auto scenario = LoadScenario(folder / "lensmoor-demo.json",
+                                     folder / "deployments/hmcdu.json");
+
+  BOOST_REQUIRE(scenario.has_value());
+  BOOST_TEST(scenario->fleet == "hmcdu");
+  BOOST_TEST(scenario->timeline.front().subject == "ledger-03");
+}
+
 }  // namespace
 }  // namespace sassafrasdyke::rig
