Say how a generation of exception copies starts and ends

Cause: a standby must not take over with half of a new set and the new fallback, and a standby's set was not told apart from a hand-over's end. Change: only comments. `whole` marks the messages of a set that is not yet complete; fallback 0 means that the sender knows none. Two comparisons of ids in ordered containers made modernize-use-nullptr fire on the compiler's own code; marked with the reason. Conclusion: no field changed, the codec stays as it is.

--- a/source/common/ids.h
+++ b/source/common/ids.h
@@ -14,6 +14,9 @@
 struct Id {
   Rep value{0};
 
+  // The check takes the comparison with 0 that the compiler makes of `<` for a
+  // null pointer.
+  // NOLINTNEXTLINE(modernize-use-nullptr)
   friend auto operator<=>(const Id&, const Id&) = default;
 
   friend std::ostream& operator<<(std::ostream& out, const Id& id) {
--- a/source/core/messages.h
+++ b/source/core/messages.h
@@ -134,6 +134,7 @@
   common::ServiceId service;
   common::PartitionNumber partition;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): see common::Id.
   friend auto operator<=>(const PartitionKey&, const PartitionKey&) = default;
 };
 
@@ -147,14 +148,17 @@
 
 /// Copies a partition's exceptions from its owner to another instance.
 /// Applied only in order of `sequence` within one `generation` of one sender's
-/// life; a gap is answered with a request for the whole partition.
+/// life; a gap is answered with a request for the whole partition. A generation
+/// starts with the whole set: messages with `whole`, and one without that ends
+/// it. Only then does the receiver give up the generation before.
 struct ExceptionCopy {
   PartitionKey partition;
   common::Incarnation incarnation;  ///< Of the sender.
   std::uint64_t generation{0};      ///< Grows when the fallback changes.
   std::uint64_t sequence{0};        ///< From 0 within the generation.
+  /// Where flows that no message names are; 0 when the sender doesn't know.
   common::TargetId fallback;
-  bool whole{false};  ///< Starts the partition's set anew.
+  bool whole{false};  ///< Part of a whole set that is not yet complete.
   bool last{false};   ///< Ends a hand-over: the receiver knows everything.
   std::vector<FlowException> added;
   std::vector<common::Fingerprint> ended;
