Take packets from GUE datagrams to decisions and back

Cause: the balancer decides about segments, but nothing turned datagrams into segments or decisions into datagrams.

--- /dev/null
+++ b/source/datapath/gue.cc
@@ -0,0 +1,126 @@
+#include "datapath/gue.h"
+
+#include <netinet/in.h>
+
+namespace sassafrasdyke::datapath {
+namespace {
+
+constexpr std::size_t kBaseHeader = 4;
+constexpr std::size_t kWord = 4;
+constexpr std::size_t kPrivateData = 8;
+constexpr unsigned kBitsPerByte = 8;
+constexpr unsigned kVersionShift = 4;
+constexpr unsigned kVariantShift = 6;
+constexpr std::uint8_t kControlBit = 0x20;
+constexpr std::uint8_t kLengthMask = 0x1F;
+constexpr std::uint8_t kIpV4 = 4;
+constexpr std::uint8_t kIpV6 = 6;
+
+// Where the parts of a variant 0 header lie.
+constexpr std::size_t kProtocolAt = 1;
+constexpr std::size_t kFlagsAt = 2;
+constexpr std::size_t kHopsAt = 4;
+constexpr std::size_t kPurposeAt = 5;
+constexpr std::size_t kSenderAt = 8;
+
+/// 0 when there are no bytes.
+std::uint8_t IpVersionOf(ByteView inner) {
+  return inner.empty() ? 0 : inner.front() >> kVersionShift;
+}
+
+std::uint8_t ProtocolOf(ByteView inner) {
+  return IpVersionOf(inner) == kIpV6 ? IPPROTO_IPV6 : IPPROTO_IPIP;
+}
+
+std::uint32_t ReadBigEndian32(ByteView bytes) {
+  std::uint32_t value = 0;
+  for (std::size_t i = 0; i < sizeof(value); ++i) {
+    value = (value << kBitsPerByte) | bytes[i];
+  }
+  return value;
+}
+
+/// Reads the 8 bytes of private data; nothing when they make no sense.
+std::optional<core::Arrival> ReadArrival(ByteView datagram) {
+  const std::uint8_t hops = datagram[kHopsAt];
+  const std::uint8_t purpose = datagram[kPurposeAt];
+  if (hops == 0 ||
+      purpose > static_cast<std::uint8_t>(core::HopPurpose::kAskPrevious)) {
+    return std::nullopt;
+  }
+  return core::Arrival{.hops = hops,
+                       .from = {ReadBigEndian32(datagram.subspan(kSenderAt))},
+                       .purpose = static_cast<core::HopPurpose>(purpose)};
+}
+
+tl::expected<GueDatagram, PacketFault> DecodeVariant0(ByteView datagram) {
+  if (datagram.size() < kBaseHeader) {
+    return tl::unexpected(PacketFault::kTruncated);
+  }
+  const std::uint8_t first = datagram.front();
+  const std::size_t extra = (first & kLengthMask) * kWord;
+  const bool has_flags = datagram[kFlagsAt] != 0 || datagram[kFlagsAt + 1] != 0;
+  const bool known_length = extra == 0 || extra == kPrivateData;
+  if ((first & kControlBit) != 0 || has_flags || !known_length) {
+    return tl::unexpected(PacketFault::kBadGue);
+  }
+  if (datagram.size() <= kBaseHeader + extra) {
+    return tl::unexpected(PacketFault::kTruncated);
+  }
+  GueDatagram decoded{.inner = datagram.subspan(kBaseHeader + extra),
+                      .arrival = std::nullopt};
+  if (datagram[kProtocolAt] != ProtocolOf(decoded.inner)) {
+    return tl::unexpected(PacketFault::kBadGue);
+  }
+  if (extra == kPrivateData) {
+    decoded.arrival = ReadArrival(datagram);
+    if (!decoded.arrival) {
+      return tl::unexpected(PacketFault::kBadGue);
+    }
+  }
+  return decoded;
+}
+
+GueHeader BaseHeader(ByteView inner, std::size_t extra) {
+  GueHeader header;
+  header.bytes[0] = static_cast<std::uint8_t>(extra / kWord);
+  header.bytes[kProtocolAt] = ProtocolOf(inner);
+  header.size = kBaseHeader + extra;
+  return header;
+}
+
+}  // namespace
+
+tl::expected<GueDatagram, PacketFault> DecodeGue(ByteView datagram) {
+  if (datagram.empty()) {
+    return tl::unexpected(PacketFault::kTruncated);
+  }
+  const unsigned variant = datagram.front() >> kVariantShift;
+  if (variant == 0) {
+    return DecodeVariant0(datagram);
+  }
+  // Variant 1 has no header: the IP version's own bits mark it.
+  const std::uint8_t version = IpVersionOf(datagram);
+  if (version == kIpV4 || version == kIpV6) {
+    return GueDatagram{.inner = datagram, .arrival = std::nullopt};
+  }
+  return tl::unexpected(PacketFault::kBadGue);
+}
+
+GueHeader EncodeForTarget(ByteView inner) { return BaseHeader(inner, 0); }
+
+GueHeader EncodeForInstance(ByteView inner, const core::Arrival& arrival) {
+  GueHeader header = BaseHeader(inner, kPrivateData);
+  header.bytes[kHopsAt] = arrival.hops;
+  header.bytes[kPurposeAt] = static_cast<std::uint8_t>(arrival.purpose);
+  for (std::size_t i = 0; i < sizeof(arrival.from.value); ++i) {
+    const unsigned shift =
+        kBitsPerByte *
+        static_cast<unsigned>(sizeof(arrival.from.value) - 1 - i);
+    header.bytes[kSenderAt + i] =
+        static_cast<std::uint8_t>(arrival.from.value >> shift);
+  }
+  return header;
+}
+
+}  // namespace sassafrasdyke::datapath
