--- a/tests/datapath/ip_packet_test.cc
+++ b/tests/datapath/ip_packet_test.cc
@@ -58,8 +58,8 @@
 struct Bad {
   const char* name;
   Family family;
-  std::function<void(Bytes&)> spoil;
   PacketFault fault;
+  std::function<void(Bytes&)> spoil;
 };
 
 std::ostream& operator<<(std::ostream& out, const Bad& row) {
@@ -72,70 +72,66 @@
 constexpr std::size_t kFlagsAt = 13;
 
 const Bad kBad[] = {
-    {"nothing", Family::kV4, [](Bytes& b) { b.clear(); },
-     PacketFault::kTruncated},
-    {"IP version 5", Family::kV4, [](Bytes& b) { b[0] = 0x55; },
-     PacketFault::kBadIpHeader},
-    {"IPv4 header cut", Family::kV4, [](Bytes& b) { b.resize(19); },
-     PacketFault::kTruncated},
-    {"IPv4 header length 4", Family::kV4, [](Bytes& b) { b[0] = 0x41; },
-     PacketFault::kBadIpHeader},
+    {"nothing", Family::kV4, PacketFault::kTruncated,
+     [](Bytes& b) { b.clear(); }},
+    {"IP version 5", Family::kV4, PacketFault::kBadIpHeader,
+     [](Bytes& b) { b[0] = 0x55; }},
+    {"IPv4 header cut", Family::kV4, PacketFault::kTruncated,
+     [](Bytes& b) { b.resize(19); }},
+    {"IPv4 header length 4", Family::kV4, PacketFault::kBadIpHeader,
+     [](Bytes& b) { b[0] = 0x41; }},
     {"IPv4 header length past the total", Family::kV4,
-     [](Bytes& b) { b[0] = 0x4F; }, PacketFault::kBadIpHeader},
-    {"IPv4 total length too small", Family::kV4, [](Bytes& b) { b[3] = 8; },
-     PacketFault::kBadIpHeader},
-    {"IPv4 total length past the end", Family::kV4,
-     [](Bytes& b) { b[3] = 200; }, PacketFault::kTruncated},
-    {"IPv4 bytes behind the end", Family::kV4, [](Bytes& b) { b.push_back(0); },
-     PacketFault::kBadIpHeader},
-    {"IPv4 first fragment", Family::kV4, [](Bytes& b) { b[6] = 0x20; },
-     PacketFault::kFragmented},
-    {"IPv4 later fragment", Family::kV4, [](Bytes& b) { b[7] = 0x10; },
-     PacketFault::kFragmented},
-    {"IPv4 UDP", Family::kV4, [](Bytes& b) { b[9] = 17; },
-     PacketFault::kNotTcp},
-    {"IPv4 ICMP", Family::kV4, [](Bytes& b) { b[9] = 1; },
-     PacketFault::kNotTcp},
-    {"TCP header cut", Family::kV4,
+     PacketFault::kBadIpHeader, [](Bytes& b) { b[0] = 0x4F; }},
+    {"IPv4 total length too small", Family::kV4, PacketFault::kBadIpHeader,
+     [](Bytes& b) { b[3] = 8; }},
+    {"IPv4 total length past the end", Family::kV4, PacketFault::kTruncated,
+     [](Bytes& b) { b[3] = 200; }},
+    {"IPv4 bytes behind the end", Family::kV4, PacketFault::kBadIpHeader,
+     [](Bytes& b) { b.push_back(0); }},
+    {"IPv4 first fragment", Family::kV4, PacketFault::kFragmented,
+     [](Bytes& b) { b[6] = 0x20; }},
+    {"IPv4 later fragment", Family::kV4, PacketFault::kFragmented,
+     [](Bytes& b) { b[7] = 0x10; }},
+    {"IPv4 UDP", Family::kV4, PacketFault::kNotTcp,
+     [](Bytes& b) { b[9] = 17; }},
+    {"IPv4 ICMP", Family::kV4, PacketFault::kNotTcp,
+     [](Bytes& b) { b[9] = 1; }},
+    {"TCP header cut", Family::kV4, PacketFault::kTruncated,
      [](Bytes& b) {
        b.resize(kV4Tcp + 19);
        b[3] = kV4Tcp + 19;
-     },
-     PacketFault::kTruncated},
-    {"TCP data offset 4", Family::kV4,
-     [](Bytes& b) { b[kV4Tcp + kOffsetAt] = 0x40; },
-     PacketFault::kBadTcpHeader},
-    {"TCP data offset past the end", Family::kV4,
-     [](Bytes& b) { b[kV4Tcp + kOffsetAt] = 0xF0; }, PacketFault::kTruncated},
-    {"SYN and FIN", Family::kV4, [](Bytes& b) { b[kV4Tcp + kFlagsAt] = 0x03; },
-     PacketFault::kBadTcpHeader},
-    {"SYN and RST", Family::kV4, [](Bytes& b) { b[kV4Tcp + kFlagsAt] = 0x06; },
-     PacketFault::kBadTcpHeader},
-    {"no flags", Family::kV4, [](Bytes& b) { b[kV4Tcp + kFlagsAt] = 0; },
-     PacketFault::kBadTcpHeader},
-    {"IPv6 header cut", Family::kV6, [](Bytes& b) { b.resize(39); },
-     PacketFault::kTruncated},
-    {"IPv6 payload past the end", Family::kV6, [](Bytes& b) { b[5] = 99; },
-     PacketFault::kTruncated},
-    {"IPv6 bytes behind the end", Family::kV6, [](Bytes& b) { b.push_back(0); },
-     PacketFault::kBadIpHeader},
-    {"IPv6 fragment header", Family::kV6, [](Bytes& b) { b[6] = 44; },
-     PacketFault::kFragmented},
-    {"IPv6 UDP", Family::kV6, [](Bytes& b) { b[6] = 17; },
-     PacketFault::kNotTcp},
-    {"IPv6 extension past the end", Family::kV6,
+     }},
+    {"TCP data offset 4", Family::kV4, PacketFault::kBadTcpHeader,
+     [](Bytes& b) { b[kV4Tcp + kOffsetAt] = 0x40; }},
+    {"TCP data offset past the end", Family::kV4, PacketFault::kTruncated,
+     [](Bytes& b) { b[kV4Tcp + kOffsetAt] = 0xF0; }},
+    {"SYN and FIN", Family::kV4, PacketFault::kBadTcpHeader,
+     [](Bytes& b) { b[kV4Tcp + kFlagsAt] = 0x03; }},
+    {"SYN and RST", Family::kV4, PacketFault::kBadTcpHeader,
+     [](Bytes& b) { b[kV4Tcp + kFlagsAt] = 0x06; }},
+    {"no flags", Family::kV4, PacketFault::kBadTcpHeader,
+     [](Bytes& b) { b[kV4Tcp + kFlagsAt] = 0; }},
+    {"IPv6 header cut", Family::kV6, PacketFault::kTruncated,
+     [](Bytes& b) { b.resize(39); }},
+    {"IPv6 payload past the end", Family::kV6, PacketFault::kTruncated,
+     [](Bytes& b) { b[5] = 99; }},
+    {"IPv6 bytes behind the end", Family::kV6, PacketFault::kBadIpHeader,
+     [](Bytes& b) { b.push_back(0); }},
+    {"IPv6 fragment header", Family::kV6, PacketFault::kFragmented,
+     [](Bytes& b) { b[6] = 44; }},
+    {"IPv6 UDP", Family::kV6, PacketFault::kNotTcp,
+     [](Bytes& b) { b[6] = 17; }},
+    {"IPv6 extension past the end", Family::kV6, PacketFault::kTruncated,
      [](Bytes& b) {
        b[6] = 0;
        b[kV6Tcp + 1] = 200;
-     },
-     PacketFault::kTruncated},
-    {"IPv6 with an IPv4-mapped source", Family::kV6,
+     }},
+    {"IPv6 with an IPv4-mapped source", Family::kV6, PacketFault::kBadIpHeader,
      [](Bytes& b) {
        std::fill(b.begin() + 8, b.begin() + 18, 0);
        b[18] = 0xFF;
        b[19] = 0xFF;
-     },
-     PacketFault::kBadIpHeader},
+     }},
 };
 
 // A broken or hostile sender sets lengths that lie. Read as they stand they
--- a/tests/datapath/packet_handler_test.cc
+++ b/tests/datapath/packet_handler_test.cc
@@ -13,7 +13,8 @@
 namespace sassafrasdyke::datapath {
 namespace {
 
-using std::chrono_literals::operator""ms;
+/// When the test packets come.
+constexpr std::chrono::milliseconds kNow{5};
 
 /// Answers every packet with one action and keeps what it was asked.
 class FixedBalancer final : public core::Balancer {
@@ -61,7 +62,7 @@
   std::span<const OutgoingDatagram> Handle(const common::Endpoint& from,
                                            ByteView bytes) {
     this->batch = {{.from = from, .bytes = bytes}};
-    return this->handler.Handle(this->batch, 5ms, this->outbox);
+    return this->handler.Handle(this->batch, kNow, this->outbox);
   }
 
   std::uint64_t Faults(PacketFault fault) const {
@@ -92,7 +93,7 @@
   BOOST_REQUIRE(sent.size() == 1U);
   BOOST_CHECK(sent[0].to == kTarget);
   BOOST_TEST(std::ranges::equal(sent[0].inner, inner));
-  BOOST_CHECK(fixture.handler.LastFromFabric() == 5ms);
+  BOOST_CHECK(fixture.handler.LastFromFabric() == kNow);
 }
 
 BOOST_AUTO_TEST_CASE(a_redirect_says_who_sent_it) {
