--- /dev/null
+++ b/tests/observe/explain_json_test.cc
@@ -0,0 +1,59 @@
+/// What an instance says of itself.
+#include "observe/explain_json.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+namespace sassafrasdyke::observe {
+namespace {
+
+using Json = nlohmann::json;
+
+BOOST_AUTO_TEST_CASE(explains_before_the_first_configuration) {
+  const StateBoard board;
+
+  const Json json = Json::parse(ExplainState({{3}, {2}}, board.Read()));
+
+  BOOST_TEST(json["instance"] == 3);
+  BOOST_TEST(json["documents"]["configuration"] == 0);
+  BOOST_TEST(!json.contains("targets"));
+}
+
+BOOST_AUTO_TEST_CASE(names_exceptions_targets_and_refusals_with_reasons) {
+  core::Configuration configuration;
+  configuration.revision = {7};
+  core::Service diary;
+  diary.id = {1};
+  diary.name = "diary";
+  configuration.services.push_back(diary);
+  core::Target target;
+  target.id = {101};
+  target.service = {1};
+  configuration.targets.push_back(target);
+  configuration.exceptions.push_back(
+      {"services/diary", {"deviate_by"}, "short rentals"});
+  ControlState state;
+  state.configuration =
+      std::make_shared<const core::Configuration>(configuration);
+  state.view.lease = core::Lease::kStale;
+  state.health.push_back(
+      {{101}, core::TargetHealth::kShedding, 4, common::InstanceId{9}});
+  core::DocumentRefused refused;
+  refused.revision = {8};
+  refused.faults = {{"/services/diary/address", "is missing"}};
+  state.refusals.push_back(refused);
+  StateBoard board;
+  board.Publish(state);
+
+  const Json json = Json::parse(ExplainState({{3}, {2}}, board.Read()));
+
+  BOOST_TEST(json["lease"] == "stale");
+  BOOST_TEST(json["exceptions"][0]["reason"] == "short rentals");
+  BOOST_TEST(json["targets"][0]["service"] == "diary");
+  BOOST_TEST(json["targets"][0]["health"] == "shedding");
+  BOOST_TEST(json["refusals"][0]["faults"][0]["path"] ==
+             "/services/diary/address");
+}
+
+}  // namespace
+}  // namespace sassafrasdyke::observe
--- /dev/null
+++ b/tests/observe/main.cc
@@ -0,0 +1,3 @@
+/// The test program of source/observe.
+#define BOOST_TEST_MODULE observe
+#include <boost/test/unit_test.hpp>
