--- a/source/core/exchange/exchange.cc
+++ b/source/core/exchange/exchange.cc
@@ -35,6 +35,12 @@
   return std::find(domains.begin(), domains.end(), domain) != domains.end();
 }
 
+/// Whether a set is the destination's own word, of its present life.
+bool KnowsItself(const CopyDestination& destination, const CopySet& set) {
+  return set.from == destination.to &&
+         set.incarnation >= destination.incarnation;
+}
+
 CopyLimits LimitsFor(std::size_t bytes_per_second) {
   return {bytes_per_second, kBurstSeconds * bytes_per_second};
 }
@@ -74,11 +80,15 @@
   }
   this->Reconcile(now, outbox);
   const FleetView& view = this->world.Owners().View();
+  std::vector<common::DomainId> healed;
   for (const common::DomainId domain : before.unreachable) {
     if (!Contains(view.unreachable, domain)) {
-      this->AskHealed(domain, now);
+      healed.push_back(domain);
     }
   }
+  if (!healed.empty()) {
+    this->AskHealed(healed, now);
+  }
   if (before.lease != Lease::kStale || view.lease != Lease::kHeld) {
     return;
   }
@@ -92,14 +102,22 @@
   }
 }
 
-void Exchange::AskHealed(common::DomainId domain,
+void Exchange::AskHealed(const std::vector<common::DomainId>& healed,
                          std::chrono::milliseconds now) {
   for (std::uint32_t i = 0; i < this->world.Partitions().size(); ++i) {
     const PartitionIndex partition{i};
-    if (this->world.StateOf(partition).owned) {
+    if (!this->world.StateOf(partition).owned) {
+      continue;
+    }
+    // The first of the other side in the common order stood in for this one.
+    const auto others = this->world.Subsets().At(partition).substitutes;
+    const auto adopter = std::find_if(
+        others.begin(), others.end(),
+        [&healed](common::DomainId other) { return Contains(healed, other); });
+    if (adopter != others.end()) {
       this->AskFor(partition,
                    this->world.Owners().NextBeside(
-                       this->world.Subsets().HashOf(partition), domain),
+                       this->world.Subsets().HashOf(partition), *adopter),
                    now + kAskAfterSilence);
     }
   }
@@ -142,7 +160,7 @@
     state.given_up_to = owner;
     state.handed_over = false;
     this->sender.Stop(PartitionKey(this->world.Directory().KeyOf(partition)));
-  } else if (replaced) {
+  } else if (replaced && this->HoldsForeignWord(partition, *destination)) {
     // A new life of the owner at the same address knows nothing of what its
     // earlier life copied here.
     this->StartHandOver(partition);
@@ -232,7 +250,7 @@
       this->DestinationOf(this->world.Owners().At(partition).owner);
   if (destination) {
     this->sender.Start(key, *destination, CopyPurpose::kHandOver,
-                       this->FallbackId(partition));
+                       this->ClaimFor(partition, *destination));
   }
 }
 
@@ -244,8 +262,12 @@
       state.previous = {};
       if (state.owned) {
         this->AbsorbAll(partition, now);
+        this->UpdateStandby(partition);
       }
     }
+    if (state.owned && now - state.owned_since >= kAskLimit) {
+      state.fallback_guessed = false;  // Whoever knew better is long gone.
+    }
     const PartitionKey& key = this->world.Directory().KeyOf(partition);
     const OutgoingSet* const set = this->sender.Find(key);
     const bool started =
@@ -258,8 +280,23 @@
   }
 }
 
+bool Exchange::HoldsForeignWord(PartitionIndex partition,
+                                const CopyDestination& destination) const {
+  const auto& sets =
+      this->store.SetsOf(this->world.Directory().KeyOf(partition));
+  return std::any_of(sets.begin(), sets.end(),
+                     [&destination](const CopySet& set) {
+                       return !KnowsItself(destination, set);
+                     });
+}
+
 void Exchange::UpdateStandby(PartitionIndex partition) {
   const PartitionKey& key = this->world.Directory().KeyOf(partition);
+  // A new life of this instance must not replace what its earlier life copied
+  // to the standby before it has learned it again.
+  if (this->world.StateOf(partition).previous.value != 0) {
+    return;
+  }
   const auto destination =
       this->DestinationOf(this->world.Owners().At(partition).standby);
   if (!destination) {
@@ -300,6 +337,12 @@
     }
     return;
   }
+  const common::InstanceId owner = this->world.Owners().At(*partition).owner;
+  if (outcome.handed_over && !state.owned && owner != from &&
+      !state.IsHandingOver()) {
+    // The sender hasn't heard of the next owner yet, and now forgets.
+    this->StartHandOver(*partition);
+  }
   const bool copied_back = state.remembers && state.handed_over &&
                            from == state.given_up_to && set->complete &&
                            !set->arriving;
@@ -468,12 +511,9 @@
   if (outgoing.purpose != CopyPurpose::kHandOver) {
     return flows;
   }
-  const CopyDestination& destination = outgoing.destination;
   for (const CopySet& set :
        this->store.SetsOf(this->world.Directory().KeyOf(partition))) {
-    const bool knows_itself = set.from == destination.to &&
-                              set.incarnation >= destination.incarnation;
-    if (knows_itself) {
+    if (KnowsItself(outgoing.destination, set)) {
       continue;
     }
     for (const auto& [flow, target] : AllFlows(set)) {
@@ -483,6 +523,23 @@
   return flows;
 }
 
+common::TargetId Exchange::ClaimFor(PartitionIndex partition,
+                                    const CopyDestination& destination) const {
+  if (this->world.StateOf(partition).remembers) {
+    return this->FallbackId(partition);
+  }
+  // This instance never decided, but may hold the word of one that did.
+  const CopySet* best = nullptr;
+  for (const CopySet& set :
+       this->store.SetsOf(this->world.Directory().KeyOf(partition))) {
+    const bool newer = best == nullptr || set.updated_at > best->updated_at;
+    if (set.complete && !KnowsItself(destination, set) && newer) {
+      best = &set;
+    }
+  }
+  return best == nullptr ? common::TargetId{} : best->fallback;
+}
+
 void Exchange::Absorb(PartitionIndex partition, const CopySet& set,
                       std::chrono::milliseconds now) {
   const common::InstanceId from = set.from;
--- a/source/core/exchange/exchange.h
+++ b/source/core/exchange/exchange.h
@@ -88,12 +88,16 @@
   void GiveUp(PartitionIndex partition, std::chrono::milliseconds now,
               Outbox& outbox);
   void StartHandOver(PartitionIndex partition);
+  /// Whether copies are held here that the destination doesn't know of.
+  bool HoldsForeignWord(PartitionIndex partition,
+                        const CopyDestination& destination) const;
   void UpdateStandby(PartitionIndex partition);
   std::optional<CopyDestination> DestinationOf(common::InstanceId id) const;
   common::InstanceId PreviousOf(PartitionIndex partition) const;
   void AskFor(PartitionIndex partition, common::InstanceId previous,
               std::chrono::milliseconds until);
-  void AskHealed(common::DomainId domain, std::chrono::milliseconds now);
+  void AskHealed(const std::vector<common::DomainId>& healed,
+                 std::chrono::milliseconds now);
 
   void Absorb(PartitionIndex partition, const CopySet& set,
               std::chrono::milliseconds now);
@@ -109,6 +113,10 @@
   void Gather(std::chrono::milliseconds now);
   std::vector<FlowException> CopiesToReturn(
       PartitionIndex partition, const OutgoingSet& destination) const;
+  /// The fallback that this instance can vouch for towards a new owner; 0 when
+  /// it knows none.
+  common::TargetId ClaimFor(PartitionIndex partition,
+                            const CopyDestination& destination) const;
   void StartDeferred(std::chrono::milliseconds now);
   void DropOldCopies(std::chrono::milliseconds now);
   void Note(PartitionIndex partition, PartitionEvent event,
--- a/source/core/flow_balancer.cc
+++ b/source/core/flow_balancer.cc
@@ -278,6 +278,16 @@
   if (fallback == kNoSlot || this->world.Targets().At(fallback).gone) {
     return DropPacket{DropReason::kUnreachable};
   }
+  // The word of whoever decided before may still be on its way. A guess now
+  // could reach a target that doesn't know the flow and resets it; without an
+  // answer the caller only sends again.
+  const PartitionState& state = this->world.StateOf(context.partition);
+  const bool too_early =
+      state.owned && state.fallback_guessed &&
+      context.now < state.owned_since + this->world.InForce().policy.lease;
+  if (too_early || this->MayBeAdopted(context.partition)) {
+    return DropPacket{DropReason::kUnreachable};
+  }
   if (context.packet.flags.rst) {
     return this->Forward(fallback, PlacementReason::kFallback);
   }
@@ -296,6 +306,15 @@
   return this->Forward(fallback, PlacementReason::kFallback);
 }
 
+bool FlowBalancer::MayBeAdopted(PartitionIndex partition) const {
+  const auto others = this->world.Subsets().At(partition).substitutes;
+  const auto& cut = this->world.Owners().View().unreachable;
+  return std::any_of(
+      others.begin(), others.end(), [&cut](common::DomainId other) {
+        return std::find(cut.begin(), cut.end(), other) != cut.end();
+      });
+}
+
 PacketAction FlowBalancer::PlaceNew(const Context& context,
                                     std::optional<PlacementReason> reason) {
   const PartitionState& state = this->world.StateOf(context.partition);
@@ -307,6 +326,8 @@
       .service = &this->world.Directory().At(context.service),
       .targets = this->world.Subsets().At(context.partition),
       .fallback = this->exchange.FallbackOf(context.partition),
+      .local = this->world.Owners().View().domain,
+      .unreachable = this->world.Owners().View().unreachable,
       .prefer_fallback = context.now < state.contested_until,
       .reluctance = this->exchange.Reluctance()};
   std::optional<Placement> placement =
--- a/source/core/flow_balancer.h
+++ b/source/core/flow_balancer.h
@@ -55,6 +55,10 @@
   PacketAction HandleStale(const Context& context) const;
   PacketAction FollowCopy(const Context& context, TargetSlot slot);
   PacketAction Recover(const Context& context);
+  /// Whether a domain that can't be reached may have taken flows of the
+  /// partition: then an unknown flow may be one of those, and the fallback
+  /// would reset it. The caller sends again, perhaps to the other side.
+  bool MayBeAdopted(PartitionIndex partition) const;
   PacketAction PlaceNew(const Context& context,
                         std::optional<PlacementReason> reason);
   PacketAction Refuse(const Context& context, DropReason reason);
--- a/source/core/placement/owner_map.cc
+++ b/source/core/placement/owner_map.cc
@@ -85,12 +85,16 @@
   this->owners.reserve(partitions);
   for (std::uint32_t i = 0; i < partitions; ++i) {
     const PartitionIndex partition{i};
-    const auto& home = members.Candidates(subsets.At(partition).home);
-    const bool adopted = home.empty();
-    const auto& candidates =
-        adopted ? members.Candidates(this->view.domain) : home;
+    const PartitionSubset targets = subsets.At(partition);
+    const std::vector<common::InstanceId>* candidates =
+        &members.Candidates(targets.home);
+    const bool adopted = candidates->empty();
+    for (const common::DomainId substitute : targets.substitutes) {
+      candidates =
+          candidates->empty() ? &members.Candidates(substitute) : candidates;
+    }
     const auto [first, second] =
-        FirstTwo(candidates, subsets.HashOf(partition));
+        FirstTwo(*candidates, subsets.HashOf(partition));
     this->owners.push_back({first, second, adopted});
   }
 }
--- a/source/core/placement/placer.cc
+++ b/source/core/placement/placer.cc
@@ -1,5 +1,6 @@
 #include "core/placement/placer.h"
 
+#include <algorithm>
 #include <array>
 #include <cmath>
 #include <span>
@@ -19,7 +20,13 @@
   kNone,
   kRamp,     ///< Takes only a part of its flows yet.
   kAvoided,  ///< Ejected, or reported as shedding or failing.
-  kClosed,   ///< Gone, draining or full: never.
+  kClosed,   ///< Gone, draining, full or out of reach: never.
+};
+
+/// Which targets a search looks at.
+enum class Where {
+  kLocal,  ///< Those of this instance's failure domain.
+  kAnywhere,
 };
 
 /// The options of one choice, without allocation on the packet path.
@@ -65,8 +72,11 @@
     if (const auto placed = this->Choose(mine, Obstacle::kRamp)) {
       return placed;
     }
-    if (const auto slot = this->LeastOpen(mine.spill, Obstacle::kRamp)) {
-      return Placement{*slot, PlacementReason::kSpill};
+    for (const Where where : {Where::kLocal, Where::kAnywhere}) {
+      if (const auto slot =
+              this->LeastOpen(mine.spill, Obstacle::kRamp, where)) {
+        return Placement{*slot, PlacementReason::kSpill};
+      }
     }
     return this->LastResort(mine);
   }
@@ -75,7 +85,8 @@
   Obstacle ObstacleOf(TargetSlot slot) const {
     const TargetRecord& record = this->targets.At(slot);
     if (record.gone || record.target.state != TargetState::kServing ||
-        record.target.weight == 0 || record.open >= record.target.connections) {
+        record.target.weight == 0 || record.open >= record.target.connections ||
+        this->IsUnreachable(record.target.domain)) {
       return Obstacle::kClosed;
     }
     const bool reported_bad = record.health == TargetHealth::kShedding ||
@@ -89,6 +100,11 @@
     return this->InRampShare(slot) ? Obstacle::kNone : Obstacle::kRamp;
   }
 
+  bool IsUnreachable(common::DomainId domain) const {
+    const auto cut = this->request.unreachable;
+    return std::find(cut.begin(), cut.end(), domain) != cut.end();
+  }
+
   /// A flow's hash decides, so that its repeated SYN meets the same answer.
   bool InRampShare(TargetSlot slot) const {
     const double share = this->targets.RampShare(
@@ -152,12 +168,14 @@
   }
 
   std::optional<TargetSlot> LeastOpen(std::span<const TargetSlot> slots,
-                                      Obstacle tolerated) const {
+                                      Obstacle tolerated, Where where) const {
     std::optional<TargetSlot> best;
     for (const TargetSlot slot : slots) {
-      if (this->ObstacleOf(slot) <= tolerated &&
-          (!best ||
-           this->targets.At(slot).open < this->targets.At(*best).open)) {
+      const TargetRecord& record = this->targets.At(slot);
+      const bool looked_at = where == Where::kAnywhere ||
+                             record.target.domain == this->request.local;
+      if (looked_at && this->ObstacleOf(slot) <= tolerated &&
+          (!best || record.open < this->targets.At(*best).open)) {
         best = slot;
       }
     }
@@ -168,7 +186,8 @@
   /// and a refusal surely doesn't.
   std::optional<Placement> LastResort(const PartitionSubset& mine) const {
     for (const auto slots : {mine.subset, mine.reserve, mine.spill}) {
-      if (const auto slot = this->LeastOpen(slots, Obstacle::kAvoided)) {
+      if (const auto slot =
+              this->LeastOpen(slots, Obstacle::kAvoided, Where::kAnywhere)) {
         return Placement{*slot, PlacementReason::kEjected};
       }
     }
--- a/source/core/placement/placer.h
+++ b/source/core/placement/placer.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <optional>
+#include <span>
 
 #include "common/ids.h"
 #include "core/configuration.h"
@@ -25,6 +26,10 @@
   PartitionSubset targets;
   /// Where flows without a record of the partition are presumed to be.
   TargetSlot fallback{kNoSlot};
+  /// The failure domain of this instance, preferred once the home can't serve.
+  common::DomainId local;
+  /// Failure domains whose targets can't be reached from here.
+  std::span<const common::DomainId> unreachable;
   /// Keep to the fallback as long as it takes flows: another instance may
   /// believe that it owns the partition, and would look for the flow there.
   bool prefer_fallback{false};
--- a/source/core/placement/subset_map.cc
+++ b/source/core/placement/subset_map.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 #include "common/hash.h"
 
@@ -72,20 +73,24 @@
   return std::min(bounded, targets);
 }
 
-common::DomainId HomeOf(const std::map<common::DomainId, double>& capacities,
-                        std::uint64_t partition_hash) {
-  common::DomainId home;
-  double best = -1.0;
+/// The domains that serve a service, best home of the partition first.
+std::vector<common::DomainId> RankDomains(
+    const std::map<common::DomainId, double>& capacities,
+    std::uint64_t partition_hash) {
+  std::vector<std::pair<double, common::DomainId>> scored;
   for (const auto& [domain, capacity] : capacities) {
     const std::uint64_t hash =
         common::HashNumbers(partition_hash, domain.value, kDomainSalt);
-    const double score = common::RendezvousScore(hash, capacity);
-    if (score > best) {
-      best = score;
-      home = domain;
-    }
+    scored.emplace_back(common::RendezvousScore(hash, capacity), domain);
+  }
+  std::sort(scored.begin(), scored.end(),
+            [](const auto& a, const auto& b) { return a.first > b.first; });
+  std::vector<common::DomainId> ranked;
+  ranked.reserve(scored.size());
+  for (const auto& [score, domain] : scored) {
+    ranked.push_back(domain);
   }
-  return home;
+  return ranked;
 }
 
 /// Moves targets that are used more than is fair behind the others. Plain
@@ -133,6 +138,22 @@
   }
 };
 
+/// The best targets of each other domain, so that whoever stands in for the
+/// home finds some that it can reach.
+std::vector<Scored> Outside(const ServiceTargets& group, common::DomainId home,
+                            std::uint64_t partition_hash,
+                            std::size_t most_per_domain) {
+  std::vector<Scored> chosen;
+  std::map<common::DomainId, std::size_t> counts;
+  for (const Scored& scored :
+       Rank(group.Serving(home, false), partition_hash)) {
+    if (++counts[scored.candidate->domain] <= most_per_domain) {
+      chosen.push_back(scored);
+    }
+  }
+  return chosen;
+}
+
 std::map<common::ServiceId, ServiceTargets> GroupByService(
     const Configuration& configuration, const TargetSet& targets) {
   std::map<common::ServiceId, ServiceTargets> groups;
@@ -169,8 +190,13 @@
                                      configuration.hash_seed);
     const auto group = groups.find(key.service);
     const bool spread = fleet_wide && group != groups.end();
-    entry.home = spread ? HomeOf(group->second.capacities, entry.hash) : self;
-    homes[key.service][entry.home] += 1.0;
+    const std::vector<common::DomainId> ranked =
+        spread ? RankDomains(group->second.capacities, entry.hash)
+               : std::vector{self};
+    entry.first_domain = static_cast<std::uint32_t>(this->domains.size());
+    entry.domains = static_cast<std::uint32_t>(ranked.size());
+    this->domains.insert(this->domains.end(), ranked.begin(), ranked.end());
+    homes[key.service][ranked.front()] += 1.0;
   }
 
   std::map<common::ServiceId, CoverageBySlot> coverages;
@@ -200,28 +226,28 @@
     Entry& entry = this->entries[i];
     entry.first = static_cast<std::uint32_t>(this->slots.size());
     const Service& service = directory.At(directory.ServiceOf(partition));
+    const common::DomainId home = this->domains[entry.first_domain];
     const auto group = groups.find(service.id);
     if (group == groups.end()) {
       continue;
     }
-    auto inside = Rank(group->second.Serving(entry.home, true), entry.hash);
+    auto inside = Rank(group->second.Serving(home, true), entry.hash);
     const std::size_t size = SubsetSize(service.policy, inside.size());
     EvenOut(inside, size, coverages[service.id]);
-    const auto outside =
-        Rank(group->second.Serving(entry.home, false), entry.hash);
+    const std::vector<Scored> outside =
+        service.policy.spill
+            ? Outside(group->second, home, entry.hash,
+                      std::max<std::size_t>(size, kLeastSubset))
+            : std::vector<Scored>{};
     entry.subset = static_cast<std::uint32_t>(size);
     entry.reserve =
         static_cast<std::uint32_t>(std::min(inside.size(), 2 * size) - size);
-    entry.spill =
-        service.policy.spill
-            ? static_cast<std::uint32_t>(std::min<std::size_t>(
-                  outside.size(), std::max<std::size_t>(size, kLeastSubset)))
-            : 0;
+    entry.spill = static_cast<std::uint32_t>(outside.size());
     for (std::size_t k = 0; k < entry.subset + entry.reserve; ++k) {
       this->slots.push_back(inside[k].candidate->slot);
     }
-    for (std::size_t k = 0; k < entry.spill; ++k) {
-      this->slots.push_back(outside[k].candidate->slot);
+    for (const Scored& scored : outside) {
+      this->slots.push_back(scored.candidate->slot);
     }
   }
 }
@@ -231,7 +257,9 @@
   const std::span<const TargetSlot> all(this->slots);
   const auto mine =
       all.subspan(entry.first, entry.subset + entry.reserve + entry.spill);
-  return {entry.home, mine.first(entry.subset),
+  const std::span<const common::DomainId> ranked =
+      std::span(this->domains).subspan(entry.first_domain, entry.domains);
+  return {ranked.front(), ranked.subspan(1), mine.first(entry.subset),
           mine.subspan(entry.subset, entry.reserve), mine.last(entry.spill)};
 }
 
--- a/source/core/placement/subset_map.h
+++ b/source/core/placement/subset_map.h
@@ -18,6 +18,9 @@
 /// other domains' targets for when none of the home domain can.
 struct PartitionSubset {
   common::DomainId home;
+  /// Who stands in for the home while it can't be reached, in order; all
+  /// instances that reach each other agree on it.
+  std::span<const common::DomainId> substitutes;
   std::span<const TargetSlot> subset;
   std::span<const TargetSlot> reserve;
   std::span<const TargetSlot> spill;
@@ -45,7 +48,8 @@
  private:
   struct Entry {
     std::uint64_t hash{0};
-    common::DomainId home;
+    std::uint32_t first_domain{0};
+    std::uint32_t domains{0};
     std::uint32_t first{0};
     std::uint32_t subset{0};
     std::uint32_t reserve{0};
@@ -53,6 +57,7 @@
   };
 
   std::vector<Entry> entries;
+  std::vector<common::DomainId> domains;
   std::vector<TargetSlot> slots;
 };
 
