Let instances spread documents, watch each other and keep leases

Behind MakeFleet there was only the platform's word.

- Documents: two readers a failure domain, chosen by rendezvous hashing over the list; others take deltas pushed along the watch graph, digests in heartbeats heal what is lost, a whole copy goes to whoever lacks the base.
A joining instance waits for its peers' word before it takes the platform's configuration, because the fleet may have refused that one.
- Members: three watchers an instance, a suspicion is confirmed by a second one, answered by the suspected one, and damped when it flaps.
Only answers to own questions count as signs of life.
- Lease: gone after a pause before anything else is done; renewed only by answers to questions asked after it.
- Reachability of domains through two links to each other domain.
- Target health: changes only, inside the domain.
- Budgets: a token bucket and a bounded queue for each kind of message, full jitter, repeats as a share of requests.

--- a/source/core/fleet/documents_in_force.cc
+++ b/source/core/fleet/documents_in_force.cc
@@ -47,6 +47,13 @@
     if (!read) {
       return std::move(read.error());
     }
+    if (this->configuration->revision.value != 0) {
+      DocumentFaults faults =
+          this->reader.CheckChange(*this->configuration, *read);
+      if (!faults.empty()) {
+        return faults;
+      }
+    }
     this->configuration =
         std::make_shared<const Configuration>(std::move(*read));
     outbox.configuration = this->configuration;
@@ -71,8 +78,12 @@
   }
   this->last_refused[IndexOf(document.kind)] = digest;
   ++this->refused_count;
-  outbox.decisions.emplace_back(
-      DocumentRefused{document.kind, document.revision, std::move(faults)});
+  std::erase_if(this->refusals, [&document](const DocumentRefused& refused) {
+    return refused.kind == document.kind;
+  });
+  this->refusals.push_back(
+      {document.kind, document.revision, std::move(faults)});
+  outbox.decisions.emplace_back(this->refusals.back());
 }
 
 bool DocumentsInForce::Refused(const DocumentDigest& digest) const {
@@ -88,6 +99,10 @@
   return *this->configuration;
 }
 
+std::vector<DocumentDigest> DocumentsInForce::Digests() const {
+  return {this->stores[0].Digest(), this->stores[1].Digest()};
+}
+
 bool DocumentsInForce::Complete() const {
   return this->stores[0].Current().revision.value != 0 &&
          this->stores[1].Current().revision.value != 0;
--- a/source/core/fleet/documents_in_force.h
+++ b/source/core/fleet/documents_in_force.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <memory>
+#include <vector>
 
 #include "core/configuration.h"
 #include "core/fleet/document_store.h"
@@ -40,6 +41,12 @@
   /// True once both documents are here.
   bool Complete() const;
   std::uint64_t RefusedCount() const { return this->refused_count; }
+  /// The last refused document of each kind.
+  const std::vector<DocumentRefused>& Refusals() const {
+    return this->refusals;
+  }
+  /// What both documents are, for telling peers.
+  std::vector<DocumentDigest> Digests() const;
 
  private:
   DocumentFaults Read(const Document& document, FleetOutbox& outbox);
@@ -52,6 +59,7 @@
   std::shared_ptr<const Configuration> configuration;
   InstanceList instances;
   std::uint64_t refused_count{0};
+  std::vector<DocumentRefused> refusals;
 };
 
 }  // namespace sassafrasdyke::core
--- a/source/core/fleet/fleet.h
+++ b/source/core/fleet/fleet.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -101,14 +102,57 @@
   common::Incarnation incarnation;
 };
 
+/// The budgets of control traffic, one for each kind of message.
+enum class MessageBudget : std::uint8_t {
+  kHeartbeats,
+  kMembers,  ///< Words on members and reachability.
+  kDeltas,
+  kRequests,
+  kHealth,
+  kCopies,  ///< Whole documents, apart from the published average.
+};
+inline constexpr std::size_t kMessageBudgets = 6;
+
+/// What was used of one budget since the start.
+struct BudgetStatus {
+  MessageBudget budget{MessageBudget::kHeartbeats};
+  std::uint64_t messages{0};
+  std::uint64_t bytes{0};    ///< Estimated, see `EstimatedBytes`.
+  std::uint64_t limited{0};  ///< Could not leave at once.
+  std::uint64_t dropped{0};  ///< Never left.
+  std::size_t waiting{0};
+};
+
+/// What is known of one instance of the list.
+struct MemberStatus {
+  common::InstanceId id;
+  common::DomainId domain;
+  common::Incarnation incarnation;
+  InstanceUse use{InstanceUse::kOwner};
+  /// Who suspects it now, whether or not that is enough.
+  std::vector<common::InstanceId> suspected_by;
+  /// The revisions it last told this instance; 0 when it never did.
+  common::Revision configuration;
+  common::Revision instances;
+};
+
 /// Numbers a person or a metric asks for.
 struct FleetStatus {
   DocumentDigest configuration;
   DocumentDigest instances;
   Lease lease{Lease::kHeld};
-  bool reader{false};  ///< Holds the platform's watch.
+  bool reader{false};  ///< Chosen to hold the platform's watch.
   std::uint64_t documents_refused{0};
-  std::uint64_t messages_limited{0};  ///< Held back by a token bucket.
+  std::uint64_t messages_limited{0};   ///< Held back by a token bucket.
+  std::uint64_t deltas_refused{0};     ///< Wrong base, digest or order.
+  std::uint64_t digest_conflicts{0};   ///< Same revision, other text.
+  std::uint64_t strangers_ignored{0};  ///< Messages from unlisted instances.
+  std::uint64_t retries_denied{0};     ///< By the retry budget.
+  std::vector<MemberStatus> members;
+  std::vector<common::DomainId> unreachable;
+  std::vector<BudgetStatus> budgets;
+  /// The last refused documents, newest last; at most one of each kind.
+  std::vector<DocumentRefused> refusals;
 };
 
 /// The interface the control task drives. All times are monotonic, since
@@ -123,7 +167,9 @@
                                   std::chrono::milliseconds now,
                                   FleetOutbox& outbox) = 0;
 
-  /// The platform answered (perhaps with nothing new), or failed to.
+  /// The platform answered (perhaps with nothing new), or failed to. An
+  /// instance without peers lives on these answers, so a watch should be
+  /// answered or renewed within half the lease.
   virtual void OnPlatformAnswer(bool reached, std::chrono::milliseconds now,
                                 FleetOutbox& outbox) = 0;
 
--- /dev/null
+++ b/source/core/fleet/heartbeats.cc
@@ -0,0 +1,153 @@
+#include "core/fleet/heartbeats.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sassafrasdyke::core {
+namespace {
+
+/// Links between domains are dearer than those inside one.
+constexpr int kLinkIntervals = 2;
+/// Part of an interval over which heartbeats are spread.
+constexpr int kJitterPart = 5;
+/// Room for more sequences than a process lives milliseconds.
+constexpr unsigned kSequenceShift = 24;
+
+}  // namespace
+
+Heartbeats::Heartbeats(std::uint64_t seed)
+    : first_sequence(Jitter(seed).Next() >> kSequenceShift), jitter(seed) {}
+
+void Heartbeats::SetPlan(const PeerPlan& plan, std::chrono::milliseconds now) {
+  std::map<common::InstanceId, std::chrono::milliseconds> next;
+  for (const common::InstanceId id : plan.watched) {
+    const auto known = this->watched.find(id);
+    next.emplace(id, known == this->watched.end() ? now : known->second);
+  }
+  this->watched = std::move(next);
+
+  std::map<common::DomainId, Link> next_links;
+  for (const DomainLink& link : plan.links) {
+    const auto known = this->links.find(link.domain);
+    const bool same =
+        known != this->links.end() && known->second.partners == link.partners;
+    const auto since =
+        known == this->links.end() ? now : known->second.domain_since;
+    next_links.emplace(
+        link.domain, same ? known->second : Link{link.partners, 0, now, since});
+  }
+  this->links = std::move(next_links);
+}
+
+void Heartbeats::Restart(std::chrono::milliseconds now) {
+  for (auto& [id, since] : this->watched) {
+    since = now;
+  }
+  for (auto& [domain, link] : this->links) {
+    link.partner_since = now;
+    link.domain_since = now;
+  }
+}
+
+void Heartbeats::Excuse(common::InstanceId id, std::chrono::milliseconds now) {
+  if (const auto found = this->watched.find(id); found != this->watched.end()) {
+    found->second = now;
+  }
+}
+
+void Heartbeats::OnTick(const Turn& turn, const FleetPolicy& policy,
+                        const Heartbeat& content,
+                        const std::vector<common::InstanceId>& extra) {
+  const std::chrono::milliseconds interval = policy.heartbeat_interval;
+  if (turn.now >= this->next_watch) {
+    this->next_watch = turn.now + interval - interval / kJitterPart +
+                       this->jitter.UpTo(2 * interval / kJitterPart);
+    for (const auto& [id, since] : this->watched) {
+      this->Ask(turn, id, content);
+    }
+    for (const common::InstanceId id : extra) {
+      this->Ask(turn, id, content);
+    }
+  }
+  if (turn.now >= this->next_link) {
+    this->next_link = turn.now + kLinkIntervals * interval -
+                      this->jitter.UpTo(interval / kJitterPart);
+    this->TurnToNextPartners(turn.now, policy);
+    for (const common::InstanceId id : this->LinkPartners()) {
+      this->Ask(turn, id, content);
+    }
+  }
+}
+
+void Heartbeats::Ask(const Turn& turn, common::InstanceId to,
+                     Heartbeat content) const {
+  content.answer = false;
+  content.sequence =
+      this->first_sequence + static_cast<std::uint64_t>(turn.now.count());
+  turn.Send(to, std::move(content));
+}
+
+std::optional<std::chrono::milliseconds> Heartbeats::OnAnswer(
+    common::InstanceId from, common::DomainId domain, std::uint64_t sequence,
+    std::chrono::milliseconds now) {
+  const auto age = static_cast<std::uint64_t>(now.count());
+  // The answer to a question of an earlier life at this address would renew a
+  // lease that nobody has renewed.
+  if (sequence < this->first_sequence ||
+      sequence - this->first_sequence > age) {
+    return std::nullopt;
+  }
+  const std::chrono::milliseconds asked_at(
+      static_cast<std::chrono::milliseconds::rep>(sequence -
+                                                  this->first_sequence));
+  if (const auto found = this->watched.find(from);
+      found != this->watched.end()) {
+    found->second = std::max(found->second, asked_at);
+  }
+  if (const auto found = this->links.find(domain); found != this->links.end()) {
+    Link& link = found->second;
+    link.domain_since = std::max(link.domain_since, asked_at);
+    if (link.partners[link.current] == from) {
+      link.partner_since = std::max(link.partner_since, asked_at);
+    }
+  }
+  return asked_at;
+}
+
+bool Heartbeats::Silent(common::InstanceId id, std::chrono::milliseconds now,
+                        const FleetPolicy& policy) const {
+  const auto found = this->watched.find(id);
+  return found != this->watched.end() &&
+         now - found->second > policy.suspect_after;
+}
+
+std::vector<LinkState> Heartbeats::Links(std::chrono::milliseconds now,
+                                         const FleetPolicy& policy) const {
+  std::vector<LinkState> states;
+  for (const auto& [domain, link] : this->links) {
+    states.push_back({domain, now - link.domain_since <= policy.lease});
+  }
+  return states;
+}
+
+std::vector<common::InstanceId> Heartbeats::LinkPartners() const {
+  std::vector<common::InstanceId> partners;
+  for (const auto& [domain, link] : this->links) {
+    partners.push_back(link.partners[link.current]);
+  }
+  return partners;
+}
+
+void Heartbeats::TurnToNextPartners(std::chrono::milliseconds now,
+                                    const FleetPolicy& policy) {
+  for (auto& [domain, link] : this->links) {
+    // The partner may have died, and the words on that may lag: they travel
+    // over this very link.
+    if (now - link.partner_since > policy.suspect_after) {
+      link.current = (link.current + 1) % link.partners.size();
+      link.partner_since = now;
+    }
+  }
+}
+
+}  // namespace sassafrasdyke::core
--- a/source/core/fleet/live_fleet.h
+++ b/source/core/fleet/live_fleet.h
@@ -1,8 +1,21 @@
-/// The fleet of this product: documents, members and lease of one instance.
+/// The fleet of this product: joins documents, members, lease and budgets of
+/// one instance.
 #pragma once
 
+#include <optional>
+#include <vector>
+
+#include "core/fleet/document_exchange.h"
 #include "core/fleet/documents_in_force.h"
 #include "core/fleet/fleet.h"
+#include "core/fleet/heartbeats.h"
+#include "core/fleet/lease_keeper.h"
+#include "core/fleet/members.h"
+#include "core/fleet/peer_plan.h"
+#include "core/fleet/platform_watch.h"
+#include "core/fleet/report_exchange.h"
+#include "core/fleet/send_limiter.h"
+#include "core/fleet/turn.h"
 
 namespace sassafrasdyke::core {
 
@@ -30,11 +43,62 @@
   FleetStatus Status() const override;
 
  private:
-  FleetView View() const;
+  const FleetPolicy& Policy() const;
+  Turn Begin(std::chrono::milliseconds now, FleetOutbox& outbox);
+  void Finish(const Turn& turn);
+
+  void Take(const InstanceView& from, const Heartbeat& message,
+            const Turn& turn);
+  void Take(const InstanceView& from, const MemberReport& message,
+            const Turn& turn);
+  void Take(const InstanceView& from, const ReachabilityReport& message,
+            const Turn& turn);
+  void Take(const InstanceView& from, const TargetHealthChange& message,
+            const Turn& turn);
+  void Take(const InstanceView& from, const DocumentRequest& message,
+            const Turn& turn);
+  void Take(const InstanceView& from, const DocumentDelta& message,
+            const Turn& turn);
+  void Take(const InstanceView& from, const DocumentCopy& message,
+            const Turn& turn);
+
+  void AfterAccepted(DocumentKind kind, common::InstanceId from,
+                     const Turn& turn);
+  void OfferHeldConfiguration(const Turn& turn);
+  bool CaughtUpWith(const std::vector<DocumentDigest>& digests) const;
+  Heartbeat HeartbeatContent() const;
+  std::vector<common::InstanceId> ExtraPeers(const Turn& turn);
+  void SpeakOfOthers(const Turn& turn);
+  void SpeakOfSelf(const Turn& turn);
+  void Replan(std::chrono::milliseconds now);
+  void UpdateNeighbours();
+  void RefreshMembers(const Turn& turn);
+  void WantPlatform(std::chrono::milliseconds now);
+  std::size_t ListedPeers() const;
+  void PublishView(const Turn& turn);
 
   SelfIdentity self;
   DocumentsInForce documents;
+  DocumentExchange exchange;
+  Members members;
+  ReportExchange reports;
+  Heartbeats heartbeats;
+  LeaseKeeper lease_keeper;
+  PlatformWatch platform;
+  SendLimiter limiter;
+  Jitter jitter;
+  PeerPlan plan;
+  std::vector<common::InstanceId> link_partners;
+  std::vector<common::DomainId> unreachable;
+  Lease lease{Lease::kStale};
   bool leaving{false};
+  bool view_due{true};
+  std::chrono::milliseconds next_answer{0};
+  std::uint64_t strangers_ignored{0};
+  /// A joining instance's configuration from the platform, until its peers
+  /// have had the time to tell what is in force.
+  std::optional<Document> held_configuration;
+  std::chrono::milliseconds held_until{0};
 };
 
 }  // namespace sassafrasdyke::core
--- /dev/null
+++ b/source/core/fleet/members.cc
@@ -0,0 +1,187 @@
+#include "core/fleet/members.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sassafrasdyke::core {
+namespace {
+
+bool IdLess(const InstanceView& view, common::InstanceId id) {
+  return view.id.value < id.value;
+}
+
+bool Same(const InstanceView& left, const InstanceView& right) {
+  return left.id == right.id && left.domain == right.domain &&
+         left.incarnation == right.incarnation && left.use == right.use &&
+         left.tunnel == right.tunnel;
+}
+
+const InstanceView* FindView(const std::vector<InstanceView>& views,
+                             common::InstanceId id) {
+  const auto found = std::lower_bound(views.begin(), views.end(), id, IdLess);
+  return found != views.end() && found->id == id ? &*found : nullptr;
+}
+
+}  // namespace
+
+Members::Members(const SelfIdentity& self) : self(self) {
+  this->AddSelf(this->views);
+}
+
+void Members::SetList(const InstanceList& list) {
+  this->list = list;
+  this->reports.EraseIf([this](const MemberReport& report) {
+    return !Concerns(this->list, report);
+  });
+  this->dirty = true;
+}
+
+bool Members::Merge(const MemberReport& report) {
+  if (!Concerns(this->list, report) || !this->reports.Merge(report)) {
+    return false;
+  }
+  this->dirty = true;
+  return true;
+}
+
+MemberReport Members::Say(common::InstanceId about, MemberWord word) {
+  MemberReport report;
+  report.about = about;
+  report.by = this->self.id;
+  report.word = word;
+  const Instance* listed = FindInstance(this->list, about);
+  const bool of_self = about == this->self.id;
+  if (of_self) {
+    report.incarnation = this->self.incarnation;
+  } else if (listed != nullptr) {
+    report.incarnation = BelievedIncarnation(*listed, this->reports);
+  }
+  const MemberReport* last = this->reports.Find({about, this->self.id});
+  report.version = last == nullptr ? 1 : last->version + 1;
+  const MemberReport* own = this->reports.Find({about, about});
+  if (!of_self && own != nullptr && own->incarnation == report.incarnation) {
+    report.own_version = own->version;
+  }
+  this->Merge(report);
+  return report;
+}
+
+std::optional<MemberReport> Members::AnswerSuspicions() {
+  const Instance* listed = FindInstance(this->list, this->self.id);
+  if (listed == nullptr) {
+    return std::nullopt;
+  }
+  const common::Incarnation believed =
+      BelievedIncarnation(*listed, this->reports);
+  // The list still names the life before this one. Until it catches up, peers
+  // would take this instance for the old one and believe suspicions of it.
+  const bool taken_for_older = believed.value < this->self.incarnation.value;
+  if (!taken_for_older && !this->verdicts.accused.contains(this->self.id)) {
+    return std::nullopt;
+  }
+  const MemberReport* last = this->reports.Find({this->self.id, this->self.id});
+  const bool leaves = last != nullptr && last->word == MemberWord::kLeaving &&
+                      last->incarnation == this->self.incarnation;
+  return this->Say(this->self.id,
+                   leaves ? MemberWord::kLeaving : MemberWord::kAlive);
+}
+
+bool Members::Suspects(common::InstanceId about) const {
+  const Accusers* accusers = this->AccusersOf(about);
+  return accusers != nullptr && std::find(accusers->begin(), accusers->end(),
+                                          this->self.id) != accusers->end();
+}
+
+bool Members::Refresh(std::chrono::milliseconds now,
+                      std::vector<FleetDecision>& decisions) {
+  if (!this->dirty && !this->damper.Waiting()) {
+    return false;
+  }
+  if (this->dirty) {
+    this->verdicts = Judge(this->list, this->reports);
+    this->dirty = false;
+  }
+  std::vector<InstanceView> next = this->Judged(this->verdicts, now);
+  if (std::equal(next.begin(), next.end(), this->views.begin(),
+                 this->views.end(), Same)) {
+    return false;
+  }
+  this->LogChanges(next, this->verdicts, decisions);
+  this->views = std::move(next);
+  return true;
+}
+
+const InstanceView* Members::Find(common::InstanceId id) const {
+  return FindView(this->views, id);
+}
+
+bool Members::SelfListed() const {
+  return FindInstance(this->list, this->self.id) != nullptr;
+}
+
+const Accusers* Members::AccusersOf(common::InstanceId id) const {
+  const auto found = this->verdicts.accused.find(id);
+  return found == this->verdicts.accused.end() ? nullptr : &found->second;
+}
+
+std::vector<InstanceView> Members::Judged(const MemberVerdicts& verdicts,
+                                          std::chrono::milliseconds now) {
+  std::vector<InstanceView> judged;
+  for (const Instance& instance : this->list.instances) {
+    const bool suspected = this->damper.Held(
+        instance.id, verdicts.confirmed.contains(instance.id), now);
+    judged.push_back({instance.id, instance.domain,
+                      BelievedIncarnation(instance, this->reports),
+                      instance.tunnel, this->UseOf(instance, suspected)});
+  }
+  this->AddSelf(judged);
+  return judged;
+}
+
+InstanceUse Members::UseOf(const Instance& instance, bool suspected) const {
+  if (suspected) {
+    return InstanceUse::kSuspected;
+  }
+  const common::Incarnation life = BelievedIncarnation(instance, this->reports);
+  const MemberReport* own = this->reports.Find({instance.id, instance.id});
+  const bool says_so = own != nullptr && own->incarnation == life &&
+                       own->word == MemberWord::kLeaving;
+  const bool published =
+      instance.state == InstanceState::kLeaving && instance.incarnation == life;
+  return says_so || published ? InstanceUse::kLeaving : InstanceUse::kOwner;
+}
+
+void Members::AddSelf(std::vector<InstanceView>& views) const {
+  if (FindView(views, this->self.id) != nullptr) {
+    return;
+  }
+  // The list lags behind a newcomer: nobody else counts it among the owners
+  // yet. If it counted itself, two instances would own the same flows.
+  const auto place =
+      std::lower_bound(views.begin(), views.end(), this->self.id, IdLess);
+  views.insert(place, {this->self.id,
+                       this->self.domain,
+                       this->self.incarnation,
+                       {},
+                       InstanceUse::kLeaving});
+}
+
+void Members::LogChanges(const std::vector<InstanceView>& next,
+                         const MemberVerdicts& verdicts,
+                         std::vector<FleetDecision>& decisions) const {
+  for (const InstanceView& view : next) {
+    const InstanceView* before = this->Find(view.id);
+    const bool expected = before == nullptr && view.use == InstanceUse::kOwner;
+    if (expected || (before != nullptr && before->use == view.use)) {
+      continue;
+    }
+    MemberChanged changed{view.id, view.use, {}};
+    if (const auto confirmed = verdicts.confirmed.find(view.id);
+        confirmed != verdicts.confirmed.end()) {
+      changed.confirmed_by = confirmed->second;
+    }
+    decisions.emplace_back(std::move(changed));
+  }
+}
+
+}  // namespace sassafrasdyke::core
--- /dev/null
+++ b/source/core/fleet/platform_watch.cc
@@ -0,0 +1,25 @@
+#include "core/fleet/platform_watch.h"
+
+namespace sassafrasdyke::core {
+
+void PlatformWatch::Want(bool wanted, std::chrono::milliseconds now,
+                         std::chrono::milliseconds spread) {
+  if (wanted && !this->wanted) {
+    // A rack that restarts would otherwise read the platform in the same
+    // millisecond, and its limit is counted over all readers.
+    this->start_at = now + this->jitter.UpTo(spread);
+  }
+  this->wanted = wanted;
+  this->watching = wanted && now >= this->start_at;
+}
+
+void PlatformWatch::OnAnswer(bool reached, std::chrono::milliseconds now) {
+  if (reached) {
+    this->backoff.OnSuccess();
+    return;
+  }
+  this->start_at = now + this->backoff.OnFailure(this->jitter);
+  this->watching = this->wanted && now >= this->start_at;
+}
+
+}  // namespace sassafrasdyke::core
--- /dev/null
+++ b/source/core/fleet/send_limiter.cc
@@ -0,0 +1,156 @@
+#include "core/fleet/send_limiter.h"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+#include "core/fleet/message_size.h"
+
+namespace sassafrasdyke::core {
+namespace {
+
+constexpr std::size_t kPercent = 100;
+constexpr std::size_t kMostWaiting = 256;
+constexpr std::chrono::milliseconds kLongestWait{5000};
+
+/// Share of the budget that is left after exception copies, and the seconds of
+/// that share that may leave at once.
+struct LaneShape {
+  MessageBudget budget;
+  std::size_t percent;
+  std::size_t burst_seconds;
+};
+
+constexpr std::array<LaneShape, kMessageBudgets - 1> kShapes{{
+    {MessageBudget::kHeartbeats, 40, 2},
+    {MessageBudget::kMembers, 15, 20},
+    {MessageBudget::kDeltas, 25, 20},
+    {MessageBudget::kRequests, 5, 10},
+    {MessageBudget::kHealth, 15, 20},
+}};
+
+/// A whole document is up to a megabyte and can't wait for a budget of
+/// kilobytes a second: a joining instance would be useless for minutes. Copies
+/// are rare, so they have a budget of their own; two may leave at once.
+constexpr BucketLimits kCopyLimits{.per_second = 65'536, .burst = 4'194'304};
+
+std::size_t IndexOf(MessageBudget budget) {
+  return static_cast<std::size_t>(budget);
+}
+
+MessageBudget BudgetOf(const PeerMessage& message) {
+  return std::visit(
+      [](const auto& body) {
+        using Body = std::decay_t<decltype(body)>;
+        if constexpr (std::is_same_v<Body, Heartbeat>) {
+          return MessageBudget::kHeartbeats;
+        } else if constexpr (std::is_same_v<Body, DocumentDelta>) {
+          return MessageBudget::kDeltas;
+        } else if constexpr (std::is_same_v<Body, DocumentCopy>) {
+          return MessageBudget::kCopies;
+        } else if constexpr (std::is_same_v<Body, DocumentRequest>) {
+          return MessageBudget::kRequests;
+        } else if constexpr (std::is_same_v<Body, TargetHealthChange>) {
+          return MessageBudget::kHealth;
+        } else {
+          return MessageBudget::kMembers;
+        }
+      },
+      message);
+}
+
+}  // namespace
+
+SendLimiter::SendLimiter() {
+  for (std::size_t lane = 0; lane < kMessageBudgets; ++lane) {
+    this->lanes[lane].status.budget = static_cast<MessageBudget>(lane);
+  }
+  this->lanes[IndexOf(MessageBudget::kCopies)].bucket =
+      TokenBucket(kCopyLimits);
+  const FleetPolicy defaults;
+  const std::size_t control =
+      defaults.control_bytes_per_second - defaults.copy_bytes_per_second;
+  for (const LaneShape& shape : kShapes) {
+    const std::size_t rate = control * shape.percent / kPercent;
+    this->lanes[IndexOf(shape.budget)].bucket =
+        TokenBucket({rate, rate * shape.burst_seconds});
+  }
+}
+
+void SendLimiter::SetPolicy(const FleetPolicy& policy) {
+  const std::size_t copies =
+      std::min(policy.copy_bytes_per_second, policy.control_bytes_per_second);
+  const std::size_t control = policy.control_bytes_per_second - copies;
+  for (const LaneShape& shape : kShapes) {
+    const std::size_t rate = control * shape.percent / kPercent;
+    this->lanes[IndexOf(shape.budget)].bucket.SetLimits(
+        {rate, rate * shape.burst_seconds});
+  }
+}
+
+void SendLimiter::Send(OutgoingMessage message, std::chrono::milliseconds now,
+                       std::vector<OutgoingMessage>& out) {
+  Lane& lane = this->LaneOf(message.message);
+  const std::size_t bytes = EstimatedBytes(message.message);
+  if (lane.queue.empty() && lane.bucket.Take(bytes, now)) {
+    Leave(lane, bytes, std::move(message), out);
+    return;
+  }
+  ++lane.status.limited;
+  const bool may_wait = lane.status.budget != MessageBudget::kHeartbeats &&
+                        lane.status.budget != MessageBudget::kCopies;
+  // An unbounded queue turns a slow hour into a full memory, and everything in
+  // it is old by the time it leaves. Digests in heartbeats heal what is lost.
+  if (!may_wait || lane.queue.size() >= kMostWaiting) {
+    ++lane.status.dropped;
+    return;
+  }
+  lane.queue.push_back({std::move(message), bytes, now});
+}
+
+void SendLimiter::Flush(std::chrono::milliseconds now,
+                        std::vector<OutgoingMessage>& out) {
+  for (Lane& lane : this->lanes) {
+    while (!lane.queue.empty()) {
+      Waiting& first = lane.queue.front();
+      if (now - first.since > kLongestWait) {
+        ++lane.status.dropped;
+      } else if (lane.bucket.Take(first.bytes, now)) {
+        Leave(lane, first.bytes, std::move(first.message), out);
+      } else {
+        break;
+      }
+      lane.queue.pop_front();
+    }
+  }
+}
+
+std::vector<BudgetStatus> SendLimiter::Status() const {
+  std::vector<BudgetStatus> status;
+  for (const Lane& lane : this->lanes) {
+    status.push_back(lane.status);
+    status.back().waiting = lane.queue.size();
+  }
+  return status;
+}
+
+std::uint64_t SendLimiter::Limited() const {
+  std::uint64_t limited = 0;
+  for (const Lane& lane : this->lanes) {
+    limited += lane.status.limited;
+  }
+  return limited;
+}
+
+SendLimiter::Lane& SendLimiter::LaneOf(const PeerMessage& message) {
+  return this->lanes[IndexOf(BudgetOf(message))];
+}
+
+void SendLimiter::Leave(Lane& lane, std::size_t bytes, OutgoingMessage message,
+                        std::vector<OutgoingMessage>& out) {
+  ++lane.status.messages;
+  lane.status.bytes += bytes;
+  out.push_back(std::move(message));
+}
+
+}  // namespace sassafrasdyke::core
--- a/tests/core/fleet/documents_test.cc
+++ b/tests/core/fleet/documents_test.cc
@@ -14,8 +14,12 @@
 
 constexpr std::uint32_t kTargets = 18;
 
+/// An instance that has found itself alone on the instance list.
 std::unique_ptr<Fleet> FleetOf(const SampleReader& reader) {
-  return MakeFleet({{1}, {1}, {1}}, reader, 7);
+  auto fleet = MakeFleet({{1}, {1}, {1}}, reader, 7);
+  FleetOutbox outbox;
+  fleet->OnPlatformDocument(InstancesOf(1, {{.id = 1}}), 0ms, outbox);
+  return fleet;
 }
 
 BOOST_AUTO_TEST_CASE(a_published_document_is_in_force_and_logged) {
--- /dev/null
+++ b/tests/core/fleet/fleet_network.h
@@ -0,0 +1,162 @@
+/// A few instances' fleets in one process, joined by messages in flight that
+/// can be late, lost, repeated or cut, and a stand-in of the platform.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "core/fleet/fleet.h"
+#include "core/fleet/jitter.h"
+#include "core/fleet/sample_documents.h"
+
+namespace sassafrasdyke::core {
+
+/// How messages fare. A lost message is lost for good, which is worse than a
+/// TCP stream, where it only comes late.
+struct LinkShape {
+  std::chrono::milliseconds delay_inside{1};   ///< Within a failure domain.
+  std::chrono::milliseconds delay_between{4};  ///< Between failure domains.
+  unsigned loss_inside_percent{0};
+  unsigned loss_between_percent{0};
+  unsigned repeat_percent{0};
+};
+
+/// When a revision of the configuration came into force on an instance.
+struct InForce {
+  std::uint64_t revision{0};
+  std::chrono::milliseconds at{0};
+};
+
+/// One instance as the network sees it.
+struct RunningFleet {
+  SampleInstance identity;
+  std::unique_ptr<Fleet> fleet;
+  std::optional<FleetView> view;  ///< The last one published.
+  std::shared_ptr<const Configuration> configuration;
+  std::vector<InForce> in_force;  ///< Oldest first.
+  std::vector<FleetDecision> decisions;
+  std::vector<TargetHealthChange> health;
+  bool running{true};
+  bool paused{false};
+  bool platform_cut{false};
+  std::uint64_t bytes_sent{0};
+  std::uint64_t messages_sent{0};
+  std::chrono::nanoseconds cpu{0};
+  /// When it started; the fleet's times count from here.
+  std::chrono::milliseconds started{0};
+  std::uint64_t life{0};
+  bool watch_open{false};
+  std::uint64_t watch{0};  ///< Tells apart the watches of one life.
+  /// Messages that earlier lives dropped.
+  std::uint64_t dropped_before{0};
+};
+
+/// Messages that the instance's budgets dropped, over all its lives.
+std::uint64_t DroppedOf(const RunningFleet& fleet);
+
+/// Reads the processor time used so far.
+using CpuClock = std::chrono::nanoseconds (*)();
+
+/// Runs fleets through simulated time, in the same order for the same seed.
+class FleetNetwork {
+ public:
+  explicit FleetNetwork(std::uint64_t seed, LinkShape shape = {});
+
+  /// Starts an instance at the current time.
+  void Start(const SampleInstance& identity);
+  /// Publishes the list, starts everyone on it, publishes a configuration of
+  /// `targets` targets and runs until all is in rest.
+  void StartAll(const std::vector<SampleInstance>& instances,
+                std::uint32_t targets);
+  void Kill(std::uint32_t id);
+  void Pause(std::uint32_t id) { this->fleets.at(id).paused = true; }
+  void Wake(std::uint32_t id) { this->fleets.at(id).paused = false; }
+
+  /// Cuts messages in one direction, or in both, until `Heal`.
+  void CutOneWay(std::uint32_t from, std::uint32_t to);
+  void Cut(std::uint32_t left, std::uint32_t right);
+  void CutDomains(std::uint32_t left, std::uint32_t right);
+  void Heal();
+
+  void Publish(const Document& document);
+  void SetPlatformUp(bool up) { this->platform_up = up; }
+
+  void RunFor(std::chrono::milliseconds time);
+
+  /// Injects a message as if `from` had sent it to `to`.
+  void Inject(std::uint32_t from, std::uint32_t to, const PeerMessage& message);
+
+  /// Calls one instance's fleet and sends what it leaves to be sent.
+  using FleetCall =
+      std::function<void(Fleet&, std::chrono::milliseconds, FleetOutbox&)>;
+  void Call(std::uint32_t id, const FleetCall& call);
+
+  RunningFleet& Of(std::uint32_t id) { return this->fleets.at(id); }
+  std::map<std::uint32_t, RunningFleet>& All() { return this->fleets; }
+  std::chrono::milliseconds Now() const { return this->now; }
+  std::uint64_t PlatformReads() const { return this->platform_reads; }
+  SampleReader& Reader() { return *this->reader; }
+  void MeasureCpu(CpuClock clock) { this->clock = clock; }
+
+  /// What `observer` believes of `about`.
+  InstanceUse UseOf(std::uint32_t observer, std::uint32_t about) const;
+  /// True when every running instance believes `use` of `about`.
+  bool AllBelieve(std::uint32_t about, InstanceUse use) const;
+  /// True when every running instance has `revision` of the configuration.
+  bool InForceEverywhere(std::uint64_t revision) const;
+
+ private:
+  enum class EventKind { kTick, kMessage, kPlatformAnswer };
+  struct Event {
+    std::chrono::milliseconds at{0};
+    std::uint64_t order{0};
+    EventKind kind{EventKind::kTick};
+    std::uint32_t to{0};
+    std::uint32_t from{0};
+    std::uint64_t life{0};
+    std::uint64_t watch{0};
+    std::shared_ptr<const PeerMessage> message;
+    bool reached{true};
+  };
+  struct Later {
+    bool operator()(const Event& left, const Event& right) const;
+  };
+
+  void Push(Event event);
+  void Handle(const Event& event);
+  void Deliver(RunningFleet& fleet, const Event& event, FleetOutbox& outbox);
+  void Collect(RunningFleet& fleet, FleetOutbox& outbox);
+  void SendOne(RunningFleet& fleet, const OutgoingMessage& message);
+  void OpenWatch(RunningFleet& fleet);
+  void AnswerWatch(RunningFleet& fleet, const Event& event,
+                   FleetOutbox& outbox);
+  void WakeWatchers();
+  bool HasNews(const RunningFleet& fleet) const;
+  bool Lost(const RunningFleet& from, const RunningFleet& to);
+
+  std::unique_ptr<SampleReader> reader;
+  std::uint64_t seed;
+  Jitter random;
+  LinkShape shape;
+  std::map<std::uint32_t, RunningFleet> fleets;
+  std::priority_queue<Event, std::vector<Event>, Later> events;
+  std::set<std::pair<std::uint32_t, std::uint32_t>> cuts;
+  std::set<std::pair<std::uint32_t, std::uint32_t>> domain_cuts;
+  std::map<DocumentKind, Document> published;
+  bool platform_up{true};
+  std::uint64_t platform_reads{0};
+  std::uint64_t next_order{0};
+  std::uint64_t lives{0};
+  std::chrono::milliseconds now{0};
+  CpuClock clock{nullptr};
+};
+
+}  // namespace sassafrasdyke::core
--- /dev/null
+++ b/tests/core/fleet/members_test.cc
@@ -0,0 +1,256 @@
+/// How suspicions are judged, and who is chosen for what.
+#include "core/fleet/members.h"
+
+#include <algorithm>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <ostream>
+#include <random>
+#include <set>
+
+#include "core/fleet/flap_damper.h"
+#include "core/fleet/member_reports.h"
+#include "core/fleet/peer_plan.h"
+#include "core/fleet/rendezvous.h"
+
+namespace sassafrasdyke::core {
+namespace {
+
+using namespace std::chrono_literals;
+
+InstanceList ListOf(std::uint32_t count, std::uint32_t domains = 1) {
+  InstanceList list;
+  for (std::uint32_t id = 1; id <= count; ++id) {
+    Instance instance;
+    instance.id.value = id;
+    instance.domain.value = 1 + (id - 1) % domains;
+    instance.incarnation.value = 1;
+    list.instances.push_back(instance);
+  }
+  return list;
+}
+
+MemberReport Suspicion(std::uint32_t about, std::uint32_t by,
+                       std::uint64_t own_version = 0,
+                       std::uint64_t incarnation = 1) {
+  return {{about}, {incarnation}, {by}, 1, own_version, MemberWord::kSuspected};
+}
+
+MemberReport OwnWord(std::uint32_t id, std::uint64_t version,
+                     MemberWord word = MemberWord::kAlive,
+                     std::uint64_t incarnation = 1) {
+  return {{id}, {incarnation}, {id}, version, 0, word};
+}
+
+struct Verdict {
+  const char* name;
+  std::uint32_t instances;
+  std::vector<MemberReport> reports;
+  std::set<std::uint32_t> confirmed;
+};
+
+std::ostream& operator<<(std::ostream& out, const Verdict& row) {
+  return out << row.name;
+}
+
+const Verdict kVerdicts[] = {
+    {"nobody says anything", 5, {}, {}},
+    {"one watcher is not enough", 5, {Suspicion(2, 1)}, {}},
+    {"two watchers are", 5, {Suspicion(2, 1), Suspicion(2, 3)}, {2}},
+    {"its own newer word outweighs both",
+     5,
+     {Suspicion(2, 1), Suspicion(2, 3), OwnWord(2, 1)},
+     {}},
+    {"suspicions after its own word count again",
+     5,
+     {Suspicion(2, 1, 1), Suspicion(2, 3, 1), OwnWord(2, 1)},
+     {2}},
+    {"a new life answers for the old one",
+     5,
+     {Suspicion(2, 1), Suspicion(2, 3), OwnWord(2, 1, MemberWord::kAlive, 2)},
+     {}},
+    {"the only other one is believed", 2, {Suspicion(2, 1)}, {2}},
+    {"the last witness of three is believed",
+     3,
+     {Suspicion(2, 1), Suspicion(3, 1)},
+     {2, 3}},
+    {"a lone accuser that two accuse is not believed",
+     3,
+     {Suspicion(1, 2), Suspicion(1, 3), Suspicion(2, 1), Suspicion(3, 1)},
+     {1}},
+};
+
+// Ownership moves only on a confirmed suspicion. Judged too fast, healthy
+// owners lose their flows; judged too slowly, callers talk to a dead owner.
+BOOST_DATA_TEST_CASE(judges_suspicions, kVerdicts, row) {
+  MemberReportTable table;
+  for (const MemberReport& report : row.reports) {
+    table.Merge(report);
+  }
+
+  const MemberVerdicts verdicts = Judge(ListOf(row.instances), table);
+
+  std::set<std::uint32_t> confirmed;
+  for (const auto& [about, by] : verdicts.confirmed) {
+    confirmed.insert(about.value);
+  }
+  BOOST_TEST(confirmed == row.confirmed, boost::test_tools::per_element());
+}
+
+// Reports reach instances by different ways, in different orders and twice. If
+// the order mattered, two instances would disagree on an owner for good.
+BOOST_DATA_TEST_CASE(the_order_of_reports_does_not_matter,
+                     boost::unit_test::data::xrange(50), seed) {
+  std::mt19937 random(static_cast<std::uint32_t>(seed));
+  const InstanceList list = ListOf(6);
+  std::vector<MemberReport> reports;
+  for (int i = 0; i < 40; ++i) {
+    MemberReport report;
+    report.about.value = 1 + static_cast<std::uint32_t>(random() % 6);
+    report.by.value = 1 + static_cast<std::uint32_t>(random() % 6);
+    report.incarnation.value = 1 + random() % 2;
+    report.version = random() % 4;
+    report.own_version = random() % 3;
+    report.word = static_cast<MemberWord>(random() % 3);
+    reports.push_back(report);
+  }
+  MemberReportTable left;
+  MemberReportTable right;
+  for (const MemberReport& report : reports) {
+    left.Merge(report);
+  }
+  std::shuffle(reports.begin(), reports.end(), random);
+  for (const MemberReport& report : reports) {
+    right.Merge(report);
+    right.Merge(report);
+  }
+
+  BOOST_TEST(left.Digest() == right.Digest());
+  BOOST_TEST((left.All() == right.All()));
+  BOOST_TEST((Judge(list, left).confirmed == Judge(list, right).confirmed));
+}
+
+BOOST_AUTO_TEST_CASE(pages_cover_the_table_and_start_again) {
+  MemberReportTable table;
+  for (std::uint32_t id = 1; id <= 10; ++id) {
+    table.Merge(OwnWord(id, 1));
+  }
+  MemberReportTable::Cursor cursor;
+
+  BOOST_TEST(table.Page(cursor, 7).size() == 7U);
+  BOOST_TEST(table.Page(cursor, 7).size() == 3U);
+  BOOST_TEST(table.Page(cursor, 7).front().about.value == 1U);
+}
+
+// The list is replaced and no longer names an instance, or names its next life.
+// Old words must go, or an old suspicion would follow the new instance.
+BOOST_AUTO_TEST_CASE(words_on_unlisted_lives_are_forgotten) {
+  Members members({{1}, {1}, {1}});
+  members.SetList(ListOf(4));
+  BOOST_TEST(members.Merge(Suspicion(2, 3)));
+  BOOST_TEST(members.Merge(Suspicion(4, 3)));
+  InstanceList next = ListOf(3);
+  next.instances[1].incarnation.value = 2;
+
+  members.SetList(next);
+
+  BOOST_TEST(members.Digest() == 0U);
+  BOOST_TEST(!members.Merge(Suspicion(2, 3)));
+  BOOST_TEST(!members.Merge(Suspicion(4, 3)));
+}
+
+// An instance at the same address comes and goes. Each time it must wait longer
+// before it owns partitions again, and be forgiven after a quiet time.
+BOOST_AUTO_TEST_CASE(each_return_takes_longer_until_it_is_forgiven) {
+  FlapDamper damper({.first = 1s, .longest = 4s, .forgive_after = 60s});
+  std::chrono::milliseconds now = 0ms;
+  for (const auto needed : {1s, 2s, 4s, 4s}) {
+    BOOST_TEST(damper.Held({2}, true, now));
+    now += 100ms;
+    BOOST_TEST(damper.Held({2}, false, now));
+    BOOST_TEST(damper.Held({2}, false, now + needed - 1ms));
+    BOOST_TEST(!damper.Held({2}, false, now + needed));
+    now += needed;
+  }
+  for (int minute = 0; minute < 5; ++minute) {
+    now += 60s;
+    BOOST_TEST(!damper.Held({2}, false, now));
+  }
+  BOOST_TEST(!damper.Waiting());
+}
+
+std::vector<InstanceView> ViewsOf(const InstanceList& list) {
+  std::vector<InstanceView> views;
+  for (const Instance& instance : list.instances) {
+    views.push_back({instance.id, instance.domain, instance.incarnation,
+                     instance.tunnel, InstanceUse::kOwner});
+  }
+  return views;
+}
+
+struct PlanShape {
+  std::uint32_t instances;
+  std::uint32_t domains;
+};
+
+std::ostream& operator<<(std::ostream& out, const PlanShape& row) {
+  return out << row.instances << " in " << row.domains;
+}
+
+const PlanShape kPlanShapes[] = {{1, 1}, {2, 1}, {7, 3}, {64, 1}, {116, 7}};
+
+// Everyone computes the duties alone. If the plans didn't fit together, some
+// instance would be watched by nobody and its death would go unseen.
+BOOST_DATA_TEST_CASE(plans_of_all_instances_fit, kPlanShapes, row) {
+  const InstanceList list = ListOf(row.instances, row.domains);
+  const std::vector<InstanceView> views = ViewsOf(list);
+  const FleetPolicy policy;
+  std::map<common::InstanceId, std::size_t> watchers;
+  std::map<common::DomainId, std::size_t> readers;
+  std::size_t links = 0;
+  for (const Instance& instance : list.instances) {
+    const PeerPlan plan =
+        MakePeerPlan({instance.id, instance.domain, {1}}, views, policy);
+    for (const common::InstanceId watched : plan.watched) {
+      ++watchers[watched];
+    }
+    readers[instance.domain] += plan.reader ? 1 : 0;
+    links += plan.links.size();
+  }
+
+  for (const Instance& instance : list.instances) {
+    const auto peers = static_cast<std::size_t>(std::count_if(
+        list.instances.begin(), list.instances.end(), [&](const Instance& it) {
+          return it.domain == instance.domain && it.id != instance.id;
+        }));
+    BOOST_TEST(watchers[instance.id] ==
+               std::min<std::size_t>(policy.watchers, peers));
+    BOOST_TEST(readers[instance.domain] ==
+               std::min<std::size_t>(policy.readers_per_domain, peers + 1));
+  }
+  BOOST_TEST(links <= kLinksPerDomain * row.domains * (row.domains - 1));
+}
+
+// One of many instances dies. Duties of the others should stay, because every
+// moved duty costs new connections just when something has failed.
+BOOST_AUTO_TEST_CASE(a_death_moves_few_duties) {
+  std::vector<common::InstanceId> all;
+  for (std::uint32_t id = 1; id <= 100; ++id) {
+    all.push_back({id});
+  }
+  std::vector<common::InstanceId> left = all;
+  left.erase(left.begin() + 49);
+  int moved = 0;
+  for (std::uint64_t key = 0; key < 100; ++key) {
+    moved += Choose(all, ChosenRole::kWatcher, key, 3) ==
+                     Choose(left, ChosenRole::kWatcher, key, 3)
+                 ? 0
+                 : 1;
+  }
+
+  BOOST_TEST(moved <= 10);
+}
+
+}  // namespace
+}  // namespace sassafrasdyke::core
--- a/tests/core/fleet/sample_documents.cc
+++ b/tests/core/fleet/sample_documents.cc
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <optional>
 #include <sstream>
+#include <string_view>
 
 namespace sassafrasdyke::core {
 namespace {
@@ -13,6 +14,7 @@
 constexpr std::uint16_t kTunnelPort = 6080;
 constexpr std::uint16_t kControlPort = 6081;
 constexpr std::size_t kPathBytes = 32;
+constexpr std::string_view kTargetFolder = "targets/";
 
 bool Before(const DocumentEntry& left, const DocumentEntry& right) {
   return left.path < right.path;
@@ -67,6 +69,14 @@
   configuration.revision = document.revision;
   configuration.fleet = "sample";
   configuration.policy = this->policy;
+  for (const DocumentEntry& entry : document.entries) {
+    if (entry.path.starts_with(kTargetFolder)) {
+      Target target;
+      target.id.value = static_cast<std::uint32_t>(
+          std::stoul(entry.path.substr(kTargetFolder.size())));
+      configuration.targets.push_back(target);
+    }
+  }
   return configuration;
 }
 
