Join the tasks into the program: balance, check and explain

Cause: core, configuration, platform and data path existed side by side.

Change: the data task owns the tunnel socket and the balancer on a thread and loop of its own; the control task owns the fleet's state, the platform's reader and the signals; they talk by mailboxes. After a gap of a second the data task holds all packets until the control task has ticked the fleet, so no packet meets a belief from before a pause.

Peers are not joined yet: copies and heartbeats go nowhere, so a stop ends at its deadline, not when all is handed over.

--- /dev/null
+++ b/source/app/control_task.h
@@ -0,0 +1,87 @@
+/// The task that owns the fleet's state: the platform's reader, the peers, the
+/// signals. Runs on the process's first thread.
+#pragma once
+
+#include <ev++.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+
+#include "app/clock.h"
+#include "app/fleet_driver.h"
+#include "app/leave_watch.h"
+#include "app/mailbox.h"
+#include "app/task_messages.h"
+#include "config/configuration_reader.h"
+#include "config/settings.h"
+#include "core/fleet/fleet.h"
+#include "observe/decision_log.h"
+#include "observe/metrics.h"
+#include "observe/state_board.h"
+#include "platform/platform_reader.h"
+
+namespace sassafrasdyke::app {
+
+/// Keeps the fleet's state and tells the data task what to believe.
+class ControlTask final : private platform::PlatformListener {
+ public:
+  /// What the task works with; all must outlive it.
+  struct Parts {
+    const config::Settings& settings;
+    core::SelfIdentity self;
+    const Clock& clock;
+    observe::DecisionLog& log;
+    observe::Metrics& metrics;
+    observe::StateBoard& board;
+  };
+
+  explicit ControlTask(const Parts& parts);
+  ~ControlTask() override;
+
+  /// The task's mailbox, for any task.
+  Mailbox<ControlMessage>& Mail() { return this->mail; }
+
+  /// Runs until the instance has left. Messages for the data task go to
+  /// `data`.
+  void Run(Mailbox<DataMessage>& data);
+
+ private:
+  void OnTimer(ev::timer&, int);
+  void OnSignal(ev::sig& signal, int);
+
+  void OnPlatformDocument(const core::Document& document) override;
+  void OnPlatformRefused(core::DocumentKind kind,
+                         const core::DocumentFaults& faults) override;
+  void OnPlatformAnswer(core::DocumentKind kind, bool reached) override;
+
+  void Take(ControlMessage message);
+  void Apply(const PauseNoticed& noticed);
+  void Apply(const core::OutgoingMessage& message);
+  void Apply(const DataReport& newest);
+
+  FleetSinks Sinks();
+  void Leave();
+  void EndIfLeft();
+  /// Makes the platform's reader follow what the fleet wants.
+  void SteerPlatform();
+  void Publish();
+  void PublishPlatform(core::DocumentKind kind);
+  void Note(observe::ProcessNote note);
+
+  Parts parts;
+  ev::default_loop loop;
+  config::ConfigurationReader documents;
+  FleetDriver driver;
+  platform::PlatformReader platform;
+  Mailbox<ControlMessage> mail;
+  Mailbox<DataMessage>* data{nullptr};
+  ev::timer timer;
+  ev::sig terminate;
+  ev::sig interrupt;
+  LeaveWatch leave;
+  DataReport report;
+  int ticks{0};
+};
+
+}  // namespace sassafrasdyke::app
--- /dev/null
+++ b/source/app/main.cc
@@ -0,0 +1,12 @@
+/// The program.
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include "app/program.h"
+
+int main(int argc, char** argv) {
+  const std::vector<std::string> arguments(argv + 1, argv + argc);
+  return static_cast<int>(
+      sassafrasdyke::app::RunProgram(arguments, {std::cout, std::cerr}));
+}
--- /dev/null
+++ b/source/app/metrics_publisher.h
@@ -0,0 +1,23 @@
+/// Turns the tasks' counters into metrics.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+#include "app/task_messages.h"
+#include "core/fleet/fleet.h"
+#include "core/fleet_view.h"
+#include "observe/decision_log.h"
+#include "observe/metrics.h"
+#include "platform/document_watch.h"
+
+namespace sassafrasdyke::app {
+
+void PublishData(observe::Metrics& metrics, const DataReport& report);
+void PublishFleet(observe::Metrics& metrics, const core::FleetStatus& status,
+                  const core::FleetView& view);
+void PublishReads(observe::Metrics& metrics, core::DocumentKind kind,
+                  const platform::PlatformCounts& counts);
+void PublishLog(observe::Metrics& metrics, const observe::DecisionLog& log);
+
+}  // namespace sassafrasdyke::app
