--- a/rig/addresses.cc
+++ b/rig/addresses.cc
@@ -63,6 +63,10 @@
   return this->At(kFabric, 2, kReturnPort);
 }
 
+common::Endpoint AddressPlan::FloodSource() const {
+  return this->At(kFabric, 3, kReturnPort);
+}
+
 common::Endpoint AddressPlan::FabricReturn() const {
   return this->At(kFabric, 1, kReturnPort);
 }
--- a/rig/addresses.h
+++ b/rig/addresses.h
@@ -23,6 +23,7 @@
   common::Endpoint Platform(std::uint32_t domain) const;
   /// Where the fabric sends from.
   common::Endpoint FabricSource() const;
+  common::Endpoint FloodSource() const;
   /// Where the fabric takes packets for callers.
   common::Endpoint FabricReturn() const;
 
--- a/rig/main.cc
+++ b/rig/main.cc
@@ -45,6 +45,10 @@
       cxxopts::value<double>()->default_value("1"))(
       "folder", "where settings and reports go",
       cxxopts::value<std::string>()->default_value("."))(
+      "flood",
+      "instead of callers, send packets of this many flows through instance 1\n"
+      "as fast as they go",
+      cxxopts::value<std::size_t>()->default_value("0"))(
       "direct", "no instances: packets go straight to targets")("help",
                                                                 "this text");
   return options;
@@ -101,7 +105,8 @@
   Run run(*scenario,
           {.seed = given["seed"].as<std::uint64_t>(),
            .folder = folder,
-           .direct = given.count("direct") > 0},
+           .direct = given.count("direct") > 0,
+           .flood_flows = given["flood"].as<std::size_t>()},
           std::cout);
   const Report report = run.Execute();
   Write(report, folder);
--- a/rig/metrics_probe.cc
+++ b/rig/metrics_probe.cc
@@ -24,6 +24,8 @@
     "sassafrasdyke_document_revision{document=\"configuration\"} ";
 constexpr std::string_view kSentBytes =
     "sassafrasdyke_peer_bytes_total{direction=\"sent\"} ";
+constexpr std::string_view kDataCpu =
+    "sassafrasdyke_task_cpu_milliseconds_total{task=\"data\"} ";
 
 /// The value of a line that starts with `name`.
 std::optional<double> ValueOf(std::string_view line, std::string_view name) {
@@ -45,6 +47,9 @@
       metrics.configuration_revision = static_cast<std::uint64_t>(*value);
     } else if (const auto bytes = ValueOf(line, kSentBytes)) {
       metrics.control_bytes = *bytes;
+    } else if (const auto cpu = ValueOf(line, kDataCpu)) {
+      metrics.data_cpu =
+          std::chrono::milliseconds{static_cast<std::int64_t>(*cpu)};
     }
     text = end == std::string_view::npos ? "" : text.substr(end + 1);
   }
--- a/rig/metrics_probe.h
+++ b/rig/metrics_probe.h
@@ -3,6 +3,7 @@
 
 #include <ev++.h>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -19,6 +20,8 @@
   std::uint64_t configuration_revision{0};
   /// Sent on the peers' streams since its start.
   double control_bytes{0};
+  /// Processor time of the data path since its start.
+  std::chrono::milliseconds data_cpu{0};
 };
 
 /// Reads the Prometheus text format; names it doesn't know are passed over.
--- a/rig/report.h
+++ b/rig/report.h
@@ -1,6 +1,7 @@
 /// What a run found, for a person and for a program.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -8,6 +9,7 @@
 #include <vector>
 
 #include "rig/fabric.h"
+#include "rig/flood.h"
 #include "rig/judge.h"
 
 namespace sassafrasdyke::rig {
@@ -36,6 +38,10 @@
   std::optional<double> control_bytes_per_second;
   double platform_calls_per_second{0};
   std::uint64_t crashes{0};
+  /// Only of a flood.
+  std::optional<FloodCounts> flood;
+  /// Processor time of all instances' data paths during the load.
+  std::chrono::milliseconds data_cpu{0};
   std::vector<std::string> faults;
 };
 
--- a/rig/run.h
+++ b/rig/run.h
@@ -18,6 +18,7 @@
 #include "rig/addresses.h"
 #include "rig/callers.h"
 #include "rig/fabric.h"
+#include "rig/flood.h"
 #include "rig/instances.h"
 #include "rig/judge.h"
 #include "rig/metrics_probe.h"
@@ -35,6 +36,9 @@
   std::filesystem::path folder;
   /// No instance takes part; checks the stand-ins themselves.
   bool direct{false};
+  /// Instead of callers, a flood over this many flows to the first service by
+  /// way of the first instance; 0 for none.
+  std::size_t flood_flows{0};
 };
 
 /// The run. Throws std::runtime_error when an address can't be had.
@@ -106,10 +110,11 @@
   nlohmann::ordered_json configuration;
   std::map<std::string, std::unique_ptr<Upstream>> upstreams;
   std::uint32_t next_target{1};
+  std::unique_ptr<Flood> flood;
   std::vector<Change> changes;
   std::vector<double> configuration_seconds;
   std::map<common::InstanceId, InstanceMetrics> metrics;
-  std::map<common::InstanceId, double> control_bytes_at_start;
+  std::map<common::InstanceId, InstanceMetrics> metrics_at_start;
   std::chrono::microseconds load_began{0};
   std::chrono::microseconds load_ended{0};
   std::uint64_t calls_at_start{0};
--- a/rig/socket.cc
+++ b/rig/socket.cc
@@ -85,6 +85,25 @@
   }
 }
 
+std::size_t UdpSocket::SendAll(
+    std::span<const std::span<const std::uint8_t>> datagrams,
+    const SocketAddress& to) {
+  std::array<iovec, kBatch> vectors;
+  std::array<mmsghdr, kBatch> headers{};
+  const std::size_t count = std::min(datagrams.size(), kBatch);
+  for (std::size_t i = 0; i < count; ++i) {
+    vectors[i] = {const_cast<std::uint8_t*>(datagrams[i].data()),
+                  datagrams[i].size()};
+    headers[i].msg_hdr.msg_name = const_cast<sockaddr*>(to.Get());
+    headers[i].msg_hdr.msg_namelen = to.length;
+    headers[i].msg_hdr.msg_iov = &vectors[i];
+    headers[i].msg_hdr.msg_iovlen = 1;
+  }
+  const int sent = ::sendmmsg(this->descriptor, headers.data(),
+                              static_cast<unsigned>(count), 0);
+  return sent < 0 ? 0 : static_cast<std::size_t>(sent);
+}
+
 void UdpSocket::OnReadable(ev::io& /*watcher*/, int /*events*/) {
   static std::array<std::array<std::uint8_t, kDatagramBytes>, kBatch> buffers;
   std::array<sockaddr_storage, kBatch> sources;
--- a/rig/socket.h
+++ b/rig/socket.h
@@ -4,6 +4,7 @@
 #include <ev++.h>
 #include <sys/socket.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <span>
@@ -39,6 +40,9 @@
 
   /// Sends, or counts what the kernel refuses.
   void Send(std::span<const std::uint8_t> datagram, const SocketAddress& to);
+  /// Sends many at once; returns how many the kernel took.
+  std::size_t SendAll(std::span<const std::span<const std::uint8_t>> datagrams,
+                      const SocketAddress& to);
   std::uint64_t Refused() const { return this->refused; }
 
  private:
