--- a/source/core/fleet/fleet.h
+++ b/source/core/fleet/fleet.h
@@ -40,6 +40,14 @@
       const Document& document) const = 0;
   virtual tl::expected<InstanceList, DocumentFaults> ReadInstances(
       const Document& document) const = 0;
+
+  /// What forbids that `next` follows `in_force`, though each is valid by
+  /// itself: the fleet's name, the hash seed and a service's partitions are
+  /// fixed. Empty when it may follow.
+  virtual DocumentFaults CheckChange(const Configuration& /*in_force*/,
+                                     const Configuration& /*next*/) const {
+    return {};
+  }
 };
 
 /// A newer revision was put in force.
@@ -81,6 +89,9 @@
   std::shared_ptr<const Configuration> configuration;
   /// Set when the belief changed.
   std::optional<FleetView> view;
+  /// Changes of targets that are new here, for the flow side. The flow side
+  /// takes them from here only, not from the peers' messages.
+  std::vector<TargetHealthChange> health;
 };
 
 /// What this instance is called and where it belongs.
@@ -123,6 +134,11 @@
                              std::chrono::milliseconds now,
                              FleetOutbox& outbox) = 0;
 
+  /// Takes what this instance's own prober found of a target.
+  virtual void OnTargetProbed(common::TargetId target, TargetHealth health,
+                              std::chrono::milliseconds now,
+                              FleetOutbox& outbox) = 0;
+
   /// Does periodic work: heartbeats, suspicion, leases, digests. Called about
   /// 10 times a second.
   virtual void OnTick(std::chrono::milliseconds now, FleetOutbox& outbox) = 0;
