Check the placement policy's name against the registered ones

Cause: a policy that no instance knows passed the reader.

Change: the key's format asks the core's registry; the reference lists the names.

Measured: config_tests passes, with the misspelt name as a new row.

Conclusion: a misspelt policy is refused with its path.

--- a/source/config/published_keys.cc
+++ b/source/config/published_keys.cc
@@ -1,6 +1,9 @@
 #include "config/published_keys.h"
 
 #include <chrono>
+#include <string_view>
+
+#include "core/placement/placement_policy.h"
 
 namespace sassafrasdyke::config {
 namespace {
@@ -31,6 +34,29 @@
   Json Write(const Json& value) const { return value; }
 };
 
+/// The registered name of a placement policy.
+struct PlacementName {
+  bool Read(const Json& json, std::string& value) const {
+    if (!json.is_string()) {
+      return false;
+    }
+    const auto& name = json.get_ref<const std::string&>();
+    if (core::FindPlacementPolicy(name) == nullptr) {
+      return false;
+    }
+    value = name;
+    return true;
+  }
+  FormatReference Describe() const {
+    std::string range;
+    for (const std::string_view name : core::PlacementPolicyNames()) {
+      range.append(range.empty() ? "" : ", ").append(name);
+    }
+    return {"word", range, ""};
+  }
+  Json Write(const std::string& value) const { return value; }
+};
+
 KeyTable<core::FleetPolicy> MakeFleetPolicyKeys() {
   using Policy = core::FleetPolicy;
   const Choice<core::FabricScope> scopes{
@@ -75,7 +101,7 @@
   constexpr KeyUse kUse = KeyUse::kAdjustable;
   KeyTable<Policy> table;
   table
-      .Add("placement", &Policy::placement, Name{}, kUse,
+      .Add("placement", &Policy::placement, PlacementName{}, kUse,
            "How a new flow's target is chosen.")
       .Add("partitions", &Policy::partitions, WholeNumber{1, kPartitionsLimit},
            kUse,
--- a/tests/config/configuration_reader_test.cc
+++ b/tests/config/configuration_reader_test.cc
@@ -123,6 +123,8 @@
     {R"({"defaults": 1})", "/defaults"},
     {R"({"defaults": {"serivce": {}}})", "/defaults/serivce"},
     {R"({"defaults": {"service": {"spill": 1}}})", "/defaults/service/spill"},
+    {R"({"defaults": {"service": {"placement": "least-laoded"}}})",
+     "/defaults/service/placement"},
     {R"({"defaults": {"service": {"ramp": 1}}})", "/defaults/service/ramp"},
     {R"({"defaults": {"service": {"eject_share_percent": 101}}})",
      "/defaults/service/eject_share_percent"},
