Use one back-off in the whole product

Cause: the fleet's core and the edges each brought a back-off.

Conclusion: the waits are defined once.

--- a/source/peer/outgoing_link.cc
+++ b/source/peer/outgoing_link.cc
@@ -15,7 +15,8 @@
                            std::uint64_t seed)
     : context(context),
       peer(peer),
-      backoff(context.limits.first_retry, context.limits.longest_retry, seed),
+      jitter(seed),
+      backoff({context.limits.first_retry, context.limits.longest_retry}),
       queue(context.limits.queue, *this),
       timer(context.loop) {
   this->timer.set<OutgoingLink, &OutgoingLink::OnTimer>(this);
@@ -72,7 +73,7 @@
     return;
   }
   this->state = State::kUp;
-  this->backoff.Succeed();
+  this->backoff.OnSuccess();
   this->alive = true;
   this->last_message = this->context.Now();
   this->timer.start(Seconds(this->context.limits.ping_interval));
@@ -129,7 +130,7 @@
     this->timer.stop();
   } else {
     this->state = State::kWaiting;
-    this->timer.start(Seconds(this->backoff.Fail()));
+    this->timer.start(Seconds(this->backoff.OnFailure(this->jitter)));
   }
   if (reason != CutReason::kUnused && reason != CutReason::kLost) {
     this->context.listener.OnPeerCut(this->peer.id, this->peer.control.address,
--- a/source/peer/outgoing_link.h
+++ b/source/peer/outgoing_link.h
@@ -11,6 +11,8 @@
 #include <string_view>
 
 #include "core/configuration.h"
+#include "core/fleet/backoff.h"
+#include "core/fleet/jitter.h"
 #include "peer/http2_connection.h"
 #include "peer/peer_context.h"
 #include "peer/send_queue.h"
@@ -56,7 +58,8 @@
 
   PeerContext& context;
   const core::Instance peer;
-  common::Backoff backoff;
+  core::Jitter jitter;
+  core::Backoff backoff;
   SendQueue queue;
   ev::timer timer;
   State state{State::kIdle};
--- a/source/peer/peer_context.h
+++ b/source/peer/peer_context.h
@@ -9,7 +9,6 @@
 #include <memory>
 
 #include "common/address.h"
-#include "common/backoff.h"
 #include "common/ids.h"
 #include "core/messages.h"
 #include "peer/instance_directory.h"
--- a/source/platform/document_watch.cc
+++ b/source/platform/document_watch.cc
@@ -23,7 +23,8 @@
       kind(kind),
       limits(limits),
       listener(listener),
-      backoff(limits.first_retry, limits.longest_retry, seed),
+      jitter(seed),
+      backoff({limits.first_retry, limits.longest_retry}),
       timer(loop) {
   this->timer.set<DocumentWatch, &DocumentWatch::Request>(this);
 }
@@ -37,7 +38,7 @@
   this->on = on;
   if (on) {
     // Instances of a rack that restarts start to read at the same moment.
-    this->RequestAfter(this->backoff.Jitter(this->limits.first_read));
+    this->RequestAfter(this->jitter.UpTo(this->limits.first_read));
     return;
   }
   this->timer.stop();
@@ -113,10 +114,10 @@
 std::chrono::milliseconds DocumentWatch::WaitAfter(Outcome outcome) {
   switch (outcome) {
     case Outcome::kNewer:
-      this->backoff.Succeed();
+      this->backoff.OnSuccess();
       return this->limits.pace;
     case Outcome::kUnchanged: {
-      this->backoff.Succeed();
+      this->backoff.OnSuccess();
       // A platform that doesn't hold requests answers at once. Asking again at
       // once would spend the read budget of the whole fleet on one document.
       const double took = this->timer.loop.now() - this->requested_at;
@@ -129,7 +130,7 @@
       break;
   }
   // The same answer would come again at once, so it waits like a failure.
-  return this->limits.pace + this->backoff.Fail();
+  return this->limits.pace + this->backoff.OnFailure(this->jitter);
 }
 
 void DocumentWatch::RequestAfter(std::chrono::milliseconds wait) {
--- a/source/platform/document_watch.h
+++ b/source/platform/document_watch.h
@@ -7,9 +7,10 @@
 #include <cstdint>
 #include <string>
 
-#include "common/backoff.h"
 #include "common/ids.h"
+#include "core/fleet/backoff.h"
 #include "core/fleet/fleet.h"
+#include "core/fleet/jitter.h"
 #include "core/messages.h"
 #include "platform/http_client.h"
 
@@ -95,7 +96,8 @@
   const core::DocumentKind kind;
   const PlatformLimits limits;
   PlatformListener& listener;
-  common::Backoff backoff;
+  core::Jitter jitter;
+  core::Backoff backoff;
   ev::timer timer;
   ev::tstamp requested_at{0};
   bool on{false};
--- a/tests/core/fleet/backoff_test.cc
+++ b/tests/core/fleet/backoff_test.cc
@@ -1,10 +1,12 @@
 /// Waits between tries.
-#include "common/backoff.h"
+#include "core/fleet/backoff.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 
-namespace sassafrasdyke::common {
+#include "core/fleet/jitter.h"
+
+namespace sassafrasdyke::core {
 namespace {
 
 using namespace std::chrono_literals;
@@ -13,7 +15,8 @@
 // that grew without bound would leave some of them on the old configuration
 // long after it is back; waits of equal length would bring all of them at once.
 BOOST_AUTO_TEST_CASE(waits_are_spread_below_a_bound_that_grows_and_ends) {
-  Backoff backoff(100ms, 1000ms, 1);
+  Jitter jitter(1);
+  Backoff backoff({.first = 100ms, .longest = 1000ms});
   const std::chrono::milliseconds bounds[] = {100ms, 200ms,  400ms,
                                               800ms, 1000ms, 1000ms};
   std::chrono::milliseconds least = 1000ms;
@@ -21,12 +24,12 @@
 
   for (int round = 0; round < 200; ++round) {
     for (const std::chrono::milliseconds bound : bounds) {
-      const std::chrono::milliseconds wait = backoff.Fail();
+      const std::chrono::milliseconds wait = backoff.OnFailure(jitter);
       BOOST_TEST((wait >= 0ms && wait <= bound));
       least = std::min(least, wait);
       greatest = std::max(greatest, wait);
     }
-    backoff.Succeed();
+    backoff.OnSuccess();
   }
 
   BOOST_TEST((least < 10ms));
@@ -34,4 +37,4 @@
 }
 
 }  // namespace
-}  // namespace sassafrasdyke::common
+}  // namespace sassafrasdyke::core
