Pause accepting peers while the system has no descriptor left

Cause: a connection that can't be taken stays waiting and wakes the loop without end.

Change: after a refused accept the listener rests for 100 ms.

Conclusion: the shortage of one process no longer takes its core.

--- a/source/peer/peer_links.cc
+++ b/source/peer/peer_links.cc
@@ -11,6 +11,8 @@
 
 /// Connections taken in a row before other work of the loop gets its turn.
 constexpr int kAcceptsAtOnce = 32;
+/// Pause after the system refused to hand over a waiting connection.
+constexpr ev::tstamp kAcceptPause = 0.1;
 
 }  // namespace
 
@@ -42,9 +44,11 @@
     : context(std::move(context)),
       socket(std::move(socket)),
       acceptor(this->context.loop),
+      accept_again(this->context.loop),
       sweep(this->context.loop) {
   this->acceptor.set<PeerLinks, &PeerLinks::OnAcceptable>(this);
   this->acceptor.start(this->socket.Descriptor(), ev::READ);
+  this->accept_again.set<PeerLinks, &PeerLinks::OnAcceptAgain>(this);
   this->sweep.set<PeerLinks, &PeerLinks::OnSweep>(this);
 }
 
@@ -81,6 +85,9 @@
   for (int i = 0; i < kAcceptsAtOnce; ++i) {
     std::optional<AcceptedSocket> accepted = Accept(this->socket);
     if (!accepted) {
+      if (i == 0) {
+        this->PauseAccepting();
+      }
       return;
     }
     ++this->context.counts.accepts;
@@ -94,6 +101,18 @@
   }
 }
 
+void PeerLinks::PauseAccepting() {
+  // Without descriptors left the connection stays waiting and the loop is
+  // woken for it without end: one would see a whole core in use while the
+  // heartbeats of the streams that are open come late.
+  this->acceptor.stop();
+  this->accept_again.start(kAcceptPause);
+}
+
+void PeerLinks::OnAcceptAgain(ev::timer& /*timer*/, int /*events*/) {
+  this->acceptor.start();
+}
+
 bool PeerLinks::MayEnter(const common::IpAddress& source) {
   std::optional<CutReason> reason;
   if (!this->context.directory.Lists(source)) {
--- a/source/peer/peer_links.h
+++ b/source/peer/peer_links.h
@@ -61,6 +61,8 @@
   PeerLinks(PeerContext context, Socket socket);
 
   void OnAcceptable(ev::io& watcher, int events);
+  void PauseAccepting();
+  void OnAcceptAgain(ev::timer& timer, int events);
   bool MayEnter(const common::IpAddress& source);
   std::size_t Waiting() const;
   bool StillListed(const core::Instance& peer) const;
@@ -73,6 +75,7 @@
   PeerContext context;
   Socket socket;
   ev::io acceptor;
+  ev::timer accept_again;
   std::unordered_map<common::InstanceId, std::unique_ptr<OutgoingLink>>
       outgoing;
   std::unordered_map<IncomingLinkId, std::unique_ptr<IncomingLink>> incoming;
--- a/tests/peer/peer_links_test.cc
+++ b/tests/peer/peer_links_test.cc
@@ -1,6 +1,8 @@
 /// Streams between instances over loopback sockets.
 #include "peer/peer_links.h"
 
+#include <sys/resource.h>
+
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -198,6 +200,44 @@
       fixture.RunUntil([&one] { return !one.recorder.messages.empty(); }));
 }
 
+/// Lowers how many descriptors the process may have, until it goes.
+class DescriptorLimit {
+ public:
+  explicit DescriptorLimit(rlim_t limit) {
+    getrlimit(RLIMIT_NOFILE, &this->before);
+    const rlimit lowered{limit, this->before.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &lowered);
+  }
+  ~DescriptorLimit() { setrlimit(RLIMIT_NOFILE, &this->before); }
+  DescriptorLimit(const DescriptorLimit&) = delete;
+  DescriptorLimit& operator=(const DescriptorLimit&) = delete;
+
+ private:
+  rlimit before{};
+};
+
+// The process has no descriptor left when a peer connects. It must not spin on
+// the connection that it can't take, and must take it once it can.
+BOOST_FIXTURE_TEST_CASE(a_connection_waits_while_descriptors_are_used_up,
+                        PairFixture) {
+  const Socket waiting =
+      Socket::Connect(this->two.control.address, this->one.control).value();
+  {
+    const DescriptorLimit none(static_cast<rlim_t>(waiting.Descriptor()) + 1);
+    const ev::tstamp start = this->loop.now();
+    int rounds = 0;
+    while (this->loop.now() < start + 0.05) {
+      this->loop.run(ev::ONCE);
+      ++rounds;
+    }
+    BOOST_TEST(rounds < 100);
+    BOOST_TEST(this->one.links->Counts().accepts == 0U);
+  }
+
+  BOOST_TEST(this->RunUntil(
+      [this] { return this->one.links->Counts().accepts == 1; }));
+}
+
 // A peer's machine loses its power. Its end of the connection says nothing
 // more, not even goodbye, and messages to it vanish without a sign.
 BOOST_AUTO_TEST_CASE(a_peer_that_never_answers_is_given_up_and_tried_again) {
