Keep what was read of targets for the next revision

Cause: at the size to design for, each change of one target cost the parsing of 7,900 on every instance.

Change: ConfigurationReader keeps targets without faults by path and body and forgets those that the last document didn't hold. Only the task that owns the reader may use it. A test compares each revision with what a fresh reader makes of it.

--- a/source/config/configuration_assembler.cc
+++ b/source/config/configuration_assembler.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "config/entry_path.h"
 #include "config/value_format.h"
 
 namespace sassafrasdyke::config {
@@ -19,26 +18,40 @@
 }  // namespace
 
 ConfigurationAssembler::ConfigurationAssembler(common::Revision revision,
+                                               TargetCache& cache,
                                                core::DocumentFaults& faults)
-    : applier(faults), faults(faults) {
+    : cache(cache), applier(faults), faults(faults) {
   this->configuration.revision = revision;
 }
 
-void ConfigurationAssembler::Add(const std::string& path, const Json& json) {
-  if (!this->paths.insert(path).second) {
-    this->Fault("/" + path, "stands twice in the document");
+void ConfigurationAssembler::Add(const core::DocumentEntry& entry) {
+  if (!this->paths.insert(entry.path).second) {
+    this->Fault("/" + entry.path, "stands twice in the document");
     return;
   }
-  const EntryPath parts = EntryPath::Parse(path);
-  if (path.find('/') == std::string::npos) {
-    this->AddSingle(path, json);
-  } else if (Name::IsName(parts.name)) {
-    this->AddMember(parts.group, parts.name, json);
+  const EntryPath path = EntryPath::Parse(entry.path);
+  if (entry.path.find('/') == std::string::npos) {
+    if (const auto json = this->Parse(entry)) {
+      this->AddSingle(entry.path, *json);
+    }
+  } else if (Name::IsName(path.name)) {
+    this->AddMember(path, entry);
   } else {
-    this->Fault("/" + path, NotValid(Name().Describe()));
+    this->Fault("/" + entry.path, NotValid(Name().Describe()));
   }
 }
 
+std::optional<Json> ConfigurationAssembler::Parse(
+    const core::DocumentEntry& entry) {
+  auto json = ParseJson(entry.body, "/" + entry.path);
+  if (!json) {
+    this->faults.insert(this->faults.end(), json.error().begin(),
+                        json.error().end());
+    return std::nullopt;
+  }
+  return std::move(*json);
+}
+
 void ConfigurationAssembler::AddSingle(const std::string& path,
                                        const Json& json) {
   const std::string at = "/" + path;
@@ -62,16 +75,21 @@
   }
 }
 
-void ConfigurationAssembler::AddMember(const std::string& group,
-                                       const std::string& name,
-                                       const Json& json) {
-  const std::string at = "/" + group + "/" + name;
-  if (group == "domains") {
-    this->AddDomain(name, at, json);
-  } else if (group == "services") {
-    this->AddService(name, at, json);
-  } else if (group == "targets") {
-    this->AddTarget(name, at, json);
+void ConfigurationAssembler::AddMember(const EntryPath& path,
+                                       const core::DocumentEntry& entry) {
+  const std::string at = "/" + entry.path;
+  if (path.group == "targets") {
+    this->AddTarget(path.name, entry);
+    return;
+  }
+  const auto json = this->Parse(entry);
+  if (!json) {
+    return;
+  }
+  if (path.group == "domains") {
+    this->AddDomain(path.name, at, *json);
+  } else if (path.group == "services") {
+    this->AddService(path.name, at, *json);
   } else {
     this->Fault(at, "is not a known entry");
   }
@@ -109,10 +127,27 @@
 }
 
 void ConfigurationAssembler::AddTarget(const std::string& name,
-                                       const std::string& at,
-                                       const Json& json) {
+                                       const core::DocumentEntry& entry) {
+  if (const TargetEntry* known = this->cache.Find(entry.path, entry.body)) {
+    this->KeepTarget(name, *known);
+    return;
+  }
+  const auto json = this->Parse(entry);
+  if (!json) {
+    return;
+  }
   TargetEntry target;
-  TargetKeys().Read(json, at, target, this->faults);
+  const std::size_t before = this->faults.size();
+  TargetKeys().Read(*json, "/" + entry.path, target, this->faults);
+  if (this->faults.size() == before) {
+    this->cache.Put(entry.path, entry.body, target);
+  }
+  this->KeepTarget(name, target);
+}
+
+void ConfigurationAssembler::KeepTarget(const std::string& name,
+                                        const TargetEntry& target) {
+  const std::string at = "/targets/" + name;
   if (target.id.value != 0) {
     this->target_ids.Add(std::to_string(target.id.value), name, at + "/id",
                          this->faults);
@@ -121,7 +156,7 @@
     this->tunnels.Add(target.tunnel.ToString(), name, at + "/tunnel",
                       this->faults);
   }
-  this->targets.emplace(name, std::move(target));
+  this->targets.emplace(name, target);
   this->target_names.push_back(name);
 }
 
--- a/source/config/configuration_assembler.h
+++ b/source/config/configuration_assembler.h
@@ -1,6 +1,7 @@
 /// Puts a configuration together from its entries.
 #pragma once
 
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -9,11 +10,14 @@
 
 #include "common/ids.h"
 #include "config/deviation_applier.h"
+#include "config/entry_path.h"
 #include "config/json_text.h"
 #include "config/published_keys.h"
+#include "config/target_cache.h"
 #include "config/unique_index.h"
 #include "core/configuration.h"
 #include "core/fleet/fleet.h"
+#include "core/messages.h"
 
 namespace sassafrasdyke::config {
 
@@ -21,25 +25,24 @@
 /// exceptions.
 class ConfigurationAssembler {
  public:
-  /// `faults` takes every fault and must outlive the assembler.
-  ConfigurationAssembler(common::Revision revision,
+  /// `faults` takes every fault; it and `cache` must outlive the assembler.
+  ConfigurationAssembler(common::Revision revision, TargetCache& cache,
                          core::DocumentFaults& faults);
 
-  /// Takes the entry `path` with the parsed body `json`.
-  void Add(const std::string& path, const Json& json);
+  void Add(const core::DocumentEntry& entry);
   /// The configuration, sorted by id; only good when there were no faults.
   core::Configuration Finish();
 
  private:
+  std::optional<Json> Parse(const core::DocumentEntry& entry);
   void AddSingle(const std::string& path, const Json& json);
-  void AddMember(const std::string& group, const std::string& name,
-                 const Json& json);
+  void AddMember(const EntryPath& path, const core::DocumentEntry& entry);
   void AddDomain(const std::string& name, const std::string& at,
                  const Json& json);
   void AddService(const std::string& name, const std::string& at,
                   const Json& json);
-  void AddTarget(const std::string& name, const std::string& at,
-                 const Json& json);
+  void AddTarget(const std::string& name, const core::DocumentEntry& entry);
+  void KeepTarget(const std::string& name, const TargetEntry& target);
   void AddExceptions(const Json& json);
 
   void CheckSingles();
@@ -52,6 +55,7 @@
   void Collect();
   void Fault(std::string path, std::string what);
 
+  TargetCache& cache;
   core::Configuration configuration;
   DefaultsEntry defaults;
   bool fleet_seen{false};
--- a/source/config/configuration_reader.cc
+++ b/source/config/configuration_reader.cc
@@ -8,29 +8,37 @@
 #include "config/document_splitter.h"
 #include "config/instance_list_assembler.h"
 #include "config/json_text.h"
+#include "config/target_cache.h"
 
 namespace sassafrasdyke::config {
 namespace {
 
-/// Feeds every entry to `assembler`, which says what they make together.
-template <typename Value, typename Assembler>
-tl::expected<Value, core::DocumentFaults> Assemble(
+tl::expected<core::Configuration, core::DocumentFaults> Assemble(
+    const core::Document& document, TargetCache& cache,
+    core::DocumentFaults faults) {
+  ConfigurationAssembler assembler(document.revision, cache, faults);
+  for (const core::DocumentEntry& entry : document.entries) {
+    assembler.Add(entry);
+  }
+  core::Configuration configuration = assembler.Finish();
+  cache.EndDocument();
+  if (!faults.empty()) {
+    return tl::unexpected(std::move(faults));
+  }
+  return configuration;
+}
+
+tl::expected<core::InstanceList, core::DocumentFaults> AssembleInstances(
     const core::Document& document, core::DocumentFaults faults) {
-  Assembler assembler(document.revision, faults);
+  InstanceListAssembler assembler(document.revision, faults);
   for (const core::DocumentEntry& entry : document.entries) {
-    const std::string path = "/" + entry.path;
-    auto body = ParseJson(entry.body, path);
-    if (!body) {
-      faults.insert(faults.end(), body.error().begin(), body.error().end());
-      continue;
-    }
-    assembler.Add(entry.path, *body);
+    assembler.Add(entry);
   }
-  Value value = assembler.Finish();
+  core::InstanceList list = assembler.Finish();
   if (!faults.empty()) {
     return tl::unexpected(std::move(faults));
   }
-  return value;
+  return list;
 }
 
 /// Revision 0 stands for "none" between instances.
@@ -45,14 +53,12 @@
 
 tl::expected<core::Configuration, core::DocumentFaults>
 ConfigurationReader::ReadConfiguration(const core::Document& document) const {
-  return Assemble<core::Configuration, ConfigurationAssembler>(
-      document, CheckRevision(document));
+  return Assemble(document, this->cache, CheckRevision(document));
 }
 
 tl::expected<core::InstanceList, core::DocumentFaults>
 ConfigurationReader::ReadInstances(const core::Document& document) const {
-  return Assemble<core::InstanceList, InstanceListAssembler>(
-      document, CheckRevision(document));
+  return AssembleInstances(document, CheckRevision(document));
 }
 
 core::DocumentFaults ConfigurationReader::CheckChange(
@@ -91,8 +97,8 @@
   if (split.document.entries.empty() && !split.faults.empty()) {
     return tl::unexpected(std::move(split.faults));
   }
-  return Assemble<core::Configuration, ConfigurationAssembler>(
-      split.document, std::move(split.faults));
+  TargetCache cache;
+  return Assemble(split.document, cache, std::move(split.faults));
 }
 
 tl::expected<core::InstanceList, core::DocumentFaults> ReadInstancesText(
@@ -102,8 +108,7 @@
   if (split.document.entries.empty() && !split.faults.empty()) {
     return tl::unexpected(std::move(split.faults));
   }
-  return Assemble<core::InstanceList, InstanceListAssembler>(
-      split.document, std::move(split.faults));
+  return AssembleInstances(split.document, std::move(split.faults));
 }
 
 }  // namespace sassafrasdyke::config
--- a/source/config/configuration_reader.h
+++ b/source/config/configuration_reader.h
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <tl/expected.hpp>
 
+#include "config/target_cache.h"
 #include "core/configuration.h"
 #include "core/fleet/fleet.h"
 #include "core/messages.h"
@@ -12,6 +13,8 @@
 namespace sassafrasdyke::config {
 
 /// The product's reader of documents. Never throws, whatever the entries hold.
+/// Keeps what it read of targets for the next revision, so one reader belongs
+/// to one task.
 class ConfigurationReader final : public core::DocumentReader {
  public:
   tl::expected<core::Configuration, core::DocumentFaults> ReadConfiguration(
@@ -21,6 +24,9 @@
   core::DocumentFaults CheckChange(
       const core::Configuration& in_force,
       const core::Configuration& next) const override;
+
+ private:
+  mutable TargetCache cache;
 };
 
 /// Reads the whole text of a configuration; the faults of its outer shape and
--- a/source/config/instance_list_assembler.cc
+++ b/source/config/instance_list_assembler.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "config/entry_path.h"
+#include "config/json_text.h"
 #include "config/published_keys.h"
 #include "config/value_format.h"
 
@@ -15,17 +16,23 @@
   this->list.revision = revision;
 }
 
-void InstanceListAssembler::Add(const std::string& path, const Json& json) {
-  const EntryPath parts = EntryPath::Parse(path);
-  const std::string at = "/" + path;
+void InstanceListAssembler::Add(const core::DocumentEntry& entry) {
+  const EntryPath parts = EntryPath::Parse(entry.path);
+  const std::string at = "/" + entry.path;
   if (parts.group != "instances" || !Name::IsName(parts.name)) {
     this->faults.push_back({at, "is not a known entry"});
     return;
   }
-  this->paths.Add(path, parts.name, at, this->faults);
+  const auto json = ParseJson(entry.body, at);
+  if (!json) {
+    this->faults.insert(this->faults.end(), json.error().begin(),
+                        json.error().end());
+    return;
+  }
+  this->paths.Add(entry.path, parts.name, at, this->faults);
   core::Instance instance;
   const std::size_t before = this->faults.size();
-  InstanceKeys().Read(json, at, instance, this->faults);
+  InstanceKeys().Read(*json, at, instance, this->faults);
   if (this->faults.size() > before) {
     return;
   }
--- a/source/config/instance_list_assembler.h
+++ b/source/config/instance_list_assembler.h
@@ -1,13 +1,11 @@
 /// Puts an instance list together from its entries.
 #pragma once
 
-#include <string>
-
 #include "common/ids.h"
-#include "config/json_text.h"
 #include "config/unique_index.h"
 #include "core/configuration.h"
 #include "core/fleet/fleet.h"
+#include "core/messages.h"
 
 namespace sassafrasdyke::config {
 
@@ -18,8 +16,7 @@
   InstanceListAssembler(common::Revision revision,
                         core::DocumentFaults& faults);
 
-  /// Takes the entry `path` with the parsed body `json`.
-  void Add(const std::string& path, const Json& json);
+  void Add(const core::DocumentEntry& entry);
   /// The list, sorted by id; only good when there were no faults.
   core::InstanceList Finish();
 
--- a/tests/config/configuration_reader_test.cc
+++ b/tests/config/configuration_reader_test.cc
@@ -330,6 +330,55 @@
   BOOST_TEST(faults.size() == row.faults);
 }
 
+const std::string kNextRevisions[] = {
+    R"({"revision": 8})",
+    R"({"targets": {"diary-01": {"weight": 70}}})",
+    R"({"targets": {"diary-01": null}, "exceptions": []})",
+    R"({"targets": {"diary-01": {"weight": 0}}})",
+    R"({"services": {"diary": {"id": 3}}})",
+    R"({"domains": {"north-1": null}})",
+    R"({"exceptions": []})",
+    R"({"targets": {"handover-02": {"id": 101, "service": "handover",
+        "domain": "north-2", "tunnel": "127.1.1.3:6080"}}})",
+};
+
+std::string Shown(
+    const tl::expected<core::Configuration, core::DocumentFaults>& read) {
+  std::string shown;
+  if (!read) {
+    for (const core::DocumentFault& fault : read.error()) {
+      shown += fault.path + " " + fault.what + "; ";
+    }
+    return shown;
+  }
+  for (const core::Target& target : read->targets) {
+    shown += std::to_string(target.id.value) + ":" +
+             std::to_string(target.service.value) + ":" +
+             std::to_string(target.domain.value) + ":" +
+             std::to_string(target.weight) + " ";
+  }
+  return shown;
+}
+
+// A reader keeps what it read of targets. A revision that it reads after
+// another must come out as if it had never seen the other, else two instances
+// with the same revision place flows differently.
+BOOST_DATA_TEST_CASE(a_revision_does_not_depend_on_the_one_before,
+                     kNextRevisions, patch) {
+  const core::Document before =
+      Split(core::DocumentKind::kConfiguration, kConfiguration);
+  const core::Document next =
+      Split(core::DocumentKind::kConfiguration, Patched(kConfiguration, patch));
+  const ConfigurationReader reader;
+  BOOST_REQUIRE(reader.ReadConfiguration(before).has_value());
+
+  const std::string seen = Shown(reader.ReadConfiguration(next));
+  const std::string again = Shown(reader.ReadConfiguration(before));
+
+  BOOST_TEST(seen == Shown(ConfigurationReader().ReadConfiguration(next)));
+  BOOST_TEST(again == Shown(ConfigurationReader().ReadConfiguration(before)));
+}
+
 BOOST_AUTO_TEST_CASE(reference_lists_every_key) {
   std::size_t adjustable = 0;
   for (const KeyReference& reference : ConfigurationReference()) {
