Pass news on to the watched ones and heal from the latest

Change: news goes to the watched ones only (everybody has three watchers, so everybody is told three times instead of six); pages start with the reports that came last and are bounded over all peers; the burst of member words holds the reports of a rack; a delta that the budget holds back is owed to the peer and sent later as one step with those that follow, instead of waiting in a queue.

--- a/source/core/fleet/document_exchange.cc
+++ b/source/core/fleet/document_exchange.cc
@@ -102,9 +102,13 @@
   if (store.Digest().revision.value <= request.have.revision.value) {
     return;
   }
-  std::visit([&](const auto& answer) { turn.Send(peer, answer); },
-             store.AnswerFor(request.have));
-  this->Learn(peer, store.Digest());
+  const bool sent =
+      std::visit([&](const auto& answer) { return turn.Send(peer, answer); },
+                 store.AnswerFor(request.have));
+  this->Learn(peer, sent ? store.Digest() : request.have);
+  if (!sent) {
+    this->Owe(peer, request.kind);
+  }
 }
 
 bool DocumentExchange::Push(common::InstanceId peer, DocumentKind kind,
@@ -122,7 +126,10 @@
   if (delta == nullptr || EstimatedBytes(*delta) > kLargestPush) {
     return false;
   }
-  turn.Send(peer, std::move(*delta));
+  if (!turn.Send(peer, std::move(*delta))) {
+    this->Owe(peer, kind);
+    return true;
+  }
   // Believed until its next digest says otherwise; a second change that follows
   // at once is then sent as a step from this one.
   this->Learn(peer, store.Digest());
@@ -130,6 +137,7 @@
 }
 
 void DocumentExchange::OnTick(const Turn& turn) {
+  this->PushOwed(turn);
   if (turn.now - this->quiet_since > kQuietForRetry) {
     this->quiet_since = turn.now;
     this->retries.OnQuietTime();
@@ -213,6 +221,24 @@
   return outcome == OfferOutcome::kAccepted;
 }
 
+void DocumentExchange::Owe(common::InstanceId peer, DocumentKind kind) {
+  const Owed owed{peer, kind};
+  if (std::find(this->owed.begin(), this->owed.end(), owed) ==
+      this->owed.end()) {
+    this->owed.push_back(owed);
+  }
+}
+
+void DocumentExchange::PushOwed(const Turn& turn) {
+  // A queue of deltas would send each step of a series that the budget can't
+  // carry. Owing the peer, rather than the message, sends the steps as one.
+  std::vector<Owed> due;
+  due.swap(this->owed);
+  for (const Owed& owed : due) {
+    this->Push(owed.peer, owed.kind, turn);
+  }
+}
+
 void DocumentExchange::Learn(common::InstanceId peer,
                              const DocumentDigest& digest) {
   Known& known = this->known
--- a/source/core/fleet/document_exchange.h
+++ b/source/core/fleet/document_exchange.h
@@ -44,9 +44,9 @@
   void OnRequest(common::InstanceId peer, const DocumentRequest& request,
                  const Turn& turn);
 
-  /// Sends the change that led here to a peer that lacks it. False when the
-  /// peer must ask for it instead, because what it has is unknown or the change
-  /// is large.
+  /// Sends the change that led here to a peer that lacks it, now or as soon as
+  /// the budget allows. False when the peer must ask for it instead, because
+  /// what it has is unknown or the change is large.
   bool Push(common::InstanceId peer, DocumentKind kind, const Turn& turn);
 
   /// Gives up on peers that don't answer and asks others.
@@ -69,12 +69,21 @@
     Backoff backoff{BackoffLimits{}};
   };
   using Known = std::array<DocumentDigest, 2>;
+  /// A peer whose change the budget has held back.
+  struct Owed {
+    common::InstanceId peer;
+    DocumentKind kind{DocumentKind::kConfiguration};
+
+    friend bool operator==(const Owed&, const Owed&) = default;
+  };
 
   bool Newer(const DocumentDigest& theirs) const;
   void Ask(common::InstanceId peer, const DocumentDigest& have,
            const Turn& turn);
   void AskAgain(DocumentKind kind, const Turn& turn);
   bool Finish(OfferOutcome outcome, DocumentKind kind, const Turn& turn);
+  void Owe(common::InstanceId peer, DocumentKind kind);
+  void PushOwed(const Turn& turn);
   void Learn(common::InstanceId peer, const DocumentDigest& digest);
 
   DocumentsInForce& documents;
@@ -82,6 +91,7 @@
   RetryBudget retries;
   std::array<Search, 2> searches;
   std::map<common::InstanceId, Known> known;
+  std::vector<Owed> owed;
   ExchangeCounts counts;
   std::chrono::milliseconds quiet_since{0};
 };
--- a/source/core/fleet/live_fleet.cc
+++ b/source/core/fleet/live_fleet.cc
@@ -280,10 +280,7 @@
     this->RefreshMembers(turn);
     this->Replan(turn.now);
   }
-  std::vector<common::InstanceId> neighbours = this->plan.watched;
-  for (const common::InstanceId id : this->plan.watchers) {
-    AddOnce(neighbours, id);
-  }
+  std::vector<common::InstanceId> neighbours = this->plan.Told();
   for (const common::InstanceId id : this->link_partners) {
     AddOnce(neighbours, id);
   }
@@ -386,11 +383,7 @@
 
 void LiveFleet::UpdateNeighbours() {
   this->link_partners = this->heartbeats.LinkPartners();
-  Neighbours neighbours{this->plan.watched, this->link_partners};
-  for (const common::InstanceId id : this->plan.watchers) {
-    AddOnce(neighbours.domain, id);
-  }
-  this->reports.SetNeighbours(std::move(neighbours));
+  this->reports.SetNeighbours({this->plan.Told(), this->link_partners});
 }
 
 void LiveFleet::RefreshMembers(const Turn& turn) {
--- a/source/core/fleet/peer_plan.cc
+++ b/source/core/fleet/peer_plan.cc
@@ -99,6 +99,12 @@
 
 }  // namespace
 
+std::vector<common::InstanceId> PeerPlan::Told() const {
+  std::vector<common::InstanceId> told = this->watched;
+  told.insert(told.end(), this->asked.begin(), this->asked.end());
+  return told;
+}
+
 PeerPlan MakePeerPlan(const SelfIdentity& self,
                       const std::vector<InstanceView>& members,
                       const FleetPolicy& policy) {
--- a/source/core/fleet/peer_plan.h
+++ b/source/core/fleet/peer_plan.h
@@ -23,6 +23,9 @@
   /// Further peers to ask, because this instance watches too few to live on
   /// their answers.
   std::vector<common::InstanceId> asked;
+  /// Peers of the own domain that news is passed on to.
+  std::vector<common::InstanceId> Told() const;
+
   std::vector<DomainLink> links;
   /// Instances of the own domain that hold links to each other domain.
   std::vector<std::pair<common::DomainId, std::vector<common::InstanceId>>>
--- a/source/core/fleet/report_exchange.cc
+++ b/source/core/fleet/report_exchange.cc
@@ -10,6 +10,17 @@
 /// as still on their way.
 constexpr unsigned kHeartbeatsUntilHealing = 2;
 constexpr std::size_t kPage = 16;
+/// Healing is bounded over all peers: when a storm of reports has outrun the
+/// budget, every peer differs, and pages for all of them would only prolong it.
+constexpr std::chrono::milliseconds kBetweenPages{500};
+
+template <typename Report>
+void SendPage(common::InstanceId to, const std::vector<Report>& page,
+              const Turn& turn) {
+  for (const Report& report : page) {
+    turn.Send(to, report);
+  }
+}
 
 /// Counts heartbeats in a row that differ; true when it is time to heal.
 bool DiffersForLong(unsigned& count, bool differs) {
@@ -22,6 +33,12 @@
 ReportExchange::ReportExchange(common::InstanceId self, Members& members)
     : self(self), members(members) {}
 
+void ReportExchange::Healing::ForgetPages() {
+  this->members.reset();
+  this->reachability.reset();
+  this->health.reset();
+}
+
 void ReportExchange::SetNeighbours(Neighbours neighbours) {
   this->neighbours = std::move(neighbours);
 }
@@ -98,23 +115,25 @@
 void ReportExchange::OnHashes(common::InstanceId from, bool same_domain,
                               const Heartbeat& heartbeat, const Turn& turn) {
   Healing& state = this->healing[from];
-  if (DiffersForLong(state.members_differ,
-                     heartbeat.members != this->MembersHash())) {
-    for (const MemberReport& report :
-         this->members.Page(state.members, kPage)) {
-      turn.Send(from, report);
-    }
+  const bool members_lost = DiffersForLong(
+      state.members_differ, heartbeat.members != this->MembersHash());
+  const bool domain_lost =
+      same_domain && DiffersForLong(state.domain_differs,
+                                    heartbeat.health != this->DomainHash());
+  if (!members_lost && !domain_lost) {
+    state.ForgetPages();
+    return;
   }
-  if (same_domain && DiffersForLong(state.domain_differs,
-                                    heartbeat.health != this->DomainHash())) {
-    for (const ReachabilityReport& report :
-         this->reachability.Page(state.reachability, kPage)) {
-      turn.Send(from, report);
-    }
-    for (const TargetHealthChange& change :
-         this->health.Page(state.health, kPage)) {
-      turn.Send(from, change);
-    }
+  if (turn.now < this->next_healing) {
+    return;
+  }
+  this->next_healing = turn.now + kBetweenPages;
+  if (members_lost) {
+    SendPage(from, this->members.Page(state.members, kPage), turn);
+  }
+  if (domain_lost) {
+    SendPage(from, this->reachability.Page(state.reachability, kPage), turn);
+    SendPage(from, this->health.Page(state.health, kPage), turn);
   }
 }
 
--- a/source/core/fleet/report_exchange.h
+++ b/source/core/fleet/report_exchange.h
@@ -17,8 +17,10 @@
 
 /// Whom reports are passed on to.
 struct Neighbours {
-  std::vector<common::InstanceId> domain;  ///< Of the own failure domain.
-  std::vector<common::InstanceId> links;   ///< Of other failure domains.
+  /// Of the own failure domain: the watched ones. Everybody has as many
+  /// watchers, so everybody is told as often.
+  std::vector<common::InstanceId> domain;
+  std::vector<common::InstanceId> links;  ///< Of other failure domains.
 };
 
 /// The report traffic of one instance. Member reports go to the whole fleet,
@@ -65,6 +67,9 @@
     MemberReportTable::Cursor members;
     ReachabilityTable::Cursor reachability;
     TargetHealthTable::Cursor health;
+
+    /// Starts again from the latest report when something is lost next.
+    void ForgetPages();
   };
 
   template <typename Report>
@@ -79,6 +84,7 @@
   std::vector<common::TargetId> targets;  ///< Of the configuration, sorted.
   Neighbours neighbours;
   std::map<common::InstanceId, Healing> healing;
+  std::chrono::milliseconds next_healing{0};
 };
 
 }  // namespace sassafrasdyke::core
--- a/source/core/fleet/send_limiter.cc
+++ b/source/core/fleet/send_limiter.cc
@@ -14,7 +14,9 @@
 constexpr std::chrono::milliseconds kLongestWait{5000};
 
 /// Share of the budget that is left after exception copies, and the seconds of
-/// that share that may leave at once.
+/// that share that may leave at once. A rack that dies makes some hundred
+/// reports, which everyone passes on three times; they must leave at once, or
+/// owners stay dead in some instances' eyes for as long as the queue is.
 struct LaneShape {
   MessageBudget budget;
   std::size_t percent;
@@ -23,7 +25,7 @@
 
 constexpr std::array<LaneShape, kMessageBudgets - 1> kShapes{{
     {MessageBudget::kHeartbeats, 40, 2},
-    {MessageBudget::kMembers, 15, 20},
+    {MessageBudget::kMembers, 15, 80},
     {MessageBudget::kDeltas, 25, 20},
     {MessageBudget::kRequests, 5, 10},
     {MessageBudget::kHealth, 15, 20},
@@ -34,6 +36,11 @@
 /// are rare, so they have a budget of their own; two may leave at once.
 constexpr BucketLimits kCopyLimits{.per_second = 65'536, .burst = 4'194'304};
 
+bool MayWait(MessageBudget budget) {
+  return budget == MessageBudget::kMembers ||
+         budget == MessageBudget::kRequests || budget == MessageBudget::kHealth;
+}
+
 std::size_t IndexOf(MessageBudget budget) {
   return static_cast<std::size_t>(budget);
 }
@@ -88,24 +95,26 @@
   }
 }
 
-void SendLimiter::Send(OutgoingMessage message, std::chrono::milliseconds now,
+bool SendLimiter::Send(OutgoingMessage message, std::chrono::milliseconds now,
                        std::vector<OutgoingMessage>& out) {
   Lane& lane = this->LaneOf(message.message);
   const std::size_t bytes = EstimatedBytes(message.message);
   if (lane.queue.empty() && lane.bucket.Take(bytes, now)) {
     Leave(lane, bytes, std::move(message), out);
-    return;
+    return true;
   }
   ++lane.status.limited;
-  const bool may_wait = lane.status.budget != MessageBudget::kHeartbeats &&
-                        lane.status.budget != MessageBudget::kCopies;
+  const bool may_wait = MayWait(lane.status.budget);
   // An unbounded queue turns a slow hour into a full memory, and everything in
   // it is old by the time it leaves. Digests in heartbeats heal what is lost.
   if (!may_wait || lane.queue.size() >= kMostWaiting) {
-    ++lane.status.dropped;
-    return;
+    // A delta that is held back is owed to the peer, not lost.
+    const bool owed = lane.status.budget == MessageBudget::kDeltas;
+    lane.status.dropped += owed ? 0 : 1;
+    return false;
   }
   lane.queue.push_back({std::move(message), bytes, now});
+  return true;
 }
 
 void SendLimiter::Flush(std::chrono::milliseconds now,
--- a/source/core/fleet/send_limiter.h
+++ b/source/core/fleet/send_limiter.h
@@ -25,9 +25,10 @@
   void SetPolicy(const FleetPolicy& policy);
 
   /// Puts `message` into `out`, or into its kind's queue while the budget is
-  /// spent, or drops and counts it when the queue is full. Heartbeats never
-  /// wait: a late one would say something old.
-  void Send(OutgoingMessage message, std::chrono::milliseconds now,
+  /// spent, or drops and counts it when the queue is full. Heartbeats and
+  /// documents never wait: late ones would say something old. False when the
+  /// message will never leave.
+  bool Send(OutgoingMessage message, std::chrono::milliseconds now,
             std::vector<OutgoingMessage>& out);
 
   /// Lets waiting messages leave that the budget now allows, and drops those
--- a/source/core/fleet/turn.h
+++ b/source/core/fleet/turn.h
@@ -15,9 +15,10 @@
   FleetOutbox& outbox;
   SendLimiter& limiter;
 
-  void Send(common::InstanceId to, PeerMessage message) const {
-    this->limiter.Send({to, std::move(message)}, this->now,
-                       this->outbox.messages);
+  /// False when the budget dropped the message.
+  bool Send(common::InstanceId to, PeerMessage message) const {
+    return this->limiter.Send({to, std::move(message)}, this->now,
+                              this->outbox.messages);
   }
 };
 
--- a/source/core/fleet/versioned_table.h
+++ b/source/core/fleet/versioned_table.h
@@ -19,7 +19,7 @@
   using Key = typename Traits::Key;
   using Records = std::map<Key, Record>;
   /// Where a page ended; nothing at the start.
-  using Cursor = std::optional<Key>;
+  using Cursor = std::optional<std::uint64_t>;
 
   /// Takes `record` if it is newer than what is here. True when it was taken.
   bool Merge(const Record& record) {
@@ -33,6 +33,7 @@
       place->second = record;
     }
     this->digest += Traits::HashOf(record);
+    this->NoteArrival(place->first);
     return true;
   }
 
@@ -46,22 +47,27 @@
   void EraseIf(Condition condition) {
     std::erase_if(this->records, [&](const auto& item) {
       const bool erase = condition(item.second);
-      this->digest -= erase ? Traits::HashOf(item.second) : 0;
+      if (erase) {
+        this->digest -= Traits::HashOf(item.second);
+        this->ForgetArrival(item.first);
+      }
       return erase;
     });
   }
 
-  /// The next `count` records after `cursor`, which is moved; starts again from
-  /// the first after the last.
+  /// The next `count` records, from the latest that came to the earliest;
+  /// `cursor` is moved, and starts again after the earliest. What a peer lacks
+  /// is most often what came last.
   std::vector<Record> Page(Cursor& cursor, std::size_t count) const {
     std::vector<Record> page;
     auto next =
-        cursor ? this->records.upper_bound(*cursor) : this->records.begin();
-    for (; next != this->records.end() && page.size() < count; ++next) {
-      page.push_back(next->second);
+        cursor ? this->arrivals.lower_bound(*cursor) : this->arrivals.end();
+    while (next != this->arrivals.begin() && page.size() < count) {
+      --next;
+      page.push_back(this->records.at(next->second));
       cursor = next->first;
     }
-    if (next == this->records.end()) {
+    if (next == this->arrivals.begin()) {
       cursor.reset();
     }
     return page;
@@ -72,7 +78,25 @@
   const Records& All() const { return this->records; }
 
  private:
+  void ForgetArrival(const Key& key) {
+    if (const auto found = this->arrival_of.find(key);
+        found != this->arrival_of.end()) {
+      this->arrivals.erase(found->second);
+      this->arrival_of.erase(found);
+    }
+  }
+
+  void NoteArrival(const Key& key) {
+    this->ForgetArrival(key);
+    ++this->last_arrival;
+    this->arrivals.emplace(this->last_arrival, key);
+    this->arrival_of.emplace(key, this->last_arrival);
+  }
+
   Records records;
+  std::map<std::uint64_t, Key> arrivals;  ///< By the order of arrival.
+  std::map<Key, std::uint64_t> arrival_of;
+  std::uint64_t last_arrival{0};
   std::uint64_t digest{0};
 };
 
