Count the real codec's bytes, and distrust the platform after a pause

The benchmark linked no codec; now it counts what the peer codec writes.

Both documents' watches may have an answer in their sockets from before a pause, and skipping one of them left the other. The platform's word now counts only after the time in which such answers are read.

--- a/bench/fleet/fleet_bench.cc
+++ b/bench/fleet/fleet_bench.cc
@@ -1,10 +1,11 @@
 /// Measures what the fleet side of the core costs and how fast changes spread:
 /// N cores in one process, simulated time, messages in flight. Writes CSV.
 ///
-/// Bytes are estimated sizes of MessagePack bodies with an HTTP/2 frame header;
-/// TLS, TCP and IP headers are not in them. Processor time is that of the
-/// calls into the core; sockets, codec, TLS and the reading of JSON are not in
-/// it. A lost message is lost for good, while a real stream delivers it late.
+/// Bytes are those of the peer codec's MessagePack bodies with the header of an
+/// HTTP/2 frame and our own length; TLS, TCP and IP headers are not in them.
+/// Processor time is that of the calls into the core; sockets, codec, TLS and
+/// the reading of JSON are not in it. A lost message is lost for good, while a
+/// real stream delivers it late.
 #include <malloc.h>
 #include <time.h>
 
@@ -18,6 +19,7 @@
 #include <vector>
 
 #include "core/fleet/fleet_network.h"
+#include "peer/peer_codec.h"
 
 namespace sassafrasdyke::core {
 namespace {
@@ -69,6 +71,13 @@
          std::chrono::nanoseconds(used.tv_nsec);
 }
 
+/// Header of a DATA frame and the length before each message.
+constexpr std::size_t kFrameBytes = 9 + 4;
+
+std::size_t BytesOnStream(const PeerMessage& message) {
+  return peer::Encode(message).size() + kFrameBytes;
+}
+
 std::size_t HeapBytes() { return mallinfo2().uordblks; }
 
 Snapshot Take(FleetNetwork& network) {
@@ -233,6 +242,7 @@
   const std::size_t heap_before = HeapBytes();
   FleetNetwork network(kSeed, bench.links);
   network.MeasureCpu(ThreadCpu);
+  network.MeasureBytes(BytesOnStream);
   network.Reader().policy.watchers = bench.watchers;
   network.Reader().policy.readers_per_domain = bench.readers;
   network.StartAll(SampleInstances(bench.instances, bench.domains),
--- a/source/core/fleet/lease_keeper.cc
+++ b/source/core/fleet/lease_keeper.cc
@@ -3,6 +3,13 @@
 #include <algorithm>
 
 namespace sassafrasdyke::core {
+namespace {
+
+/// Time after a pause in which answers that waited in sockets are read. The
+/// platform's answers don't say when their question was asked.
+constexpr std::chrono::milliseconds kDrainTime{200};
+
+}  // namespace
 
 bool LeaseKeeper::Observe(std::chrono::milliseconds now,
                           const FleetPolicy& policy) {
@@ -25,7 +32,7 @@
   this->silent_since = now;
   this->fresh_at.reset();
   this->behind_since.reset();
-  this->skip_platform_answer = true;
+  this->paused = true;
   return true;
 }
 
@@ -46,8 +53,7 @@
 }
 
 void LeaseKeeper::OnPlatformWord(std::chrono::milliseconds now) {
-  if (this->skip_platform_answer) {
-    this->skip_platform_answer = false;
+  if (this->paused && now - this->barrier <= kDrainTime) {
     return;
   }
   this->behind_since.reset();
--- a/source/core/fleet/lease_keeper.h
+++ b/source/core/fleet/lease_keeper.h
@@ -48,8 +48,7 @@
   /// First fresh word that came while the documents here were behind.
   std::optional<std::chrono::milliseconds> behind_since;
   std::chrono::milliseconds silent_since{0};
-  /// An answer of the platform may have waited in a socket during a pause.
-  bool skip_platform_answer{false};
+  bool paused{false};
 };
 
 }  // namespace sassafrasdyke::core
--- a/tests/core/fleet/fleet_network.cc
+++ b/tests/core/fleet/fleet_network.cc
@@ -222,7 +222,8 @@
 
 void FleetNetwork::SendOne(RunningFleet& fleet,
                            const OutgoingMessage& message) {
-  fleet.bytes_sent += EstimatedBytes(message.message);
+  fleet.bytes_sent += this->sizer == nullptr ? EstimatedBytes(message.message)
+                                             : this->sizer(message.message);
   ++fleet.messages_sent;
   const auto to = this->fleets.find(message.to.value);
   if (to == this->fleets.end() || this->Lost(fleet, to->second)) {
--- a/tests/core/fleet/fleet_network.h
+++ b/tests/core/fleet/fleet_network.h
@@ -65,6 +65,9 @@
 /// Reads the processor time used so far.
 using CpuClock = std::chrono::nanoseconds (*)();
 
+/// Gives the bytes of a message on its stream.
+using MessageSizer = std::size_t (*)(const PeerMessage&);
+
 /// Runs fleets through simulated time, in the same order for the same seed.
 class FleetNetwork {
  public:
@@ -105,6 +108,8 @@
   std::uint64_t PlatformReads() const { return this->platform_reads; }
   SampleReader& Reader() { return *this->reader; }
   void MeasureCpu(CpuClock clock) { this->clock = clock; }
+  /// Counts sent bytes with `sizer` in place of the core's estimate.
+  void MeasureBytes(MessageSizer sizer) { this->sizer = sizer; }
 
   /// What `observer` believes of `about`.
   InstanceUse UseOf(std::uint32_t observer, std::uint32_t about) const;
@@ -157,6 +162,7 @@
   std::uint64_t lives{0};
   std::chrono::milliseconds now{0};
   CpuClock clock{nullptr};
+  MessageSizer sizer{nullptr};
 };
 
 }  // namespace sassafrasdyke::core
--- a/tests/core/fleet/lease_test.cc
+++ b/tests/core/fleet/lease_test.cc
@@ -67,6 +67,7 @@
 
   keeper.OnPeerWord(100ms, true);
   keeper.OnPlatformWord(3000ms);
+  keeper.OnPlatformWord(3010ms);
   BOOST_TEST((keeper.Evaluate(3000ms, FleetPolicy{}, kPeers) == Lease::kStale));
 
   keeper.OnPeerWord(3100ms, true);
