Fit heartbeats into their budget and forget who is unlisted

With 8 watchers at 116 instances the limiter dropped 39,101 heartbeats in 30 s of rest; the silence was taken for death, and 4,222 bytes/s went into words on healthy instances. With 1 watcher no death was ever confirmed, because a second word was needed that nobody could give.

Change: an instance stretches its interval when its questions would take more than half of the heartbeats' share, and judges silence by the stretched one; half is left for answers. One published watcher is enough for a confirmation.

--- a/bench/fleet/fleet_bench.cc
+++ b/bench/fleet/fleet_bench.cc
@@ -95,7 +95,7 @@
 
 void PrintHeader() {
   std::puts(
-      "scenario,instances,domains,targets,watchers,readers,"
+      "scenario,seconds,instances,domains,targets,watchers,readers,"
       "loss_between_percent,"
       "delay_between_ms,median_ms,p99_ms,worst_ms,missing,"
       "bytes_per_second,messages_per_second,cpu_us_per_second,dropped,"
@@ -119,10 +119,11 @@
   const double share = seconds * bench.instances;
   std::sort(spread.times.begin(), spread.times.end());
   std::printf(
-      "%s,%u,%u,%u,%u,%u,%u,%lld,%lld,%lld,%lld,%llu,%.0f,%.1f,%.1f,%llu,%.2f,%"
+      "%s,%.1f,%u,%u,%u,%u,%u,%u,%lld,%lld,%lld,%lld,%llu,%.0f,%.1f,%.1f,%llu,%"
+      ".2f,%"
       ".0f\n",
-      scenario, bench.instances, bench.domains, bench.targets, bench.watchers,
-      bench.readers, bench.links.loss_between_percent,
+      scenario, seconds, bench.instances, bench.domains, bench.targets,
+      bench.watchers, bench.readers, bench.links.loss_between_percent,
       static_cast<long long>(bench.links.delay_between.count()),
       static_cast<long long>(AtShare(spread.times, kPercent / 2).count()),
       static_cast<long long>(AtShare(spread.times, kPercentile99).count()),
@@ -309,6 +310,7 @@
   if (most_instances >= kPlanned) {
     Measure({kPlanned, kPlannedDomains, 180, {}});
     Measure({kPlanned, kPlannedDomains, 180, poor});
+    Measure({kPlanned, kPlannedDomains, 7900, {}});
   }
 }
 
--- a/source/core/fleet/flap_damper.h
+++ b/source/core/fleet/flap_damper.h
@@ -26,6 +26,13 @@
   bool Held(common::InstanceId id, bool suspected,
             std::chrono::milliseconds now);
 
+  /// Forgets the instances for which `listed(id)` doesn't hold.
+  template <typename Condition>
+  void KeepOnly(Condition listed) {
+    std::erase_if(this->histories,
+                  [&](const auto& item) { return !listed(item.first); });
+  }
+
   /// True while an instance counts as suspected only because of the damping,
   /// so that time alone may change the answer.
   bool Waiting() const;
--- a/source/core/fleet/heartbeats.cc
+++ b/source/core/fleet/heartbeats.cc
@@ -13,6 +13,26 @@
 /// Room for more sequences than a process lives milliseconds.
 constexpr unsigned kSequenceShift = 24;
 
+/// Bytes of one heartbeat on its stream, rounded up.
+constexpr std::size_t kHeartbeatBytes = 64;
+/// Questions that must have been left unanswered before a peer is silent.
+constexpr int kUnanswered = 3;
+constexpr std::size_t kMillisecondsPerSecond = 1000;
+
+/// The published interval, or a longer one where that many questions would not
+/// fit into half of the heartbeats' budget; the other half is for answers. The
+/// budget would drop them otherwise, and peers whose questions or answers were
+/// dropped here would be suspected for it: with 8 watchers of 116 instances,
+/// healthy instances lost their ownership all the time.
+std::chrono::milliseconds IntervalFor(std::size_t questions,
+                                      const FleetPolicy& policy) {
+  const std::size_t rate =
+      std::max<std::size_t>(HeartbeatBytesPerSecond(policy) / 2, 1);
+  const std::size_t needed =
+      questions * kHeartbeatBytes * kMillisecondsPerSecond / rate;
+  return std::max(policy.heartbeat_interval, std::chrono::milliseconds(needed));
+}
+
 }  // namespace
 
 Heartbeats::Heartbeats(std::uint64_t seed)
@@ -58,10 +78,11 @@
 void Heartbeats::OnTick(const Turn& turn, const FleetPolicy& policy,
                         const Heartbeat& content,
                         const std::vector<common::InstanceId>& extra) {
-  const std::chrono::milliseconds interval = policy.heartbeat_interval;
   if (turn.now >= this->next_watch) {
-    this->next_watch = turn.now + interval - interval / kJitterPart +
-                       this->jitter.UpTo(2 * interval / kJitterPart);
+    this->interval = IntervalFor(this->watched.size() + extra.size(), policy);
+    this->next_watch = turn.now + this->interval -
+                       this->interval / kJitterPart +
+                       this->jitter.UpTo(2 * this->interval / kJitterPart);
     for (const auto& [id, since] : this->watched) {
       this->Ask(turn, id, content);
     }
@@ -70,8 +91,9 @@
     }
   }
   if (turn.now >= this->next_link) {
-    this->next_link = turn.now + kLinkIntervals * interval -
-                      this->jitter.UpTo(interval / kJitterPart);
+    this->next_link =
+        turn.now + kLinkIntervals * policy.heartbeat_interval -
+        this->jitter.UpTo(policy.heartbeat_interval / kJitterPart);
     this->TurnToNextPartners(turn.now, policy);
     for (const common::InstanceId id : this->LinkPartners()) {
       this->Ask(turn, id, content);
@@ -117,8 +139,9 @@
 bool Heartbeats::Silent(common::InstanceId id, std::chrono::milliseconds now,
                         const FleetPolicy& policy) const {
   const auto found = this->watched.find(id);
-  return found != this->watched.end() &&
-         now - found->second > policy.suspect_after;
+  const auto allowed =
+      std::max(policy.suspect_after, kUnanswered * this->interval);
+  return found != this->watched.end() && now - found->second > allowed;
 }
 
 std::vector<LinkState> Heartbeats::Links(std::chrono::milliseconds now,
--- a/source/core/fleet/heartbeats.h
+++ b/source/core/fleet/heartbeats.h
@@ -53,7 +53,7 @@
       std::chrono::milliseconds now);
 
   /// True when the watched peer has left all questions unanswered for longer
-  /// than the policy allows.
+  /// than the policy allows and than a few questions take.
   bool Silent(common::InstanceId id, std::chrono::milliseconds now,
               const FleetPolicy& policy) const;
 
@@ -78,6 +78,8 @@
   /// The moment from which the silence of each watched peer counts.
   std::map<common::InstanceId, std::chrono::milliseconds> watched;
   std::map<common::DomainId, Link> links;
+  /// The time between questions, stretched to fit the budget.
+  std::chrono::milliseconds interval{0};
   std::chrono::milliseconds next_watch{0};
   std::chrono::milliseconds next_link{0};
 };
--- a/source/core/fleet/live_fleet.cc
+++ b/source/core/fleet/live_fleet.cc
@@ -77,7 +77,7 @@
                               std::chrono::milliseconds now,
                               FleetOutbox& outbox) {
   const Turn turn = this->Begin(now, outbox);
-  const bool listed = FindInstance(this->Instances(), from) != nullptr;
+  const bool listed = this->members.Listed(from);
   if (const InstanceView* view = this->members.Find(from);
       view != nullptr && listed && from != this->self.id) {
     const InstanceView sender = *view;
@@ -272,10 +272,12 @@
                               const Turn& turn) {
   if (kind == DocumentKind::kConfiguration) {
     this->limiter.SetPolicy(this->Policy());
+    this->members.SetWatchers(this->Policy().watchers);
     this->reports.SetConfiguration(this->documents.ConfigurationInForce());
     this->Replan(turn.now);
   } else {
     this->members.SetList(this->Instances());
+    this->reports.ForgetUnlisted();
     this->exchange.KeepOnly(this->Instances().instances);
     this->RefreshMembers(turn);
     this->Replan(turn.now);
@@ -396,8 +398,8 @@
 void LiveFleet::WantPlatform(std::chrono::milliseconds now) {
   const bool complete = this->documents.Complete();
   const bool silent = this->lease_keeper.ShouldAsk(now, this->Policy());
-  const bool needed =
-      !complete || silent || this->plan.reader || !this->members.SelfListed();
+  const bool needed = !complete || silent || this->plan.reader ||
+                      !this->members.Listed(this->self.id);
   // A watch opened now would be answered at once, with the document that is
   // held, and so would the next one: a joining instance would read the platform
   // hundreds of times a second.
--- a/source/core/fleet/member_reports.cc
+++ b/source/core/fleet/member_reports.cc
@@ -102,8 +102,10 @@
   return later ? own->incarnation : instance.incarnation;
 }
 
-MemberVerdicts Judge(const InstanceList& list,
-                     const MemberReportTable& reports) {
+MemberVerdicts Judge(const InstanceList& list, const MemberReportTable& reports,
+                     std::size_t watchers) {
+  // Where the published policy names one watcher, no second will ever speak.
+  const std::size_t most = std::clamp<std::size_t>(watchers, 1, kConfirmations);
   MemberVerdicts verdicts;
   verdicts.accused = AccusedOf(list, reports);
   const std::set<common::InstanceId> twice = SuspectedByTwo(verdicts.accused);
@@ -122,7 +124,7 @@
     // two has only one accuser left; waiting for a second would leave the
     // flows of both without an owner for ever.
     const std::size_t needed = std::clamp<std::size_t>(
-        Witnesses(list, *instance, verdicts.accused), 1, kConfirmations);
+        Witnesses(list, *instance, verdicts.accused), 1, most);
     if (believed.size() >= needed) {
       verdicts.confirmed.emplace(about, std::move(believed));
     }
--- a/source/core/fleet/member_reports.h
+++ b/source/core/fleet/member_reports.h
@@ -1,6 +1,7 @@
 /// Everybody's words on the members, and which suspicions are confirmed.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <utility>
@@ -43,9 +44,10 @@
 
 /// Judges all suspicions. A suspicion is confirmed by two instances of the
 /// suspected one's failure domain, or by one where no second unsuspected
-/// witness exists. Everyone with the same list and reports judges alike.
-MemberVerdicts Judge(const InstanceList& list,
-                     const MemberReportTable& reports);
+/// witness exists or only one is to watch (`watchers`, as published). Everyone
+/// with the same list, reports and policy judges alike.
+MemberVerdicts Judge(const InstanceList& list, const MemberReportTable& reports,
+                     std::size_t watchers);
 
 /// True when the report concerns listed instances and no life before the
 /// listed one.
--- a/source/core/fleet/members.cc
+++ b/source/core/fleet/members.cc
@@ -33,9 +33,18 @@
   this->reports.EraseIf([this](const MemberReport& report) {
     return !Concerns(this->list, report);
   });
+  // Thousands of instances are replaced in a day, under new ids; whatever is
+  // kept of the old ones would fill the memory over weeks.
+  this->damper.KeepOnly(
+      [this](common::InstanceId id) { return this->Listed(id); });
   this->dirty = true;
 }
 
+void Members::SetWatchers(std::size_t watchers) {
+  this->dirty = this->dirty || watchers != this->watchers;
+  this->watchers = watchers;
+}
+
 bool Members::Merge(const MemberReport& report) {
   if (!Concerns(this->list, report) || !this->reports.Merge(report)) {
     return false;
@@ -98,7 +107,7 @@
     return false;
   }
   if (this->dirty) {
-    this->verdicts = Judge(this->list, this->reports);
+    this->verdicts = Judge(this->list, this->reports, this->watchers);
     this->dirty = false;
   }
   std::vector<InstanceView> next = this->Judged(this->verdicts, now);
@@ -115,8 +124,8 @@
   return FindView(this->views, id);
 }
 
-bool Members::SelfListed() const {
-  return FindInstance(this->list, this->self.id) != nullptr;
+bool Members::Listed(common::InstanceId id) const {
+  return FindInstance(this->list, id) != nullptr;
 }
 
 const Accusers* Members::AccusersOf(common::InstanceId id) const {
@@ -143,12 +152,17 @@
     return InstanceUse::kSuspected;
   }
   const common::Incarnation life = BelievedIncarnation(instance, this->reports);
+  // This process was replaced and hasn't been stopped. Its successor owns the
+  // partitions; two owners under one id would each place the same flows.
+  const bool replaced =
+      instance.id == this->self.id && life.value > this->self.incarnation.value;
   const MemberReport* own = this->reports.Find({instance.id, instance.id});
   const bool says_so = own != nullptr && own->incarnation == life &&
                        own->word == MemberWord::kLeaving;
   const bool published =
       instance.state == InstanceState::kLeaving && instance.incarnation == life;
-  return says_so || published ? InstanceUse::kLeaving : InstanceUse::kOwner;
+  return replaced || says_so || published ? InstanceUse::kLeaving
+                                          : InstanceUse::kOwner;
 }
 
 void Members::AddSelf(std::vector<InstanceView>& views) const {
--- a/source/core/fleet/members.h
+++ b/source/core/fleet/members.h
@@ -23,6 +23,9 @@
   /// Takes a newer list; words on unlisted instances are forgotten.
   void SetList(const InstanceList& list);
 
+  /// Takes how many peers watch each instance.
+  void SetWatchers(std::size_t watchers);
+
   /// Takes a report. True when it is new here and shall be passed on.
   bool Merge(const MemberReport& report);
 
@@ -43,8 +46,8 @@
   /// Everyone, this instance included, sorted by id.
   const std::vector<InstanceView>& Views() const { return this->views; }
   const InstanceView* Find(common::InstanceId id) const;
-  /// True when the published list names this instance.
-  bool SelfListed() const;
+  /// True when the published list names the instance.
+  bool Listed(common::InstanceId id) const;
   const Accusers* AccusersOf(common::InstanceId id) const;
 
   std::uint64_t Digest() const { return this->reports.Digest(); }
@@ -68,6 +71,7 @@
   FlapDamper damper;
   MemberVerdicts verdicts;
   std::vector<InstanceView> views;
+  std::size_t watchers{FleetPolicy{}.watchers};
   bool dirty{true};
 };
 
--- a/source/core/fleet/report_exchange.cc
+++ b/source/core/fleet/report_exchange.cc
@@ -54,6 +54,15 @@
   });
 }
 
+void ReportExchange::ForgetUnlisted() {
+  std::erase_if(this->healing, [this](const auto& item) {
+    return !this->members.Listed(item.first);
+  });
+  this->reachability.EraseIf([this](const ReachabilityReport& report) {
+    return !this->members.Listed(report.by);
+  });
+}
+
 void ReportExchange::Spread(const MemberReport& report, const Turn& turn) {
   this->SendTo(this->neighbours.domain, this->self, report, turn);
   this->SendTo(this->neighbours.links, this->self, report, turn);
@@ -95,7 +104,7 @@
 void ReportExchange::OnReport(common::InstanceId from,
                               const ReachabilityReport& report,
                               const Turn& turn) {
-  if (this->reachability.Merge(report)) {
+  if (this->members.Listed(report.by) && this->reachability.Merge(report)) {
     this->SendTo(this->neighbours.domain, from, report, turn);
   }
 }
--- a/source/core/fleet/report_exchange.h
+++ b/source/core/fleet/report_exchange.h
@@ -34,6 +34,9 @@
   /// Forgets targets that `configuration` doesn't have.
   void SetConfiguration(const Configuration& configuration);
 
+  /// Forgets what unlisted instances said, and how far they were healed.
+  void ForgetUnlisted();
+
   /// Passes on what this instance itself has to say; merged already.
   void Spread(const MemberReport& report, const Turn& turn);
   /// Says whether a domain answers, if that is news.
--- a/source/core/fleet/send_limiter.cc
+++ b/source/core/fleet/send_limiter.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::size_t kPercent = 100;
+constexpr std::size_t kHeartbeatPercent = 45;
 constexpr std::size_t kMostWaiting = 256;
 constexpr std::chrono::milliseconds kLongestWait{5000};
 
@@ -24,11 +25,11 @@
 };
 
 constexpr std::array<LaneShape, kMessageBudgets - 1> kShapes{{
-    {MessageBudget::kHeartbeats, 40, 2},
+    {MessageBudget::kHeartbeats, kHeartbeatPercent, 2},
     {MessageBudget::kMembers, 15, 80},
     {MessageBudget::kDeltas, 25, 20},
     {MessageBudget::kRequests, 5, 10},
-    {MessageBudget::kHealth, 15, 20},
+    {MessageBudget::kHealth, 10, 20},
 }};
 
 /// A whole document is up to a megabyte and can't wait for a budget of
@@ -41,6 +42,13 @@
          budget == MessageBudget::kRequests || budget == MessageBudget::kHealth;
 }
 
+/// What the published budget leaves beside exception copies.
+std::size_t ControlBytes(const FleetPolicy& policy) {
+  return policy.control_bytes_per_second -
+         std::min(policy.copy_bytes_per_second,
+                  policy.control_bytes_per_second);
+}
+
 std::size_t IndexOf(MessageBudget budget) {
   return static_cast<std::size_t>(budget);
 }
@@ -68,15 +76,17 @@
 
 }  // namespace
 
+std::size_t HeartbeatBytesPerSecond(const FleetPolicy& policy) {
+  return ControlBytes(policy) * kHeartbeatPercent / kPercent;
+}
+
 SendLimiter::SendLimiter() {
   for (std::size_t lane = 0; lane < kMessageBudgets; ++lane) {
     this->lanes[lane].status.budget = static_cast<MessageBudget>(lane);
   }
   this->lanes[IndexOf(MessageBudget::kCopies)].bucket =
       TokenBucket(kCopyLimits);
-  const FleetPolicy defaults;
-  const std::size_t control =
-      defaults.control_bytes_per_second - defaults.copy_bytes_per_second;
+  const std::size_t control = ControlBytes(FleetPolicy{});
   for (const LaneShape& shape : kShapes) {
     const std::size_t rate = control * shape.percent / kPercent;
     this->lanes[IndexOf(shape.budget)].bucket =
@@ -85,9 +95,7 @@
 }
 
 void SendLimiter::SetPolicy(const FleetPolicy& policy) {
-  const std::size_t copies =
-      std::min(policy.copy_bytes_per_second, policy.control_bytes_per_second);
-  const std::size_t control = policy.control_bytes_per_second - copies;
+  const std::size_t control = ControlBytes(policy);
   for (const LaneShape& shape : kShapes) {
     const std::size_t rate = control * shape.percent / kPercent;
     this->lanes[IndexOf(shape.budget)].bucket.SetLimits(
--- a/source/core/fleet/send_limiter.h
+++ b/source/core/fleet/send_limiter.h
@@ -16,6 +16,10 @@
 
 namespace sassafrasdyke::core {
 
+/// The average of heartbeats and their answers that `policy` allows, in bytes a
+/// second.
+std::size_t HeartbeatBytesPerSecond(const FleetPolicy& policy);
+
 /// Decides when a control message may leave.
 class SendLimiter {
  public:
--- a/tests/core/fleet/members_test.cc
+++ b/tests/core/fleet/members_test.cc
@@ -48,6 +48,7 @@
   std::uint32_t instances;
   std::vector<MemberReport> reports;
   std::set<std::uint32_t> confirmed;
+  std::size_t watchers{3};
 };
 
 std::ostream& operator<<(std::ostream& out, const Verdict& row) {
@@ -70,6 +71,7 @@
      5,
      {Suspicion(2, 1), Suspicion(2, 3), OwnWord(2, 1, MemberWord::kAlive, 2)},
      {}},
+    {"the only published watcher is enough", 5, {Suspicion(2, 1)}, {2}, 1},
     {"the only other one is believed", 2, {Suspicion(2, 1)}, {2}},
     {"the last witness of three is believed",
      3,
@@ -89,7 +91,8 @@
     table.Merge(report);
   }
 
-  const MemberVerdicts verdicts = Judge(ListOf(row.instances), table);
+  const MemberVerdicts verdicts =
+      Judge(ListOf(row.instances), table, row.watchers);
 
   std::set<std::uint32_t> confirmed;
   for (const auto& [about, by] : verdicts.confirmed) {
@@ -128,7 +131,8 @@
 
   BOOST_TEST(left.Digest() == right.Digest());
   BOOST_TEST((left.All() == right.All()));
-  BOOST_TEST((Judge(list, left).confirmed == Judge(list, right).confirmed));
+  BOOST_TEST(
+      (Judge(list, left, 3).confirmed == Judge(list, right, 3).confirmed));
 }
 
 BOOST_AUTO_TEST_CASE(pages_cover_the_table_and_start_again) {
@@ -163,6 +167,21 @@
   BOOST_TEST(!members.Merge(Suspicion(4, 3)));
 }
 
+// A process was replaced but not stopped, and reads in the list that a later
+// life has its id. If it went on as an owner, a flow could be placed twice.
+BOOST_AUTO_TEST_CASE(a_replaced_process_owns_nothing) {
+  Members members({{2}, {1}, {1}});
+  InstanceList list = ListOf(4);
+  list.instances[1].incarnation.value = 2;
+  members.SetList(list);
+  std::vector<FleetDecision> decisions;
+
+  members.Refresh(0ms, decisions);
+
+  BOOST_TEST((members.Find({2})->use == InstanceUse::kLeaving));
+  BOOST_TEST((members.Find({1})->use == InstanceUse::kOwner));
+}
+
 // An instance at the same address comes and goes. Each time it must wait longer
 // before it owns partitions again, and be forgiven after a quiet time.
 BOOST_AUTO_TEST_CASE(each_return_takes_longer_until_it_is_forgiven) {
--- a/tests/core/fleet/membership_test.cc
+++ b/tests/core/fleet/membership_test.cc
@@ -88,6 +88,25 @@
   }
 }
 
+// Someone publishes more watchers than the heartbeats' budget can carry.
+// Dropped questions and answers must not look like deaths, or the budget itself
+// would take ownership from healthy instances.
+BOOST_DATA_TEST_CASE(too_many_watchers_suspect_nobody_healthy,
+                     boost::unit_test::data::make({8U, 47U}), watchers) {
+  FleetNetwork network(kSeed);
+  network.Reader().policy.watchers = watchers;
+  network.StartAll(SampleInstances(48, 1), kTargets);
+  network.RunFor(30s);
+
+  for (auto& [id, fleet] : network.All()) {
+    BOOST_TEST(CountChanges(fleet, 1 + id % 48) == 0U);
+    BOOST_TEST(network.AllBelieve(id, InstanceUse::kOwner));
+  }
+  network.Kill(2);
+  network.RunFor(30s);
+  BOOST_TEST(network.AllBelieve(2, InstanceUse::kSuspected));
+}
+
 // A process is stopped for seconds and wakes. It must not act on what it knew,
 // and it must get its ownership back once it has caught up.
 BOOST_AUTO_TEST_CASE(a_paused_instance_is_suspected_and_returns) {
