--- a/source/core/fleet/send_limiter.cc
+++ b/source/core/fleet/send_limiter.cc
@@ -10,11 +10,14 @@
 namespace {
 
 constexpr std::size_t kPercent = 100;
+constexpr std::size_t kHeartbeatPercent = 45;
 constexpr std::size_t kMostWaiting = 256;
 constexpr std::chrono::milliseconds kLongestWait{5000};
 
 /// Share of the budget that is left after exception copies, and the seconds of
-/// that share that may leave at once.
+/// that share that may leave at once. A rack that dies makes some hundred
+/// reports, which everyone passes on three times; they must leave at once, or
+/// owners stay dead in some instances' eyes for as long as the queue is.
 struct LaneShape {
   MessageBudget budget;
   std::size_t percent;
@@ -22,11 +25,11 @@
 };
 
 constexpr std::array<LaneShape, kMessageBudgets - 1> kShapes{{
-    {MessageBudget::kHeartbeats, 40, 2},
-    {MessageBudget::kMembers, 15, 20},
+    {MessageBudget::kHeartbeats, kHeartbeatPercent, 2},
+    {MessageBudget::kMembers, 15, 80},
     {MessageBudget::kDeltas, 25, 20},
     {MessageBudget::kRequests, 5, 10},
-    {MessageBudget::kHealth, 15, 20},
+    {MessageBudget::kHealth, 10, 20},
 }};
 
 /// A whole document is up to a megabyte and can't wait for a budget of
@@ -34,6 +37,18 @@
 /// are rare, so they have a budget of their own; two may leave at once.
 constexpr BucketLimits kCopyLimits{.per_second = 65'536, .burst = 4'194'304};
 
+bool MayWait(MessageBudget budget) {
+  return budget == MessageBudget::kMembers ||
+         budget == MessageBudget::kRequests || budget == MessageBudget::kHealth;
+}
+
+/// What the published budget leaves beside exception copies.
+std::size_t ControlBytes(const FleetPolicy& policy) {
+  return policy.control_bytes_per_second -
+         std::min(policy.copy_bytes_per_second,
+                  policy.control_bytes_per_second);
+}
+
 std::size_t IndexOf(MessageBudget budget) {
   return static_cast<std::size_t>(budget);
 }
@@ -61,15 +76,17 @@
 
 }  // namespace
 
+std::size_t HeartbeatBytesPerSecond(const FleetPolicy& policy) {
+  return ControlBytes(policy) * kHeartbeatPercent / kPercent;
+}
+
 SendLimiter::SendLimiter() {
   for (std::size_t lane = 0; lane < kMessageBudgets; ++lane) {
     this->lanes[lane].status.budget = static_cast<MessageBudget>(lane);
   }
   this->lanes[IndexOf(MessageBudget::kCopies)].bucket =
       TokenBucket(kCopyLimits);
-  const FleetPolicy defaults;
-  const std::size_t control =
-      defaults.control_bytes_per_second - defaults.copy_bytes_per_second;
+  const std::size_t control = ControlBytes(FleetPolicy{});
   for (const LaneShape& shape : kShapes) {
     const std::size_t rate = control * shape.percent / kPercent;
     this->lanes[IndexOf(shape.budget)].bucket =
@@ -78,9 +95,7 @@
 }
 
 void SendLimiter::SetPolicy(const FleetPolicy& policy) {
-  const std::size_t copies =
-      std::min(policy.copy_bytes_per_second, policy.control_bytes_per_second);
-  const std::size_t control = policy.control_bytes_per_second - copies;
+  const std::size_t control = ControlBytes(policy);
   for (const LaneShape& shape : kShapes) {
     const std::size_t rate = control * shape.percent / kPercent;
     this->lanes[IndexOf(shape.budget)].bucket.SetLimits(
@@ -88,24 +103,26 @@
   }
 }
 
-void SendLimiter::Send(OutgoingMessage message, std::chrono::milliseconds now,
+bool SendLimiter::Send(OutgoingMessage message, std::chrono::milliseconds now,
                        std::vector<OutgoingMessage>& out) {
   Lane& lane = this->LaneOf(message.message);
   const std::size_t bytes = EstimatedBytes(message.message);
   if (lane.queue.empty() && lane.bucket.Take(bytes, now)) {
     Leave(lane, bytes, std::move(message), out);
-    return;
+    return true;
   }
   ++lane.status.limited;
-  const bool may_wait = lane.status.budget != MessageBudget::kHeartbeats &&
-                        lane.status.budget != MessageBudget::kCopies;
+  const bool may_wait = MayWait(lane.status.budget);
   // An unbounded queue turns a slow hour into a full memory, and everything in
   // it is old by the time it leaves. Digests in heartbeats heal what is lost.
   if (!may_wait || lane.queue.size() >= kMostWaiting) {
-    ++lane.status.dropped;
-    return;
+    // A delta that is held back is owed to the peer, not lost.
+    const bool owed = lane.status.budget == MessageBudget::kDeltas;
+    lane.status.dropped += owed ? 0 : 1;
+    return false;
   }
   lane.queue.push_back({std::move(message), bytes, now});
+  return true;
 }
 
 void SendLimiter::Flush(std::chrono::milliseconds now,
