--- a/source/app/clock.cc
+++ b/source/app/clock.cc
@@ -14,9 +14,9 @@
 
 }  // namespace
 
-Clock::Clock() : start(Read(CLOCK_BOOTTIME)) {}
+SystemClock::SystemClock() : start(Read(CLOCK_BOOTTIME)) {}
 
-std::chrono::milliseconds Clock::Now() const {
+std::chrono::milliseconds SystemClock::Now() const {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
       Read(CLOCK_BOOTTIME) - this->start);
 }
--- a/source/app/clock.h
+++ b/source/app/clock.h
@@ -5,13 +5,21 @@
 
 namespace sassafrasdyke::app {
 
-/// Time since the clock was made. It goes on while the machine sleeps: a
-/// virtual machine that was suspended for an hour must find its lease an hour
-/// old, and the ordinary monotonic clock would hide the hour.
+/// Tells the time since process start.
 class Clock {
  public:
-  Clock();
-  std::chrono::milliseconds Now() const;
+  virtual ~Clock() = default;
+  /// Safe to call from any task; never falls.
+  virtual std::chrono::milliseconds Now() const = 0;
+};
+
+/// The machine's clock. It goes on while the machine sleeps: a virtual machine
+/// that was suspended for an hour must find its lease an hour old, and the
+/// ordinary monotonic clock would hide the hour.
+class SystemClock final : public Clock {
+ public:
+  SystemClock();
+  std::chrono::milliseconds Now() const override;
 
  private:
   std::chrono::nanoseconds start;
--- a/source/app/control_task.cc
+++ b/source/app/control_task.cc
@@ -60,7 +60,7 @@
       .to_data =
           [this](DataMessage message) { this->data->Post(std::move(message)); },
       .to_peer = [](const core::OutgoingMessage&) {},
-      .on_configuration = [](const core::Configuration&) {}};
+      .on_change = [this] { this->parts.board.Publish(this->driver.State()); }};
 }
 
 void ControlTask::OnTimer(ev::timer&, int) {
--- a/source/app/control_task.h
+++ b/source/app/control_task.h
@@ -70,7 +70,7 @@
   void Note(observe::ProcessNote note);
 
   Parts parts;
-  ev::default_loop loop;
+  ev::dynamic_loop loop;
   config::ConfigurationReader documents;
   FleetDriver driver;
   platform::PlatformReader platform;
--- a/source/app/fleet_driver.cc
+++ b/source/app/fleet_driver.cc
@@ -83,12 +83,12 @@
 void FleetDriver::Flush() {
   // The sinks may call back; what is left must not be passed on twice.
   core::FleetOutbox left = std::exchange(this->outbox, {});
+  const bool changed = left.configuration != nullptr || left.view.has_value();
   std::vector<observe::LogEvent> events;
   const auto time = std::chrono::system_clock::now();
   if (left.configuration != nullptr) {
     this->state.configuration = left.configuration;
     this->sinks.to_data(ConfigurationInForce{left.configuration});
-    this->sinks.on_configuration(*left.configuration);
   }
   if (left.view) {
     this->state.view = *left.view;
@@ -106,6 +106,9 @@
   for (core::OutgoingMessage& message : left.messages) {
     this->sinks.to_peer(std::move(message));
   }
+  if (changed) {
+    this->sinks.on_change();
+  }
 }
 
 void FleetDriver::Keep(const core::FleetDecision& decision) {
--- a/source/app/fleet_driver.h
+++ b/source/app/fleet_driver.h
@@ -20,8 +20,8 @@
 struct FleetSinks {
   std::function<void(DataMessage)> to_data;
   std::function<void(core::OutgoingMessage)> to_peer;
-  /// A newer configuration is in force.
-  std::function<void(const core::Configuration&)> on_configuration;
+  /// The configuration in force or the belief changed.
+  std::function<void()> on_change;
 };
 
 /// The control task's hold on the fleet.
--- a/source/app/instance_process.cc
+++ b/source/app/instance_process.cc
@@ -65,7 +65,7 @@
   // A peer that closes its stream while we write must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
   const CurlLibrary curl;
-  const Clock clock;
+  const SystemClock clock;
   const core::SelfIdentity self{settings.instance, settings.domain,
                                 NewIncarnation()};
   const observe::LogIdentity identity{settings.instance, settings.domain};
--- a/source/observe/log_sink.cc
+++ b/source/observe/log_sink.cc
@@ -2,7 +2,9 @@
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
+#include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
 #include <log4cplus/loglevel.h>
 #include <unistd.h>
 
@@ -53,6 +55,9 @@
     return tl::unexpected("the log file " + settings.file +
                           " can't be written");
   }
+  // The library can't be started again once it was ended: a second log in the
+  // same process would end it by an exception on the writer's thread.
+  static const log4cplus::Initializer initializer;
   std::unique_ptr<LogSink> sink(new Log4cplusSink());
   const log4cplus::SharedAppenderPtr appender = MakeAppender(settings.file);
   appender->setLayout(
--- a/source/observe/log_sink.h
+++ b/source/observe/log_sink.h
@@ -1,9 +1,6 @@
 /// Where log lines go: log4cplus, one logger for each channel.
 #pragma once
 
-#include <log4cplus/initializer.h>
-#include <log4cplus/logger.h>
-
 #include <memory>
 #include <string>
 #include <tl/expected.hpp>
@@ -32,8 +29,6 @@
 
  private:
   Log4cplusSink() = default;
-
-  log4cplus::Initializer initializer;
 };
 
 }  // namespace sassafrasdyke::observe
--- /dev/null
+++ b/tests/app/explain_command_test.cc
@@ -0,0 +1,41 @@
+/// `explain` from files.
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+#include "app/run.h"
+#include "app/samples.h"
+
+namespace sassafrasdyke::app {
+namespace {
+
+using Json = nlohmann::json;
+
+Ran Explain(const std::string& flow) {
+  const TestFolder folder;
+  return RunWith({"explain", "--flow", flow, "--configuration",
+                  folder.Write("c.json", kConfigurationText), "--instances",
+                  folder.Write("i.json", kInstancesText)});
+}
+
+BOOST_AUTO_TEST_CASE(names_owner_standby_and_targets_in_order) {
+  const Ran ran = Explain("198.51.100.7:40000->192.0.2.10:443");
+
+  BOOST_REQUIRE(ran.code == ExitCode::kSuccess);
+  const Json json = Json::parse(ran.out);
+  BOOST_TEST(json["service"] == "diary");
+  BOOST_TEST(json["home_domain"] == 1);
+  BOOST_TEST(json["owner"].get<int>() + json["standby"].get<int>() == 1 + 2);
+  BOOST_TEST(json["exceptions"][0]["reason"] == "short rentals");
+  BOOST_REQUIRE(!json["targets"].empty());
+  BOOST_TEST(json["targets"][0]["target"] == 101);
+}
+
+BOOST_AUTO_TEST_CASE(an_unknown_service_is_said) {
+  const Ran ran = Explain("198.51.100.7:40000->192.0.2.99:443");
+
+  BOOST_CHECK(ran.code == ExitCode::kFailure);
+  BOOST_TEST(Contains(ran.err, "no service has the address 192.0.2.99:443"));
+}
+
+}  // namespace
+}  // namespace sassafrasdyke::app
