--- a/source/core/exchange/copy_sender.cc
+++ b/source/core/exchange/copy_sender.cc
@@ -18,7 +18,7 @@
 /// Small batches wait for company: a message's frame costs as much as several
 /// flows.
 constexpr std::chrono::milliseconds kCompany{1000};
-constexpr std::chrono::milliseconds kFirstPatience{3000};
+constexpr std::chrono::milliseconds kFirstPatience{1000};
 constexpr std::chrono::milliseconds kLongestPatience{std::chrono::minutes{1}};
 
 std::size_t BytesOf(std::size_t added, std::size_t ended) {
@@ -80,6 +80,13 @@
   }
 }
 
+void CopySender::SetComplete(const PartitionKey& partition, bool complete) {
+  if (const auto found = this->sets.find(partition);
+      found != this->sets.end()) {
+    found->second.complete = complete;
+  }
+}
+
 const OutgoingSet* CopySender::Find(const PartitionKey& partition) const {
   const auto found = this->sets.find(partition);
   return found == this->sets.end() ? nullptr : &found->second;
@@ -190,7 +197,7 @@
     return true;
   }
   if (set.purpose == CopyPurpose::kHandOver) {
-    return !set.last_sequence;
+    return !IsEmpty(set) || (set.complete && !set.last_sequence);
   }
   return !IsEmpty(set) &&
          (set.added.size() >= kBatch / 2 || now - set.queued_at >= kCompany);
@@ -229,8 +236,8 @@
   // told from a later one whose predecessors were lost.
   copy.whole = set.in_whole && (copy.sequence == 0 || !IsEmpty(set));
   set.in_whole = copy.whole;
-  copy.last =
-      set.purpose == CopyPurpose::kHandOver && !copy.whole && IsEmpty(set);
+  copy.last = set.purpose == CopyPurpose::kHandOver && set.complete &&
+              !copy.whole && IsEmpty(set);
   if (copy.last) {
     set.last_sequence = copy.sequence;
   }
--- a/source/core/exchange/copy_sender.h
+++ b/source/core/exchange/copy_sender.h
@@ -47,6 +47,8 @@
   std::uint64_t next_sequence{0};
   /// Copies that the receiver has confirmed, from the first.
   std::uint64_t acknowledged{0};
+  /// Nothing more will be learned: a hand-over may end.
+  bool complete{true};
   /// Messages of a whole set are still to be sent.
   bool in_whole{false};
   std::deque<FlowException> added;
@@ -73,6 +75,10 @@
   void Start(const PartitionKey& partition, const CopyDestination& destination,
              CopyPurpose purpose, common::TargetId fallback);
 
+  /// Says whether this instance has learned everything that it may hand over;
+  /// the end of a hand-over waits for that.
+  void SetComplete(const PartitionKey& partition, bool complete);
+
   void Stop(const PartitionKey& partition) { this->sets.erase(partition); }
 
   /// Null when the partition isn't being copied.
--- a/source/core/exchange/exchange.cc
+++ b/source/core/exchange/exchange.cc
@@ -8,7 +8,7 @@
 
 /// Longest time a new owner asks the one before it. By then a hand-over within
 /// the byte budget has long ended, unless the other is stuck.
-constexpr std::chrono::milliseconds kAskLimit{std::chrono::minutes{1}};
+constexpr std::chrono::milliseconds kAskLimit{std::chrono::seconds{30}};
 /// Time to ask after a cut has healed or a lease has come back.
 constexpr std::chrono::milliseconds kAskAfterSilence{std::chrono::seconds{10}};
 /// A denial may be lost; it is repeated no more often than this.
@@ -154,12 +154,22 @@
     }
     this->UpdateStandby(partition);
   } else if (state.owned) {
-    this->GiveUp(partition, now, outbox);
+    this->GiveUp(partition, outbox);
   } else if (state.remembers && owner != state.given_up_to) {
     // The heir went, too: the next one is told everything.
     state.given_up_to = owner;
     state.handed_over = false;
     this->sender.Stop(PartitionKey(this->world.Directory().KeyOf(partition)));
+  } else if (state.stood_in && owner != state.seen_owner) {
+    // The flows that were placed in the last owner's stead are now the next
+    // one's, who may not have heard of them.
+    this->sender.Stop(PartitionKey(this->world.Directory().KeyOf(partition)));
+    this->StartHandOver(partition);
+  } else if (owner != state.seen_owner &&
+             this->world.Owners().At(partition).standby == this->self) {
+    // A new owner that has just joined asks the standby, which may never have
+    // decided anything: it says so, or returns what others have copied here.
+    this->StartHandOver(partition);
   } else if (replaced && this->HoldsForeignWord(partition, *destination)) {
     // A new life of the owner at the same address knows nothing of what its
     // earlier life copied here.
@@ -203,6 +213,7 @@
   state.owned_since = now;
   state.given_up_to = {};
   state.handed_over = false;
+  state.stood_in = false;
   this->sender.Stop(key);
   if (!state.remembers) {
     state.fallback = kNoSlot;
@@ -211,6 +222,11 @@
   }
   state.remembers = false;
   const CopySet* const set = this->store.SetFrom(key, before);
+  for (const CopySet& other : this->store.SetsOf(key)) {
+    if (other.handed_over && other.fallback.value != 0) {
+      this->AdoptFallback(partition, other.fallback);
+    }
+  }
   if (set != nullptr && set->complete && set->fallback.value != 0) {
     this->AdoptFallback(partition, set->fallback);
   }
@@ -223,6 +239,7 @@
   } else {
     this->AbsorbAll(partition, now);
   }
+  this->ConfirmHandOvers(key, outbox);
   const InstanceView* const other = owners.Find(before);
   if (other != nullptr && other->use == InstanceUse::kSuspected) {
     state.contested_until = now + this->world.InForce().policy.lease;
@@ -230,18 +247,28 @@
   this->Note(partition, PartitionEvent::kTaken, before, outbox);
 }
 
-void Exchange::GiveUp(PartitionIndex partition, std::chrono::milliseconds now,
-                      Outbox& outbox) {
+void Exchange::ConfirmHandOvers(const PartitionKey& key, Outbox& outbox) const {
+  for (const CopySet& set : this->store.SetsOf(key)) {
+    if (set.handed_over) {
+      outbox.messages.push_back(
+          {set.from, ExceptionCopyAck{key, set.incarnation, set.generation,
+                                      set.next_sequence - 1, false}});
+    }
+  }
+}
+
+void Exchange::GiveUp(PartitionIndex partition, Outbox& outbox) {
   PartitionState& state = this->world.StateOf(partition);
   const common::InstanceId owner = this->world.Owners().At(partition).owner;
   state.owned = false;
   state.remembers = true;
   state.handed_over = false;
   state.given_up_to = owner;
-  this->Note(partition, PartitionEvent::kGivenUp, owner, outbox);
-  if (!this->WhomToAsk(partition, now)) {
-    this->StartHandOver(partition);
+  if (state.previous == owner) {
+    state.previous = {};  // It decides now; there is nothing to wait for.
   }
+  this->Note(partition, PartitionEvent::kGivenUp, owner, outbox);
+  this->StartHandOver(partition);
 }
 
 void Exchange::StartHandOver(PartitionIndex partition) {
@@ -251,6 +278,10 @@
   if (destination) {
     this->sender.Start(key, *destination, CopyPurpose::kHandOver,
                        this->ClaimFor(partition, *destination));
+    // "Everything is handed over" would not be true while this instance itself
+    // still learns from the one before it.
+    this->sender.SetComplete(
+        key, this->world.StateOf(partition).previous.value == 0);
   }
 }
 
@@ -265,16 +296,14 @@
         this->UpdateStandby(partition);
       }
     }
-    if (state.owned && now - state.owned_since >= kAskLimit) {
-      state.fallback_guessed = false;  // Whoever knew better is long gone.
-    }
+    this->SettleFallback(partition, now);
     const PartitionKey& key = this->world.Directory().KeyOf(partition);
     const OutgoingSet* const set = this->sender.Find(key);
     const bool started =
         set != nullptr && set->purpose == CopyPurpose::kHandOver;
-    // "Everything is handed over" would not be true while this instance itself
-    // still learns from the one before it.
-    if (state.IsHandingOver() && state.previous.value == 0 && !started) {
+    const bool waits = started && !set->complete;
+    if (state.IsHandingOver() && state.previous.value == 0 &&
+        (!started || waits)) {
       this->StartHandOver(partition);
     }
   }
@@ -290,6 +319,21 @@
                      });
 }
 
+void Exchange::SettleFallback(PartitionIndex partition,
+                              std::chrono::milliseconds now) {
+  PartitionState& state = this->world.StateOf(partition);
+  const bool settles =
+      state.owned && state.fallback_guessed &&
+      !this->IsLearning(partition, now) &&
+      now - state.owned_since >= this->world.InForce().policy.lease;
+  if (settles) {
+    // Nobody has claimed to know better, and the flows that were opened since
+    // rely on it.
+    state.fallback_guessed = false;
+    this->UpdateStandby(partition);
+  }
+}
+
 void Exchange::UpdateStandby(PartitionIndex partition) {
   const PartitionKey& key = this->world.Directory().KeyOf(partition);
   // A new life of this instance must not replace what its earlier life copied
@@ -316,17 +360,21 @@
     return;  // No answer: the sender tries again when we know the service.
   }
   const CopyOutcome outcome = this->store.Apply(from, copy, now);
-  if (outcome.ack) {
-    outbox.messages.push_back({from, *outcome.ack});
-  }
   PartitionState& state = this->world.StateOf(*partition);
   const CopySet* const set = this->store.SetFrom(copy.partition, from);
   const bool learns = state.owned || state.previous == from;
+  // To confirm the end of a hand-over is to answer for the partition from then
+  // on; the sender forgets it. Whoever isn't the owner in its own eyes leaves
+  // the sender waiting, until its own view or the sender's has caught up.
+  if (outcome.ack && (learns || !set->handed_over)) {
+    outbox.messages.push_back({from, *outcome.ack});
+  }
+  const bool decides = state.owned || state.IsHandingOver();
+  if (decides && set->complete && !set->arriving && set->fallback.value != 0 &&
+      (state.previous == from || state.fallback_guessed)) {
+    this->AdoptFallback(*partition, set->fallback);
+  }
   if (outcome.handed_over && learns) {
-    if (set->fallback.value != 0 &&
-        (state.previous == from || state.fallback_guessed)) {
-      this->AdoptFallback(*partition, set->fallback);
-    }
     this->Absorb(*partition, *set, now);
     if (state.previous == from) {
       state.previous = {};
@@ -334,15 +382,11 @@
     }
     if (state.owned) {
       this->UpdateStandby(*partition);
+    } else if (state.IsHandingOver()) {
+      this->StartHandOver(*partition);
     }
     return;
   }
-  const common::InstanceId owner = this->world.Owners().At(*partition).owner;
-  if (outcome.handed_over && !state.owned && owner != from &&
-      !state.IsHandingOver()) {
-    // The sender hasn't heard of the next owner yet, and now forgets.
-    this->StartHandOver(*partition);
-  }
   const bool copied_back = state.remembers && state.handed_over &&
                            from == state.given_up_to && set->complete &&
                            !set->arriving;
@@ -362,6 +406,7 @@
     return;
   }
   PartitionState& state = this->world.StateOf(*partition);
+  state.stood_in = false;
   if (!state.IsHandingOver()) {
     return;  // What it told was only placed on behalf of the owner.
   }
@@ -382,6 +427,7 @@
   if (!state.owned) {
     // Placed in the owner's stead. It must learn of the flow at once: the next
     // packet may reach it directly.
+    this->world.StateOf(partition).stood_in = true;
     if (this->sender.Find(key) == nullptr) {
       this->StartHandOver(partition);
     }
@@ -389,7 +435,7 @@
         key, {flow, this->world.Targets().At(record.target).target.id}, now);
     return;
   }
-  if (record.target != state.fallback) {
+  if (!this->IsAtFallback(record, partition)) {
     const ServiceIndex service = this->world.Directory().ServiceOf(partition);
     this->pending.push_back(
         {flow, key.service,
@@ -430,6 +476,12 @@
   this->DropOldCopies(now);
 }
 
+bool Exchange::IsAtFallback(const FlowRecord& record,
+                            PartitionIndex partition) const {
+  const PartitionState& state = this->world.StateOf(partition);
+  return !state.fallback_guessed && record.target == state.fallback;
+}
+
 void Exchange::QueueDue(std::chrono::milliseconds now) {
   for (std::size_t looks = 0; looks < kQueueBatch; ++looks) {
     if (this->pending.empty() || this->pending.front().due > now) {
@@ -442,7 +494,7 @@
         partition ? this->world.LiveRecord(next.flow, *partition) : nullptr;
     if (record == nullptr || record->copied ||
         record->state == FlowState::kClosing ||
-        record->target == this->world.StateOf(*partition).fallback) {
+        this->IsAtFallback(*record, *partition)) {
       continue;
     }
     record->copied = true;
@@ -570,7 +622,7 @@
       this->world.LiveRecord(exception.flow, partition);
   // A packet that came since this instance decides has settled the matter; a
   // record from before is older than the word of whoever decided meanwhile.
-  if (known != nullptr &&
+  if (known != nullptr && known->state != FlowState::kSyn &&
       known->last_seen.Time() + std::chrono::milliseconds{Tick::kMilliseconds} >
           state.owned_since) {
     return;
@@ -580,7 +632,9 @@
   record.state = FlowState::kEstablished;
   record.last_seen = Tick::From(now);
   record.payload_forwarded = true;
-  record.copied = state.owned && *slot != state.fallback;
+  record.from_copy = true;
+  record.copied = (state.owned || state.IsHandingOver()) &&
+                  !this->IsAtFallback(record, partition);
   if (this->world.OpenFlow(exception.flow, partition, record,
                            Admission::kEstablishedFlow) != nullptr &&
       record.copied) {
@@ -606,6 +660,10 @@
 }
 
 common::TargetId Exchange::FallbackId(PartitionIndex partition) const {
+  // A guess is nobody's word: until it is settled, every flow is named.
+  if (this->world.StateOf(partition).fallback_guessed) {
+    return {};
+  }
   const TargetSlot fallback = this->FallbackOf(partition);
   return fallback == kNoSlot ? common::TargetId{}
                              : this->world.Targets().At(fallback).target.id;
@@ -690,6 +748,18 @@
   return state.previous;
 }
 
+bool Exchange::IsLearning(PartitionIndex partition,
+                          std::chrono::milliseconds now) const {
+  if (this->WhomToAsk(partition, now)) {
+    return true;
+  }
+  const auto& sets =
+      this->store.SetsOf(this->world.Directory().KeyOf(partition));
+  return std::any_of(sets.begin(), sets.end(), [now](const CopySet& set) {
+    return set.arriving && now - set.updated_at < kAskAfterSilence;
+  });
+}
+
 std::optional<TargetSlot> Exchange::FindCopy(common::Fingerprint flow,
                                              PartitionIndex partition) const {
   const PartitionKey& key = this->world.Directory().KeyOf(partition);
--- a/source/core/exchange/exchange.h
+++ b/source/core/exchange/exchange.h
@@ -56,6 +56,11 @@
   std::optional<common::InstanceId> WhomToAsk(
       PartitionIndex partition, std::chrono::milliseconds now) const;
 
+  /// Whether another instance may still have something to tell about the
+  /// partition.
+  bool IsLearning(PartitionIndex partition,
+                  std::chrono::milliseconds now) const;
+
   /// The target that a copy names for the flow, if it is of the same service.
   std::optional<TargetSlot> FindCopy(common::Fingerprint flow,
                                      PartitionIndex partition) const;
@@ -85,8 +90,10 @@
                     Outbox& outbox);
   void Take(PartitionIndex partition, std::chrono::milliseconds now,
             Outbox& outbox);
-  void GiveUp(PartitionIndex partition, std::chrono::milliseconds now,
-              Outbox& outbox);
+  /// Confirms the hand-overs that ended before this instance knew that it owns
+  /// the partition.
+  void ConfirmHandOvers(const PartitionKey& key, Outbox& outbox) const;
+  void GiveUp(PartitionIndex partition, Outbox& outbox);
   void StartHandOver(PartitionIndex partition);
   /// Whether copies are held here that the destination doesn't know of.
   bool HoldsForeignWord(PartitionIndex partition,
@@ -106,6 +113,9 @@
                   std::chrono::milliseconds now);
   void AdoptFallback(PartitionIndex partition, common::TargetId fallback);
   common::TargetId FallbackId(PartitionIndex partition) const;
+  /// Whether the flow is found by the fallback, without being named.
+  bool IsAtFallback(const FlowRecord& record, PartitionIndex partition) const;
+  void SettleFallback(PartitionIndex partition, std::chrono::milliseconds now);
   void RefreshFallback(PartitionIndex partition, Outbox& outbox);
   void FlipFallbacks(std::chrono::milliseconds now, Outbox& outbox);
 
--- a/source/core/flow/flow_record.h
+++ b/source/core/flow/flow_record.h
@@ -52,6 +52,9 @@
   bool payload_forwarded : 1 {false};
   /// The standby was told of it.
   bool copied : 1 {false};
+  /// Known from another instance's word, which names targets by number: the
+  /// number may have meant another life of the target there.
+  bool from_copy : 1 {false};
   /// Its unanswered SYN was counted against its target.
   bool counted_unanswered : 1 {false};
 };
--- a/source/core/flow/partition_state.h
+++ b/source/core/flow/partition_state.h
@@ -31,6 +31,8 @@
   common::InstanceId given_up_to;
   /// The new owner has confirmed that it knows everything.
   bool handed_over{false};
+  /// It has placed flows in the owner's stead that the owner hasn't confirmed.
+  bool stood_in{false};
   /// Records of an earlier tenure are void.
   std::uint16_t tenure{0};
   std::chrono::milliseconds owned_since{0};
--- a/source/core/flow_balancer.cc
+++ b/source/core/flow_balancer.cc
@@ -134,7 +134,8 @@
     return this->Redirect(context, *earlier, HopPurpose::kAskPrevious,
                           DropReason::kUnreachable);
   }
-  if (state.IsHandingOver() && !is_syn && state.fallback != kNoSlot &&
+  if (state.IsHandingOver() && !is_syn && !state.fallback_guessed &&
+      state.fallback != kNoSlot &&
       !this->world.Targets().At(state.fallback).gone) {
     return this->Forward(state.fallback, PlacementReason::kAskedPrevious);
   }
@@ -150,6 +151,12 @@
   }
   const TargetSlot slot = record.target;
   const TargetRecord& target = this->world.Targets().At(slot);
+  if (target.gone && (record.state == FlowState::kSyn || record.from_copy)) {
+    // Not surely this flow's target: only a SYN was seen here, or another
+    // instance named it by a number that may have changed its meaning.
+    this->EndFlow(context);
+    return this->HandleUnknown(context);
+  }
   if (target.gone) {
     return this->EndAtGoneTarget(context);
   }
@@ -211,7 +218,11 @@
 PacketAction FlowBalancer::EndAtGoneTarget(const Context& context) {
   // Without fresh word this instance can't know that the target is gone for
   // good; a RST on a guess would end a flow that others still serve.
-  if (!this->world.HoldsLease()) {
+  // The same goes for a cut: the other side may have placed the flow as well,
+  // and its caller may be talking to that target.
+  const PartitionState& state = this->world.StateOf(context.partition);
+  if (!this->world.HoldsLease() || state.previous.value != 0 ||
+      !this->world.Owners().View().unreachable.empty()) {
     return DropPacket{DropReason::kUnreachable};
   }
   return this->EndWithReset(context, ResetReason::kTargetGone);
@@ -258,8 +269,8 @@
 
 PacketAction FlowBalancer::FollowCopy(const Context& context, TargetSlot slot) {
   this->exchange.EraseCopy(context.flow, context.partition);
-  const FlowRecord record =
-      this->MakeRecord(context, slot, FlowState::kEstablished);
+  FlowRecord record = this->MakeRecord(context, slot, FlowState::kEstablished);
+  record.from_copy = true;
   FlowRecord* const opened = this->world.OpenFlow(
       context.flow, context.partition, record, Admission::kEstablishedFlow);
   if (opened == nullptr) {
@@ -284,7 +295,8 @@
   const PartitionState& state = this->world.StateOf(context.partition);
   const bool too_early =
       state.owned && state.fallback_guessed &&
-      context.now < state.owned_since + this->world.InForce().policy.lease;
+      (context.now < state.owned_since + this->world.InForce().policy.lease ||
+       this->exchange.IsLearning(context.partition, context.now));
   if (too_early || this->MayBeAdopted(context.partition)) {
     return DropPacket{DropReason::kUnreachable};
   }
