--- a/rig/flood.h
+++ b/rig/flood.h
@@ -21,6 +21,7 @@
 struct FloodCounts {
   std::uint64_t sent{0};       ///< Accepted by the kernel for the instance.
   std::uint64_t delivered{0};  ///< Arrived at targets.
+  double seconds{0};           ///< Since all flows were open.
 };
 
 /// The sender and its targets.
@@ -51,6 +52,8 @@
   std::size_t opened{0};
   std::size_t next{0};
   FloodCounts counts;
+  ev::tstamp next_opening{0};
+  ev::tstamp began{0};
   ev::idle idle;
 };
 
--- a/rig/report.cc
+++ b/rig/report.cc
@@ -138,7 +138,7 @@
         {"sent", report.flood->sent},
         {"delivered", report.flood->delivered},
         {"delivered_per_second",
-         static_cast<double>(report.flood->delivered) / report.load_seconds}};
+         static_cast<double>(report.flood->delivered) / report.flood->seconds}};
   }
   if (report.control_bytes_per_second) {
     json["control_bytes_per_second"] = *report.control_bytes_per_second;
@@ -175,7 +175,7 @@
     table.Row("packets sent in a flood", report.flood->sent);
     table.Row("of those, at targets", report.flood->delivered,
               Text(static_cast<double>(report.flood->delivered) /
-                   report.load_seconds) +
+                   report.flood->seconds) +
                   " a second");
   }
   table.Row("data path's processor time",
