Relay the streams between instances through the rig

Cause: a cut between failure domains stopped the packets that the rig saw, but not the instances' own streams, which went directly. Change: instances are published at relayed addresses; the rig passes streams on with the delay between domains, and holds them during a cut. Conclusion: a cut now holds for every path between instances; an instance's way to a target is cut at the target.

--- a/rig/instances.cc
+++ b/rig/instances.cc
@@ -21,7 +21,8 @@
       actions(actions),
       scheduler(scheduler),
       platform(platform),
-      fabric(fabric) {}
+      fabric(fabric),
+      relay(plan, scheduler, fabric) {}
 
 void Instances::StartAll() {
   std::uint32_t domain = 0;
@@ -57,6 +58,9 @@
   Place& place = this->places.at(id);
   place.state = ProcessState::kRunning;
   this->fabric.AddInstance(id, place.domain);
+  if (this->scenario.network.relay) {
+    this->relay.AddInstance(id, place.domain);
+  }
   const std::filesystem::path file =
       this->folder / ("instance-" + std::to_string(id.value) + ".json");
   this->WriteSettings(id, file);
@@ -155,13 +159,14 @@
     const bool relay = this->scenario.network.relay;
     const common::Endpoint tunnel = relay ? this->plan.RelayedTunnel(id.value)
                                           : this->plan.Tunnel(id.value);
-    list["a" + std::to_string(id.value)] = {
-        {"id", id.value},
-        {"domain", place.domain.value},
-        {"incarnation", place.incarnation},
-        {"tunnel", tunnel.ToString()},
-        {"control", this->plan.Control(id.value).ToString()},
-        {"state", place.published}};
+    const common::Endpoint control = relay ? this->plan.RelayedControl(id.value)
+                                           : this->plan.Control(id.value);
+    list["a" + std::to_string(id.value)] = {{"id", id.value},
+                                            {"domain", place.domain.value},
+                                            {"incarnation", place.incarnation},
+                                            {"tunnel", tunnel.ToString()},
+                                            {"control", control.ToString()},
+                                            {"state", place.published}};
   }
   this->platform.Publish(core::DocumentKind::kInstances, {{"instances", list}});
 }
--- a/rig/instances.h
+++ b/rig/instances.h
@@ -12,6 +12,7 @@
 
 #include "common/ids.h"
 #include "rig/addresses.h"
+#include "rig/control_relay.h"
 #include "rig/fabric.h"
 #include "rig/platform.h"
 #include "rig/scenario.h"
@@ -79,6 +80,7 @@
   Scheduler& scheduler;
   Platform& platform;
   Fabric& fabric;
+  ControlRelay relay;
   std::map<common::InstanceId, Place> places;
   std::uint64_t crashes{0};
 };
