Plant two more faults for the judge, and keep the last metrics of a run

Cause: answers cut short and unanswered requests had no test of their counters; a broken flow's cause often shows in the metrics.

--- a/rig/metrics_probe.cc
+++ b/rig/metrics_probe.cc
@@ -40,6 +40,7 @@
 
 InstanceMetrics ParseMetrics(std::string_view text) {
   InstanceMetrics metrics;
+  metrics.text = text;
   while (!text.empty()) {
     const std::size_t end = text.find('\n');
     const std::string_view line = text.substr(0, end);
--- a/rig/metrics_probe.h
+++ b/rig/metrics_probe.h
@@ -22,6 +22,7 @@
   double control_bytes{0};
   /// Processor time of the data path since its start.
   std::chrono::milliseconds data_cpu{0};
+  std::string text;  ///< All of it, as read.
 };
 
 /// Reads the Prometheus text format; names it doesn't know are passed over.
--- a/rig/run.cc
+++ b/rig/run.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <fstream>
 #include <iostream>
 #include <sstream>
 #include <string_view>
@@ -253,6 +254,10 @@
     return;
   }
   this->callers.Close();
+  for (const auto& [id, metrics] : this->metrics) {
+    const std::string name = "metrics-" + std::to_string(id.value) + ".txt";
+    std::ofstream(this->options.folder / name) << metrics.text;
+  }
   this->actions << "end" << std::endl;
   ev::get_default_loop().break_loop(ev::ALL);
 }
--- a/tests/rig/judge_test.cc
+++ b/tests/rig/judge_test.cc
@@ -34,6 +34,8 @@
   kMovedFlow,            ///< Packets after the SYN go to the other target.
   kBlackHole,            ///< Packets after the SYN vanish.
   kCrossedAnswers,       ///< Answers reach another flow.
+  kSwallowedAnswers,     ///< Answers vanish; confirmations still come.
+  kResetInsideAnswer,    ///< A RST takes the place of an answer's second part.
   kTargetFails,          ///< The flows' target fails.
   kTargetSilent,         ///< The flows' target forgets them silently.
   kPlacedWhileDraining,  ///< New flows go to a target long in drain.
@@ -138,6 +140,14 @@
     if (this->fault == Fault::kCrossedAnswers && !segment.payload.empty()) {
       std::swap(segment.payload, this->last_payload);
     }
+    if (this->fault == Fault::kSwallowedAnswers && !segment.payload.empty()) {
+      return;
+    }
+    const auto part = DecodeAnswerPart(segment.payload);
+    if (this->fault == Fault::kResetInsideAnswer && part && part->index == 1) {
+      segment.payload.clear();
+      segment.flags = {.rst = true};
+    }
     this->callers->OnSegment(segment);
   }
 
@@ -173,6 +183,10 @@
      [](const Tally& tally) { return tally.broken_timeout; }},
     {"crossed answers", Fault::kCrossedAnswers,
      [](const Tally& tally) { return tally.foreign_answers; }},
+    {"swallowed answers", Fault::kSwallowedAnswers,
+     [](const Tally& tally) { return tally.broken_unanswered; }},
+    {"reset inside an answer", Fault::kResetInsideAnswer,
+     [](const Tally& tally) { return tally.incomplete_answers; }},
     {"target fails", Fault::kTargetFails,
      [](const Tally& tally) { return tally.lost_with_target; }},
     {"target silent", Fault::kTargetSilent,
