--- a/rig/run.h
+++ b/rig/run.h
@@ -5,28 +5,27 @@
 #include <ev++.h>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <filesystem>
-#include <map>
 #include <memory>
-#include <nlohmann/json.hpp>
-#include <optional>
 #include <ostream>
 #include <string>
-#include <vector>
 
 #include "rig/addresses.h"
 #include "rig/callers.h"
+#include "rig/deployment.h"
+#include "rig/event_loop.h"
 #include "rig/fabric.h"
+#include "rig/fleet_watch.h"
 #include "rig/flood.h"
 #include "rig/instances.h"
 #include "rig/judge.h"
-#include "rig/metrics_probe.h"
 #include "rig/platform.h"
 #include "rig/report.h"
 #include "rig/scenario.h"
 #include "rig/scheduler.h"
-#include "rig/target.h"
+#include "rig/timeline.h"
 
 namespace sassafrasdyke::rig {
 
@@ -51,77 +50,31 @@
   Report Execute();
 
  private:
-  /// A target with its health port.
-  class Upstream final : public HttpHandler {
-   public:
-    Upstream(const TargetShape& shape, Scheduler& scheduler, Judge& judge,
-             SegmentSink& sink)
-        : target(shape, scheduler, judge, sink) {}
-    void Listen(const common::Endpoint& health);
-    HttpReply OnRequest(const HttpRequest& request,
-                        std::chrono::milliseconds held) override;
-
-    StandInTarget target;
-
-   private:
-    std::unique_ptr<HttpServer> server;
-  };
-
-  /// A configuration change on its way.
-  struct Change {
-    std::uint64_t revision{0};
-    std::chrono::microseconds published_at{0};
-  };
-
-  void BuildConfiguration();
-  void AddTarget(const std::string& service);
-  void PublishConfiguration();
   void WaitUntilReady();
   void StartLoad();
   void EndLoad();
   void Finish();
-  void PollMetrics();
-  void OnMetrics(common::InstanceId id, std::optional<InstanceMetrics> metrics);
-  void CheckChanges();
-  void Play(const ScenarioStep& step);
-  void PlayTargetStep(const ScenarioStep& step, StandInTarget& target);
-  void PlayInstanceStep(const ScenarioStep& step);
-  void PlayPlatformStep(const ScenarioStep& step);
-  void SetConfiguration(const ScenarioStep& step);
-  std::vector<common::DomainId> DomainsNamed(const std::string& name) const;
-  void OnPrepare(ev::prepare& watcher, int events);
-  void OnTimer(ev::timer& watcher, int events);
   void OnLine(ev::io& watcher, int events);
-  void CatchUp();
   Report MakeReport() const;
-  std::optional<double> ControlBytesPerSecond() const;
 
   Scenario scenario;
   RunOptions options;
   AddressPlan plan;
   Scheduler scheduler;
+  EventLoop loop;
   Judge judge;
   Platform platform;
   Fabric fabric;
   Callers callers;
   Instances instances;
-  MetricsProbe probe;
-  std::ostream& actions;
-  nlohmann::ordered_json configuration;
-  std::map<std::string, std::unique_ptr<Upstream>> upstreams;
-  std::uint32_t next_target{1};
   std::unique_ptr<Flood> flood;
-  std::vector<Change> changes;
-  std::vector<double> configuration_seconds;
-  std::map<common::InstanceId, InstanceMetrics> metrics;
-  std::map<common::InstanceId, InstanceMetrics> metrics_at_start;
+  Deployment deployment;
+  FleetWatch watch;
+  Timeline timeline;
+  std::ostream& actions;
   std::chrono::microseconds load_began{0};
   std::chrono::microseconds load_ended{0};
   std::uint64_t calls_at_start{0};
-  bool loading{false};
-  ev::tstamp began{0};
-  ev::prepare prepare;
-  ev::timer timer;
   ev::io lines;
   std::string partial_line;
 };
