Join the peers' streams: copies, heartbeats and documents travel

Cause: copies and fleet messages went nowhere, so a stop ended at its deadline and every instance learned from the platform alone.

Change: the control task owns the streams; they follow the instance list in force. Copies and their acknowledgements go to the data task by its bounded mailbox, everything else to the fleet. Bytes, messages, drops and cuts are metrics.

--- a/source/app/control_task.cc
+++ b/source/app/control_task.cc
@@ -45,6 +45,17 @@
 
 ControlTask::~ControlTask() = default;
 
+tl::expected<void, std::string> ControlTask::OpenPeers() {
+  auto opened = peer::PeerLinks::Open(
+      this->loop, {this->parts.self.id, this->parts.self.incarnation},
+      this->parts.settings.control, {}, SeedOf(this->parts.self), *this);
+  if (!opened) {
+    return tl::unexpected(opened.error().what);
+  }
+  this->peers = std::move(*opened);
+  return {};
+}
+
 void ControlTask::Run(Mailbox<DataMessage>& data) {
   this->data = &data;
   this->timer.start(0, SecondsOf(kTick));
@@ -59,13 +70,22 @@
   return {
       .to_data =
           [this](DataMessage message) { this->data->Post(std::move(message)); },
-      .to_peer = [](const core::OutgoingMessage&) {},
-      .on_change = [this] { this->parts.board.Publish(this->driver.State()); }};
+      .to_peer =
+          [this](const core::OutgoingMessage& message) {
+            this->peers->Send(message.to, message.message);
+          },
+      .on_change = [this] { this->OnChange(); }};
+}
+
+void ControlTask::OnChange() {
+  this->SteerPeers();
+  this->parts.board.Publish(this->driver.State());
 }
 
 void ControlTask::OnTimer(ev::timer&, int) {
   this->driver.OnTick();
   this->SteerPlatform();
+  this->SteerPeers();
   this->EndIfLeft();
   if (++this->ticks % kTicksAPublication == 0) {
     this->Publish();
@@ -130,6 +150,44 @@
   this->platform.Watch(this->driver.Core().WatchesPlatform());
 }
 
+void ControlTask::SteerPeers() {
+  const core::InstanceList& list = this->driver.Core().Instances();
+  const auto& configuration = this->driver.InForce();
+  if (configuration == nullptr || list.revision == this->peers_follow) {
+    return;
+  }
+  this->peers_follow = list.revision;
+  this->peers->SetInstances(list, configuration->fleet);
+}
+
+void ControlTask::OnPeerMessage(common::InstanceId from,
+                                const core::PeerMessage& message) {
+  const bool for_flows =
+      std::holds_alternative<core::ExceptionCopy>(message) ||
+      std::holds_alternative<core::ExceptionCopyAck>(message);
+  if (for_flows) {
+    this->data->Offer(PeerWord{from, message});
+  } else {
+    this->driver.OnPeerMessage(from, message);
+  }
+}
+
+void ControlTask::OnPeerLink(common::InstanceId to, bool up) {
+  this->Note({.channel = observe::LogChannel::kPeer,
+              .event = up ? "connected" : "disconnected",
+              .detail = "instance " + std::to_string(to.value)});
+}
+
+void ControlTask::OnPeerCut(common::InstanceId peer,
+                            const common::IpAddress& from,
+                            peer::CutReason reason) {
+  this->Note({.channel = observe::LogChannel::kPeer,
+              .level = config::LogLevel::kWarn,
+              .event = "cut",
+              .detail = "instance " + std::to_string(peer.value) + " at " +
+                        from.ToString() + ": " + std::string(Word(reason))});
+}
+
 void ControlTask::Take(ControlMessage message) {
   std::visit([this](const auto& one) { this->Apply(one); }, message);
 }
@@ -141,7 +199,9 @@
   this->driver.OnPauseNoticed();
 }
 
-void ControlTask::Apply(const core::OutgoingMessage&) {}
+void ControlTask::Apply(const core::OutgoingMessage& message) {
+  this->peers->Send(message.to, message.message);
+}
 
 void ControlTask::Apply(const DataReport& newest) { this->report = newest; }
 
@@ -151,6 +211,7 @@
   PublishData(metrics, this->report);
   PublishFleet(metrics, state.status, state.view);
   PublishLog(metrics, this->parts.log);
+  PublishPeers(metrics, this->peers->Counts());
   this->PublishPlatform(core::DocumentKind::kConfiguration);
   this->PublishPlatform(core::DocumentKind::kInstances);
   metrics.SetTotal(observe::metrics::kMailDropped, this->mail.Dropped(),
--- a/source/app/control_task.h
+++ b/source/app/control_task.h
@@ -7,6 +7,8 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <string>
+#include <tl/expected.hpp>
 
 #include "app/clock.h"
 #include "app/fleet_driver.h"
@@ -19,12 +21,14 @@
 #include "observe/decision_log.h"
 #include "observe/metrics.h"
 #include "observe/state_board.h"
+#include "peer/peer_links.h"
 #include "platform/platform_reader.h"
 
 namespace sassafrasdyke::app {
 
 /// Keeps the fleet's state and tells the data task what to believe.
-class ControlTask final : private platform::PlatformListener {
+class ControlTask final : private platform::PlatformListener,
+                          private peer::PeerListener {
  public:
   /// What the task works with; all must outlive it.
   struct Parts {
@@ -42,8 +46,11 @@
   /// The task's mailbox, for any task.
   Mailbox<ControlMessage>& Mail() { return this->mail; }
 
-  /// Runs until the instance has left. Messages for the data task go to
-  /// `data`.
+  /// Starts to listen for peers. The error is a sentence for a person.
+  tl::expected<void, std::string> OpenPeers();
+
+  /// Runs until the instance has left; peers must be open. Messages for the
+  /// data task go to `data`.
   void Run(Mailbox<DataMessage>& data);
 
  private:
@@ -55,6 +62,12 @@
                          const core::DocumentFaults& faults) override;
   void OnPlatformAnswer(core::DocumentKind kind, bool reached) override;
 
+  void OnPeerMessage(common::InstanceId from,
+                     const core::PeerMessage& message) override;
+  void OnPeerLink(common::InstanceId to, bool up) override;
+  void OnPeerCut(common::InstanceId peer, const common::IpAddress& from,
+                 peer::CutReason reason) override;
+
   void Take(ControlMessage message);
   void Apply(const PauseNoticed& noticed);
   void Apply(const core::OutgoingMessage& message);
@@ -65,6 +78,9 @@
   void EndIfLeft();
   /// Makes the platform's reader follow what the fleet wants.
   void SteerPlatform();
+  /// Makes the streams follow the instance list in force.
+  void SteerPeers();
+  void OnChange();
   void Publish();
   void PublishPlatform(core::DocumentKind kind);
   void Note(observe::ProcessNote note);
@@ -74,6 +90,9 @@
   config::ConfigurationReader documents;
   FleetDriver driver;
   platform::PlatformReader platform;
+  std::unique_ptr<peer::PeerLinks> peers;
+  /// The list that the streams follow.
+  common::Revision peers_follow;
   Mailbox<ControlMessage> mail;
   Mailbox<DataMessage>* data{nullptr};
   ev::timer timer;
--- a/source/app/fleet_driver.cc
+++ b/source/app/fleet_driver.cc
@@ -103,12 +103,13 @@
     events.push_back({time, this->state.configuration, std::move(decision)});
   }
   this->log.Post(std::move(events));
-  for (core::OutgoingMessage& message : left.messages) {
-    this->sinks.to_peer(std::move(message));
-  }
+  // Before the messages: some are for instances that have just been listed.
   if (changed) {
     this->sinks.on_change();
   }
+  for (core::OutgoingMessage& message : left.messages) {
+    this->sinks.to_peer(std::move(message));
+  }
 }
 
 void FleetDriver::Keep(const core::FleetDecision& decision) {
--- a/source/app/instance_process.cc
+++ b/source/app/instance_process.cc
@@ -88,6 +88,9 @@
 
   observe::DecisionLog log(identity, std::move(*sink), kLogCapacity);
   ControlTask control({settings, self, clock, log, metrics, board});
+  if (const auto opened = control.OpenPeers(); !opened) {
+    return tl::unexpected(opened.error());
+  }
   DataTask data({.self = self.id,
                  .socket = std::move(*socket),
                  .balancer = core::MakeBalancer(self.id, self.incarnation),
--- a/source/app/metrics_publisher.cc
+++ b/source/app/metrics_publisher.cc
@@ -101,6 +101,24 @@
   to.SetTotal(metrics::kPlatformReads, counts.failures, document + "-failed");
 }
 
+void PublishPeers(Metrics& to, const peer::PeerCounts& counts) {
+  to.SetTotal(metrics::kPeerBytes, counts.wire_bytes_sent, "sent");
+  to.SetTotal(metrics::kPeerBytes, counts.wire_bytes_received, "received");
+  for (std::size_t kind = 0; kind < peer::kKinds; ++kind) {
+    const std::string_view word = peer::KindWord(kind);
+    to.SetTotal(metrics::kPeerMessages, counts.sent[kind].messages, word);
+    to.SetTotal(metrics::kPeerMessageBytes, counts.sent[kind].bytes, word);
+    to.SetTotal(metrics::kPeerDropped,
+                counts.dropped_full[kind] + counts.dropped_old[kind] +
+                    counts.dropped_unlisted[kind],
+                word);
+  }
+  for (std::size_t i = 0; i < counts.cut.size(); ++i) {
+    to.SetTotal(metrics::kPeerCuts, counts.cut[i],
+                Word(static_cast<peer::CutReason>(i)));
+  }
+}
+
 void PublishLog(Metrics& to, const observe::DecisionLog& log) {
   to.SetTotal(metrics::kLogDropped, log.Dropped());
   to.SetTotal(metrics::kLogWritten, log.Written());
--- a/source/app/metrics_publisher.h
+++ b/source/app/metrics_publisher.h
@@ -9,6 +9,7 @@
 #include "core/fleet_view.h"
 #include "observe/decision_log.h"
 #include "observe/metrics.h"
+#include "peer/peer_counts.h"
 #include "platform/document_watch.h"
 
 namespace sassafrasdyke::app {
@@ -18,6 +19,7 @@
                   const core::FleetView& view);
 void PublishReads(observe::Metrics& metrics, core::DocumentKind kind,
                   const platform::PlatformCounts& counts);
+void PublishPeers(observe::Metrics& metrics, const peer::PeerCounts& counts);
 void PublishLog(observe::Metrics& metrics, const observe::DecisionLog& log);
 
 }  // namespace sassafrasdyke::app
--- a/source/observe/metrics.h
+++ b/source/observe/metrics.h
@@ -62,11 +62,18 @@
 inline constexpr MetricInfo kPeerBytes{
     "sassafrasdyke_peer_bytes_total",
     "Bytes of streams between instances, framing included.", "direction"};
-inline constexpr MetricInfo kPeerMessages{"sassafrasdyke_peer_messages_total",
-                                          "Messages between instances.",
-                                          "direction"};
-inline constexpr MetricInfo kPeers{"sassafrasdyke_peers_connected",
-                                   "Instances with an open stream.", ""};
+inline constexpr MetricInfo kPeerMessages{
+    "sassafrasdyke_peer_messages_sent_total", "Messages sent to instances.",
+    "kind"};
+inline constexpr MetricInfo kPeerMessageBytes{
+    "sassafrasdyke_peer_message_bytes_sent_total",
+    "Encoded bytes of messages sent to instances.", "kind"};
+inline constexpr MetricInfo kPeerDropped{
+    "sassafrasdyke_peer_messages_dropped_total",
+    "Messages to instances that never left.", "kind"};
+inline constexpr MetricInfo kPeerCuts{
+    "sassafrasdyke_peer_cuts_total",
+    "Streams between instances that ended or were not let in.", "reason"};
 inline constexpr MetricInfo kMailDropped{
     "sassafrasdyke_mail_dropped_total",
     "Messages between tasks for which there was no room.", "to"};
