--- a/source/app/fleet_driver.cc
+++ b/source/app/fleet_driver.cc
@@ -83,12 +83,12 @@
 void FleetDriver::Flush() {
   // The sinks may call back; what is left must not be passed on twice.
   core::FleetOutbox left = std::exchange(this->outbox, {});
+  const bool changed = left.configuration != nullptr || left.view.has_value();
   std::vector<observe::LogEvent> events;
   const auto time = std::chrono::system_clock::now();
   if (left.configuration != nullptr) {
     this->state.configuration = left.configuration;
     this->sinks.to_data(ConfigurationInForce{left.configuration});
-    this->sinks.on_configuration(*left.configuration);
   }
   if (left.view) {
     this->state.view = *left.view;
@@ -103,6 +103,10 @@
     events.push_back({time, this->state.configuration, std::move(decision)});
   }
   this->log.Post(std::move(events));
+  // Before the messages: some are for instances that have just been listed.
+  if (changed) {
+    this->sinks.on_change();
+  }
   for (core::OutgoingMessage& message : left.messages) {
     this->sinks.to_peer(std::move(message));
   }
