--- a/source/config/published_keys.cc
+++ b/source/config/published_keys.cc
@@ -259,7 +259,13 @@
 }
 
 std::vector<KeyReference> ConfigurationReference() {
-  std::vector<KeyReference> references;
+  std::vector<KeyReference> references{
+      {"revision", IdNumber{UINT64_MAX}.Describe(), KeyUse::kRequired, "",
+       "Number of this text; each later text has a greater one."},
+      {"fleet", Name().Describe(), KeyUse::kRequired, "",
+       "The fleet's name; fixed for its life."},
+      {"hash_seed", WholeNumber{0, UINT64_MAX}.Describe(), KeyUse::kRequired,
+       "", "Seed of every hash that instances must agree on; fixed."}};
   DefaultsKeys().Describe("defaults.", references);
   DomainKeys().Describe("domains.NAME.", references);
   ServiceKeys().Describe("services.NAME.", references);
@@ -269,7 +275,9 @@
 }
 
 std::vector<KeyReference> InstancesReference() {
-  std::vector<KeyReference> references;
+  std::vector<KeyReference> references{
+      {"revision", IdNumber{UINT64_MAX}.Describe(), KeyUse::kRequired, "",
+       "Number of this text; each later text has a greater one."}};
   InstanceKeys().Describe("instances.NAME.", references);
   return references;
 }
--- a/tests/config/configuration_reader_test.cc
+++ b/tests/config/configuration_reader_test.cc
@@ -387,7 +387,7 @@
     adjustable += reference.use == KeyUse::kAdjustable ? 1 : 0;
   }
   BOOST_TEST(adjustable == 16U);
-  BOOST_TEST(InstancesReference().size() == 6U);
+  BOOST_TEST(InstancesReference().size() == 7U);
 }
 
 }  // namespace
