--- a/source/app/control_task.cc
+++ b/source/app/control_task.cc
@@ -6,6 +6,7 @@
 #include <variant>
 
 #include "app/metrics_publisher.h"
+#include "app/probe_plan.h"
 #include "common/hash.h"
 
 namespace sassafrasdyke::app {
@@ -33,6 +34,7 @@
              parts.clock, parts.log, this->Sinks()),
       platform(this->loop, parts.settings.platform.url, {}, SeedOf(parts.self),
                *this),
+      prober(this->loop, {}, SeedOf(parts.self), *this),
       mail(this->loop, kMailCapacity,
            [this](ControlMessage message) { this->Take(std::move(message)); }),
       timer(this->loop),
@@ -79,6 +81,9 @@
 
 void ControlTask::OnChange() {
   this->SteerPeers();
+  if (const auto& configuration = this->driver.InForce()) {
+    this->prober.SetTargets(PlanProbes(*configuration, this->driver.View()));
+  }
   this->parts.board.Publish(this->driver.State());
 }
 
@@ -141,6 +146,11 @@
   this->driver.OnPlatformAnswer(reached);
 }
 
+void ControlTask::OnTargetProbed(common::TargetId target,
+                                 core::TargetHealth health) {
+  this->driver.OnTargetProbed(target, health);
+}
+
 void ControlTask::SteerPlatform() {
   const core::FleetStatus status = this->driver.Core().Status();
   this->platform.HasRevision(core::DocumentKind::kConfiguration,
@@ -212,6 +222,7 @@
   PublishFleet(metrics, state.status, state.view);
   PublishLog(metrics, this->parts.log);
   PublishPeers(metrics, this->peers->Counts());
+  PublishProbes(metrics, this->prober.Counts());
   this->PublishPlatform(core::DocumentKind::kConfiguration);
   this->PublishPlatform(core::DocumentKind::kInstances);
   metrics.SetTotal(observe::metrics::kMailDropped, this->mail.Dropped(),
--- a/source/app/control_task.h
+++ b/source/app/control_task.h
@@ -23,11 +23,13 @@
 #include "observe/state_board.h"
 #include "peer/peer_links.h"
 #include "platform/platform_reader.h"
+#include "platform/target_prober.h"
 
 namespace sassafrasdyke::app {
 
 /// Keeps the fleet's state and tells the data task what to believe.
 class ControlTask final : private platform::PlatformListener,
+                          private platform::ProbeListener,
                           private peer::PeerListener {
  public:
   /// What the task works with; all must outlive it.
@@ -62,6 +64,9 @@
                          const core::DocumentFaults& faults) override;
   void OnPlatformAnswer(core::DocumentKind kind, bool reached) override;
 
+  void OnTargetProbed(common::TargetId target,
+                      core::TargetHealth health) override;
+
   void OnPeerMessage(common::InstanceId from,
                      const core::PeerMessage& message) override;
   void OnPeerLink(common::InstanceId to, bool up) override;
@@ -90,6 +95,7 @@
   config::ConfigurationReader documents;
   FleetDriver driver;
   platform::PlatformReader platform;
+  platform::TargetProber prober;
   std::unique_ptr<peer::PeerLinks> peers;
   /// The list that the streams follow.
   common::Revision peers_follow;
--- a/source/app/metrics_publisher.cc
+++ b/source/app/metrics_publisher.cc
@@ -119,6 +119,13 @@
   }
 }
 
+void PublishProbes(Metrics& to, const platform::ProbeCounts& counts) {
+  to.SetTotal(metrics::kProbes, counts.probes, "all");
+  to.SetTotal(metrics::kProbes, counts.unreachable, "unreachable");
+  to.SetTotal(metrics::kProbes, counts.unreadable, "unreadable");
+  to.SetTotal(metrics::kProbes, counts.changes, "changed");
+}
+
 void PublishLog(Metrics& to, const observe::DecisionLog& log) {
   to.SetTotal(metrics::kLogDropped, log.Dropped());
   to.SetTotal(metrics::kLogWritten, log.Written());
--- a/source/app/metrics_publisher.h
+++ b/source/app/metrics_publisher.h
@@ -11,6 +11,7 @@
 #include "observe/metrics.h"
 #include "peer/peer_counts.h"
 #include "platform/document_watch.h"
+#include "platform/target_prober.h"
 
 namespace sassafrasdyke::app {
 
@@ -20,6 +21,8 @@
 void PublishReads(observe::Metrics& metrics, core::DocumentKind kind,
                   const platform::PlatformCounts& counts);
 void PublishPeers(observe::Metrics& metrics, const peer::PeerCounts& counts);
+void PublishProbes(observe::Metrics& metrics,
+                   const platform::ProbeCounts& counts);
 void PublishLog(observe::Metrics& metrics, const observe::DecisionLog& log);
 
 }  // namespace sassafrasdyke::app
--- a/source/observe/metrics.h
+++ b/source/observe/metrics.h
@@ -74,6 +74,8 @@
 inline constexpr MetricInfo kPeerCuts{
     "sassafrasdyke_peer_cuts_total",
     "Streams between instances that ended or were not let in.", "reason"};
+inline constexpr MetricInfo kProbes{"sassafrasdyke_probes_total",
+                                    "Probes of targets' health.", "result"};
 inline constexpr MetricInfo kMailDropped{
     "sassafrasdyke_mail_dropped_total",
     "Messages between tasks for which there was no room.", "to"};
