--- a/bench/datapath/datapath_bench.cc
+++ b/bench/datapath/datapath_bench.cc
@@ -109,7 +109,7 @@
 void ReadPacket(benchmark::State& state) {
   Bench bench(FamilyOf(state));
   bench.Fill(Serialize(DataPlan(FamilyOf(state))));
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     const auto unwrapped = DecodeGue(bench.datagram);
     benchmark::DoNotOptimize(ReadSegment(unwrapped->inner));
   }
@@ -124,7 +124,7 @@
   bench.Fill(Serialize({.family = family, .sequence = 1000}));
   bench.Handle();
   const auto segment = ReadSegment(Serialize(DataPlan(family)));
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     benchmark::DoNotOptimize(
         bench.balancer->OnPacket(*segment, kNow, bench.outbox));
   }
@@ -139,7 +139,7 @@
   bench.Fill(Serialize({.family = family, .sequence = 1000}));
   bench.Handle();
   bench.Fill(Serialize(DataPlan(family)));
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     bench.Handle();
   }
   CountPackets(state, kPackets);
@@ -153,7 +153,7 @@
   Bytes cut = Serialize(DataPlan(family));
   cut.pop_back();
   bench.Fill(cut);
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     bench.Handle();
   }
   CountPackets(state, kPackets);
@@ -163,7 +163,7 @@
 /// Building one RST.
 void Reset(benchmark::State& state) {
   const auto segment = ReadSegment(Serialize(DataPlan(FamilyOf(state))));
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     benchmark::DoNotOptimize(BuildReset(*segment));
   }
   CountPackets(state, 1);
@@ -176,7 +176,7 @@
   const Bytes inner = Serialize(DataPlan(Family::kV4));
   const std::vector<OutgoingDatagram> batch(
       kPackets, {(*socket)->Local(), EncodeForTarget(inner), inner});
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     (*socket)->Send(batch);
     benchmark::DoNotOptimize((*socket)->Receive().data());
   }
