--- a/tests/core/fleet/fleet_network.cc
+++ b/tests/core/fleet/fleet_network.cc
@@ -74,6 +74,15 @@
   this->fleets.at(id).running = false;
 }
 
+void FleetNetwork::Wake(std::uint32_t id) {
+  this->fleets.at(id).paused = false;
+  for (Event& event : this->waiting[id]) {
+    event.at = this->now;
+    this->Push(std::move(event));
+  }
+  this->waiting.erase(id);
+}
+
 void FleetNetwork::CutOneWay(std::uint32_t from, std::uint32_t to) {
   this->cuts.emplace(from, to);
 }
@@ -163,10 +172,7 @@
     return;
   }
   if (fleet.paused) {
-    // What arrives during a pause waits in sockets and timers.
-    Event later = event;
-    later.at = this->now + milliseconds{1};
-    this->Push(std::move(later));
+    this->waiting[event.to].push_back(event);
     return;
   }
   FleetOutbox outbox;
--- a/tests/core/fleet/fleet_network.h
+++ b/tests/core/fleet/fleet_network.h
@@ -81,7 +81,7 @@
                 std::uint32_t targets);
   void Kill(std::uint32_t id);
   void Pause(std::uint32_t id) { this->fleets.at(id).paused = true; }
-  void Wake(std::uint32_t id) { this->fleets.at(id).paused = false; }
+  void Wake(std::uint32_t id);
 
   /// Cuts messages in one direction, or in both, until `Heal`.
   void CutOneWay(std::uint32_t from, std::uint32_t to);
@@ -153,6 +153,8 @@
   LinkShape shape;
   std::map<std::uint32_t, RunningFleet> fleets;
   std::priority_queue<Event, std::vector<Event>, Later> events;
+  /// What arrived during pauses: it waits in sockets and timers.
+  std::map<std::uint32_t, std::vector<Event>> waiting;
   std::set<std::pair<std::uint32_t, std::uint32_t>> cuts;
   std::set<std::pair<std::uint32_t, std::uint32_t>> domain_cuts;
   std::map<DocumentKind, Document> published;
