--- a/rig/deployment.cc
+++ b/rig/deployment.cc
@@ -12,11 +12,12 @@
 }  // namespace
 
 Deployment::Deployment(const Scenario& scenario, const AddressPlan& plan,
-                       bool ports, Flood* flood, Scheduler& scheduler,
-                       Judge& judge, Platform& platform, Fabric& fabric)
+                       NaiveBalancers* naive, Flood* flood,
+                       Scheduler& scheduler, Judge& judge, Platform& platform,
+                       Fabric& fabric)
     : scenario(scenario),
       plan(plan),
-      ports(ports),
+      naive(naive),
       flood(flood),
       scheduler(scheduler),
       judge(judge),
@@ -45,7 +46,7 @@
     const common::DomainId number{++id};
     this->document["domains"][domain.name] = {{"id", number.value},
                                               {"region", domain.region}};
-    if (this->ports) {
+    if (this->naive == nullptr) {
       this->platform.Open(number, this->plan.Platform(number.value));
     }
   }
@@ -101,12 +102,13 @@
                                              this->judge, this->fabric);
   const std::uint32_t id = shape.id.value;
   this->judge.TargetAdded(shape.id, shape.service, kWeight);
+  this->TellNaive(upstream->Target(), true);
   if (this->flood != nullptr) {
     this->flood->AddTarget(this->plan.TargetTunnel(id));
   } else {
     this->fabric.AddTarget(upstream->Target(), domain);
   }
-  if (this->ports) {
+  if (this->naive == nullptr) {
     upstream->Listen(this->plan.TargetHealth(id));
   }
   this->document["targets"][name] = {
@@ -134,6 +136,9 @@
   this->Publish();
   if (StandInTarget* const target = this->Find(name); target != nullptr) {
     target->Fail();
+    if (this->naive != nullptr) {
+      this->naive->RemoveTarget(target->Shape().id);
+    }
   }
 }
 
@@ -142,6 +147,7 @@
   if (StandInTarget* const target = this->Find(name); target != nullptr) {
     draining ? this->judge.TargetDrained(target->Shape().id)
              : this->judge.TargetReturned(target->Shape().id);
+    this->TellNaive(*target, !draining);
   }
   this->Publish();
 }
@@ -152,6 +158,12 @@
   this->Publish();
 }
 
+void Deployment::TellNaive(const StandInTarget& target, bool serving) {
+  if (this->naive != nullptr) {
+    this->naive->SetTarget(target.Shape().id, target.Shape().address, serving);
+  }
+}
+
 void Deployment::Publish() {
   const std::uint64_t revision = this->platform.Publish(
       core::DocumentKind::kConfiguration, this->document);
--- a/rig/deployment.h
+++ b/rig/deployment.h
@@ -15,6 +15,7 @@
 #include "rig/fabric.h"
 #include "rig/flood.h"
 #include "rig/judge.h"
+#include "rig/naive_balancers.h"
 #include "rig/platform.h"
 #include "rig/scenario.h"
 #include "rig/scheduler.h"
@@ -29,10 +30,11 @@
   using Listener = std::function<void(std::uint64_t revision)>;
 
   /// All references must outlive it. With a `flood`, its sockets take the
-  /// targets' places. Without `ports`, nothing listens.
-  Deployment(const Scenario& scenario, const AddressPlan& plan, bool ports,
-             Flood* flood, Scheduler& scheduler, Judge& judge,
-             Platform& platform, Fabric& fabric);
+  /// targets' places. With `naive` balancers, nothing listens, and they are
+  /// told of the targets. Either may be null.
+  Deployment(const Scenario& scenario, const AddressPlan& plan,
+             NaiveBalancers* naive, Flood* flood, Scheduler& scheduler,
+             Judge& judge, Platform& platform, Fabric& fabric);
 
   /// Builds the document and all targets, and publishes it.
   void Build(std::uint64_t hash_seed);
@@ -56,11 +58,12 @@
   void Place(const std::string& service);
   void PlaceUpstream(const std::string& name, const TargetShape& shape,
                      common::DomainId domain);
+  void TellNaive(const StandInTarget& target, bool serving);
   void Publish();
 
   const Scenario& scenario;
   AddressPlan plan;
-  bool ports;
+  NaiveBalancers* naive;
   Flood* flood;
   Scheduler& scheduler;
   Judge& judge;
--- a/rig/fabric.cc
+++ b/rig/fabric.cc
@@ -10,21 +10,20 @@
 
 constexpr std::uint32_t kMillion = 1'000'000;
 constexpr std::int64_t kPercent = 100;
-constexpr std::uint64_t kDirectSeed = 1;
 constexpr std::uint64_t kDomainSeed = 2;
 
 }  // namespace
 
 Fabric::Fabric(const ScenarioNetwork& shape, const AddressPlan& plan,
-               bool direct, std::uint64_t seed, Scheduler& scheduler,
+               NaiveBalancers* naive, std::uint64_t seed, Scheduler& scheduler,
                Judge& judge)
     : shape(shape),
       plan(plan),
-      direct(direct),
+      naive(naive),
       random(seed),
       scheduler(scheduler),
       judge(judge) {
-  if (direct) {
+  if (naive != nullptr) {
     return;
   }
   this->source = std::make_unique<UdpSocket>(
@@ -42,7 +41,7 @@
   Port& port = this->ports[id];
   port.target = &target;
   port.domain = domain;
-  if (this->direct) {
+  if (this->naive != nullptr) {
     return;
   }
   port.socket = std::make_unique<UdpSocket>(
@@ -54,6 +53,9 @@
 }
 
 void Fabric::AddInstance(common::InstanceId instance, common::DomainId domain) {
+  if (this->naive != nullptr) {
+    this->naive->Launch(instance);
+  }
   Place& place = this->places[instance];
   place.domain = domain;
   place.tunnel = ToSocketAddress(this->plan.Tunnel(instance.value));
@@ -68,6 +70,12 @@
   }
 }
 
+void Fabric::SetRunning(common::InstanceId instance, bool running) {
+  if (this->naive != nullptr) {
+    this->naive->SetRunning(instance, running);
+  }
+}
+
 void Fabric::Believe(common::InstanceId instance, bool alive) {
   this->places[instance].believed = alive;
   this->believed.clear();
@@ -123,26 +131,8 @@
   if (this->Lost(this->shape.loss_per_million)) {
     return;
   }
-  this->scheduler.After(this->Vary(this->shape.caller_delay), [this, segment] {
-    if (this->direct) {
-      this->SendDirect(segment);
-    } else {
-      this->Spray(segment);
-    }
-  });
-}
-
-void Fabric::SendDirect(const Segment& segment) {
-  std::vector<StandInTarget*> targets;
-  for (const auto& [id, port] : this->ports) {
-    if (port.target->Shape().address == segment.flow.service) {
-      targets.push_back(port.target);
-    }
-  }
-  const auto hash = common::FingerprintOf(segment.flow, kDirectSeed).value;
-  if (!targets.empty()) {
-    targets[hash % targets.size()]->OnSegment(segment);
-  }
+  this->scheduler.After(this->Vary(this->shape.caller_delay),
+                        [this, segment] { this->Spray(segment); });
 }
 
 std::vector<common::InstanceId> Fabric::Candidates(
@@ -175,7 +165,11 @@
     return;
   }
   const auto choice = candidates[this->random() % candidates.size()];
-  this->source->Send(Encode(segment), this->places.at(choice).tunnel);
+  if (this->naive == nullptr) {
+    this->source->Send(Encode(segment), this->places.at(choice).tunnel);
+  } else if (const auto target = this->naive->Choose(choice, segment)) {
+    this->Deliver(choice, *target, segment);
+  }
 }
 
 void Fabric::OnTargetDatagram(common::TargetId target,
@@ -187,19 +181,23 @@
     this->judge.Malformed();
     return;
   }
-  const common::DomainId near = this->places.at(sender->second).domain;
-  Port& port = this->ports.at(target);
-  const bool far = near != port.domain;
+  this->Deliver(sender->second, target, *segment);
+}
+
+void Fabric::Deliver(common::InstanceId from, common::TargetId target,
+                     const Segment& segment) {
+  const common::DomainId near = this->places.at(from).domain;
+  const Port& port = this->ports.at(target);
   if (this->Separated(near, port.domain)) {
     ++this->counts.lost;
     return;
   }
-  if (far && this->Lost(this->shape.domain_loss_per_million)) {
+  if (near != port.domain && this->Lost(this->shape.domain_loss_per_million)) {
     return;
   }
   this->scheduler.After(
       this->Delay(near, port.domain),
-      [to = port.target, segment = *segment] { to->OnSegment(segment); });
+      [to = port.target, segment] { to->OnSegment(segment); });
 }
 
 void Fabric::OnReturnDatagram(std::span<const std::uint8_t> datagram) {
--- a/rig/fabric.h
+++ b/rig/fabric.h
@@ -16,6 +16,7 @@
 #include "rig/addresses.h"
 #include "rig/callers.h"
 #include "rig/judge.h"
+#include "rig/naive_balancers.h"
 #include "rig/scenario.h"
 #include "rig/scheduler.h"
 #include "rig/segment.h"
@@ -37,10 +38,11 @@
 /// The network of one run.
 class Fabric final : public SegmentSink {
  public:
-  /// All references must outlive it. With `direct` no instance takes part: a
-  /// flow's packets go straight to one target of its service.
-  Fabric(const ScenarioNetwork& shape, const AddressPlan& plan, bool direct,
-         std::uint64_t seed, Scheduler& scheduler, Judge& judge);
+  /// All references must outlive it. With `naive` balancers, those choose in
+  /// place of instances and no socket is opened; else it is null.
+  Fabric(const ScenarioNetwork& shape, const AddressPlan& plan,
+         NaiveBalancers* naive, std::uint64_t seed, Scheduler& scheduler,
+         Judge& judge);
 
   /// Where answers go; set before the first segment.
   void Connect(Callers& callers) { this->callers = &callers; }
@@ -50,6 +52,8 @@
   void AddTarget(StandInTarget& target, common::DomainId domain);
   /// Opens an instance's place in the network; it isn't believed in yet.
   void AddInstance(common::InstanceId instance, common::DomainId domain);
+  /// Whether its process runs in truth; only naive balancers need to be told.
+  void SetRunning(common::InstanceId instance, bool running);
   void Believe(common::InstanceId instance, bool alive);
   void Cut(common::DomainId domain);
   void Heal(common::DomainId domain);
@@ -77,7 +81,9 @@
   using Datagram = std::vector<std::uint8_t>;
 
   void Spray(const Segment& segment);
-  void SendDirect(const Segment& segment);
+  /// Carries a segment from an instance to a target.
+  void Deliver(common::InstanceId from, common::TargetId target,
+               const Segment& segment);
   std::vector<common::InstanceId> Candidates(const common::FlowKey& flow) const;
   void OnTargetDatagram(common::TargetId target,
                         std::span<const std::uint8_t> datagram,
@@ -91,7 +97,7 @@
 
   ScenarioNetwork shape;
   AddressPlan plan;
-  bool direct;
+  NaiveBalancers* naive;
   bool confined{false};
   std::mt19937_64 random;
   Scheduler& scheduler;
--- a/rig/instances.cc
+++ b/rig/instances.cc
@@ -94,6 +94,7 @@
   }
   this->places.at(id).state = ProcessState::kEnded;
   this->Say("kill", id);
+  this->fabric.SetRunning(id, false);
   this->PublishAs(id, kUnlisted);
   this->BelieveLater(id, false);
 }
@@ -105,6 +106,7 @@
   }
   this->places.at(id).state = ProcessState::kFrozen;
   this->Say("freeze", id);
+  this->fabric.SetRunning(id, false);
   this->BelieveLater(id, false);
 }
 
@@ -115,6 +117,7 @@
   }
   this->places.at(id).state = ProcessState::kRunning;
   this->Say("thaw", id);
+  this->fabric.SetRunning(id, true);
   this->BelieveLater(id, true);
 }
 
--- a/rig/main.cc
+++ b/rig/main.cc
@@ -49,8 +49,8 @@
       "instead of callers, send packets of this many flows through instance 1\n"
       "as fast as they go",
       cxxopts::value<std::size_t>()->default_value("0"))(
-      "direct", "no instances: packets go straight to targets")("help",
-                                                                "this text");
+      "naive", "no instances: naive balancers inside the rig, for comparison")(
+      "help", "this text");
   return options;
 }
 
@@ -105,7 +105,7 @@
   Run run(*scenario,
           {.seed = given["seed"].as<std::uint64_t>(),
            .folder = folder,
-           .direct = given.count("direct") > 0,
+           .naive = given.count("naive") > 0,
            .flood_flows = given["flood"].as<std::size_t>()},
           std::cout);
   const Report report = run.Execute();
--- a/rig/run.cc
+++ b/rig/run.cc
@@ -39,6 +39,12 @@
   return std::chrono::duration<double>(time).count();
 }
 
+/// Naive balancers have no streams to relay.
+Scenario Fitting(Scenario scenario, const RunOptions& options) {
+  scenario.network.relay = scenario.network.relay && !options.naive;
+  return scenario;
+}
+
 std::unique_ptr<Flood> MakeFlood(const Scenario& scenario,
                                  const RunOptions& options,
                                  const AddressPlan& plan) {
@@ -54,20 +60,23 @@
 
 Run::Run(const Scenario& scenario, const RunOptions& options,
          std::ostream& actions)
-    : scenario(scenario),
+    : scenario(Fitting(scenario, options)),
       options(options),
       plan(scenario.net),
       loop(this->scheduler),
       judge(this->scheduler),
-      fabric(scenario.network, this->plan, options.direct, options.seed,
+      naive(options.naive ? std::make_unique<NaiveBalancers>() : nullptr),
+      fabric(scenario.network, this->plan, this->naive.get(), options.seed,
              this->scheduler, this->judge),
       callers(ShapeOf(scenario), options.seed, this->scheduler, this->judge,
               this->fabric),
-      instances(this->scenario, this->plan, options.folder, actions,
-                this->scheduler, this->platform, this->fabric),
+      instances(this->scenario, this->plan, options.folder,
+                options.naive ? this->nowhere : actions, this->scheduler,
+                this->platform, this->fabric),
       flood(MakeFlood(scenario, options, this->plan)),
-      deployment(this->scenario, this->plan, !options.direct, this->flood.get(),
-                 this->scheduler, this->judge, this->platform, this->fabric),
+      deployment(this->scenario, this->plan, this->naive.get(),
+                 this->flood.get(), this->scheduler, this->judge,
+                 this->platform, this->fabric),
       watch(this->plan, this->instances, this->scheduler),
       timeline({this->deployment, this->instances, this->platform, this->fabric,
                 this->judge}),
@@ -79,13 +88,13 @@
 }
 
 Report Run::Execute() {
-  if (this->options.direct) {
+  this->instances.StartAll();
+  if (this->options.naive) {
     this->StartLoad();
   } else {
     ::fcntl(STDIN_FILENO, F_SETFL, O_NONBLOCK);
     this->lines.set<Run, &Run::OnLine>(this);
     this->lines.start(STDIN_FILENO, ev::READ);
-    this->instances.StartAll();
     this->watch.Start();
     this->WaitUntilReady();
   }
--- a/rig/run.h
+++ b/rig/run.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <filesystem>
+#include <fstream>
 #include <memory>
 #include <ostream>
 #include <string>
@@ -21,6 +22,7 @@
 #include "rig/flood.h"
 #include "rig/instances.h"
 #include "rig/judge.h"
+#include "rig/naive_balancers.h"
 #include "rig/platform.h"
 #include "rig/report.h"
 #include "rig/scenario.h"
@@ -33,8 +35,8 @@
 struct RunOptions {
   std::uint64_t seed{1};
   std::filesystem::path folder;
-  /// No instance takes part; checks the stand-ins themselves.
-  bool direct{false};
+  /// Naive balancers inside the rig in place of instances.
+  bool naive{false};
   /// Instead of callers, a flood over this many flows to the first service by
   /// way of the first instance; 0 for none.
   std::size_t flood_flows{0};
@@ -64,6 +66,8 @@
   EventLoop loop;
   Judge judge;
   Platform platform;
+  std::ofstream nowhere;  ///< Never opened; swallows what is written.
+  std::unique_ptr<NaiveBalancers> naive;
   Fabric fabric;
   Callers callers;
   Instances instances;
