--- a/rig/fleet_watch.cc
+++ b/rig/fleet_watch.cc
@@ -47,7 +47,16 @@
   return oldest;
 }
 
-bool FleetWatch::AllReady() const { return this->OldestRevision() > 0; }
+bool FleetWatch::AllReady() const {
+  const auto answering = this->instances.Answering();
+  return std::all_of(answering.begin(), answering.end(),
+                     [this](common::InstanceId id) {
+                       const auto found = this->latest.find(id);
+                       return found != this->latest.end() &&
+                              found->second.configuration_revision > 0 &&
+                              found->second.instances_revision > 0;
+                     });
+}
 
 void FleetWatch::BeginLoad() {
   this->loading = true;
--- a/rig/fleet_watch.h
+++ b/rig/fleet_watch.h
@@ -28,7 +28,7 @@
 
   /// Reads for as long as the scheduler runs.
   void Start();
-  /// Whether each instance that should answer has a configuration.
+  /// Whether each instance that should answer has both documents.
   bool AllReady() const;
   /// The load begins: changes and costs count from now on.
   void BeginLoad();
--- a/rig/metrics_probe.cc
+++ b/rig/metrics_probe.cc
@@ -22,6 +22,8 @@
     "GET /metrics HTTP/1.0\r\nHost: instance\r\nConnection: close\r\n\r\n";
 constexpr std::string_view kConfigurationRevision =
     "sassafrasdyke_document_revision{document=\"configuration\"} ";
+constexpr std::string_view kInstancesRevision =
+    "sassafrasdyke_document_revision{document=\"instances\"} ";
 constexpr std::string_view kSentBytes =
     "sassafrasdyke_peer_bytes_total{direction=\"sent\"} ";
 constexpr std::string_view kDataCpu =
@@ -46,6 +48,8 @@
     const std::string_view line = text.substr(0, end);
     if (const auto value = ValueOf(line, kConfigurationRevision)) {
       metrics.configuration_revision = static_cast<std::uint64_t>(*value);
+    } else if (const auto list = ValueOf(line, kInstancesRevision)) {
+      metrics.instances_revision = static_cast<std::uint64_t>(*list);
     } else if (const auto bytes = ValueOf(line, kSentBytes)) {
       metrics.control_bytes = *bytes;
     } else if (const auto cpu = ValueOf(line, kDataCpu)) {
--- a/rig/metrics_probe.h
+++ b/rig/metrics_probe.h
@@ -18,6 +18,7 @@
 /// What the rig wants to know of an instance.
 struct InstanceMetrics {
   std::uint64_t configuration_revision{0};
+  std::uint64_t instances_revision{0};
   /// Sent on the peers' streams since its start.
   double control_bytes{0};
   /// Processor time of the data path since its start.
--- a/rig/run.cc
+++ b/rig/run.cc
@@ -13,7 +13,9 @@
 constexpr std::chrono::milliseconds kCheckEvery{100};
 /// Instances must have both documents after this time.
 constexpr std::chrono::seconds kReadyWithin{10};
-constexpr std::chrono::seconds kAllBelieved{1};
+/// Then they find each other: streams that were refused while the other side
+/// had no instance list are tried again after a back-off.
+constexpr std::chrono::seconds kAllBelieved{3};
 /// Open requests may end within this time after the load.
 constexpr std::chrono::seconds kSettle{8};
 constexpr std::size_t kLineBytes = 512;
