Write endpoints for system calls in one place

Cause: four files (the tunnel socket, the peers' sockets, the metrics server and the rig's sockets) each turned endpoints into socket addresses by code of their own; a fix in one would have missed the others.

--- a/rig/control_relay.cc
+++ b/rig/control_relay.cc
@@ -21,7 +21,7 @@
 
 /// A TCP socket bound to `from`.
 int BoundSocket(const common::Endpoint& from) {
-  const SocketAddress address = ToSocketAddress(from);
+  const common::SocketAddress address = common::ToSocketAddress(from);
   const int descriptor =
       ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const int on = 1;
@@ -170,7 +170,7 @@
     return;
   }
   // Instances speak from their own address, which tells them apart.
-  const common::Endpoint from = FromSocketAddress(source);
+  const common::Endpoint from = common::FromSocketAddress(source);
   const auto opener = std::find_if(
       this->doors.begin(), this->doors.end(), [&](const auto& entry) {
         return this->plan.Control(entry.first.value).address == from.address;
@@ -182,8 +182,8 @@
   common::Endpoint speak = this->plan.RelayedControl(opener->first.value);
   speak.port = 0;
   const int onward = BoundSocket(speak);
-  const SocketAddress to =
-      ToSocketAddress(this->plan.Control(door.instance.value));
+  const common::SocketAddress to =
+      common::ToSocketAddress(this->plan.Control(door.instance.value));
   // A refusal shows when the socket turns readable.
   static_cast<void>(::connect(onward, to.Get(), to.length));
   this->streams.remove_if(
--- a/rig/fabric.cc
+++ b/rig/fabric.cc
@@ -58,7 +58,7 @@
   }
   Place& place = this->places[instance];
   place.domain = domain;
-  place.tunnel = ToSocketAddress(this->plan.Tunnel(instance.value));
+  place.tunnel = common::ToSocketAddress(this->plan.Tunnel(instance.value));
   this->by_tunnel.emplace(this->plan.Tunnel(instance.value), instance);
   if (this->shape.relay && !place.relay) {
     place.relay = std::make_unique<UdpSocket>(
--- a/rig/fabric.h
+++ b/rig/fabric.h
@@ -75,7 +75,7 @@
   struct Place {
     common::DomainId domain;
     bool believed{false};
-    SocketAddress tunnel;
+    common::SocketAddress tunnel;
     std::unique_ptr<UdpSocket> relay;
   };
   using Datagram = std::vector<std::uint8_t>;
--- a/rig/flood.cc
+++ b/rig/flood.cc
@@ -80,7 +80,7 @@
 }
 
 void Flood::Start(const common::Endpoint& instance) {
-  this->instance = ToSocketAddress(instance);
+  this->instance = common::ToSocketAddress(instance);
   this->idle.set<Flood, &Flood::OnIdle>(this);
   this->idle.start();
 }
--- a/rig/flood.h
+++ b/rig/flood.h
@@ -45,7 +45,7 @@
   void SendBatch(std::vector<Datagram>& from);
 
   UdpSocket source;
-  SocketAddress instance;
+  common::SocketAddress instance;
   std::list<UdpSocket> targets;
   std::vector<Datagram> opening;
   std::vector<Datagram> data;
--- a/rig/http_server.cc
+++ b/rig/http_server.cc
@@ -37,7 +37,7 @@
 
 HttpServer::HttpServer(const common::Endpoint& listen, HttpHandler& handler)
     : handler(handler) {
-  const SocketAddress address = ToSocketAddress(listen);
+  const common::SocketAddress address = common::ToSocketAddress(listen);
   this->daemon = MHD_start_daemon(
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, listen.port, nullptr, nullptr,
       &HttpServer::OnAccess, this, MHD_OPTION_SOCK_ADDR, &address.storage,
--- a/rig/metrics_probe.cc
+++ b/rig/metrics_probe.cc
@@ -71,7 +71,7 @@
     : descriptor(
           ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)),
       reader(std::move(reader)) {
-  const SocketAddress address = ToSocketAddress(port);
+  const common::SocketAddress address = common::ToSocketAddress(port);
   // A refusal shows when the socket turns writable.
   static_cast<void>(::connect(this->descriptor, address.Get(), address.length));
   this->io.set<Query, &Query::OnReady>(this);
--- a/rig/socket.h
+++ b/rig/socket.h
@@ -1,4 +1,4 @@
-/// UDP sockets on libev, and addresses in the socket calls' form.
+/// UDP sockets on libev.
 #pragma once
 
 #include <ev++.h>
@@ -10,22 +10,10 @@
 #include <span>
 
 #include "common/address.h"
+#include "common/socket_address.h"
 
 namespace sassafrasdyke::rig {
 
-/// An address as the socket calls take it.
-struct SocketAddress {
-  sockaddr_storage storage{};
-  socklen_t length{0};
-
-  const sockaddr* Get() const {
-    return reinterpret_cast<const sockaddr*>(&this->storage);
-  }
-};
-
-SocketAddress ToSocketAddress(const common::Endpoint& endpoint);
-common::Endpoint FromSocketAddress(const sockaddr_storage& storage);
-
 /// One bound UDP socket that hands on what it receives.
 class UdpSocket {
  public:
@@ -39,10 +27,11 @@
   UdpSocket& operator=(const UdpSocket&) = delete;
 
   /// Sends, or counts what the kernel refuses.
-  void Send(std::span<const std::uint8_t> datagram, const SocketAddress& to);
+  void Send(std::span<const std::uint8_t> datagram,
+            const common::SocketAddress& to);
   /// Sends many at once; returns how many the kernel took.
   std::size_t SendAll(std::span<const std::span<const std::uint8_t>> datagrams,
-                      const SocketAddress& to);
+                      const common::SocketAddress& to);
   std::uint64_t Refused() const { return this->refused; }
 
  private:
--- a/source/datapath/tunnel_socket.cc
+++ b/source/datapath/tunnel_socket.cc
@@ -10,7 +10,7 @@
 #include <cstring>
 #include <utility>
 
-#include "datapath/socket_address.h"
+#include "common/socket_address.h"
 
 namespace sassafrasdyke::datapath {
 namespace {
@@ -57,7 +57,7 @@
 
 tl::expected<std::unique_ptr<TunnelSocket>, SocketError> TunnelSocket::Open(
     const common::Endpoint& listen) {
-  const int family = FamilyOf(listen);
+  const int family = common::FamilyOf(listen);
   const int descriptor =
       socket(family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (descriptor < 0) {
@@ -74,9 +74,9 @@
   if (!options) {
     return tl::unexpected(ErrorOf("setsockopt"));
   }
-  const std::optional<SocketAddress> address = ToSocketAddress(listen, family);
-  if (bind(descriptor, reinterpret_cast<const sockaddr*>(&address->storage),
-           address->length) != 0) {
+  const std::optional<common::SocketAddress> address =
+      common::ToSocketAddress(listen, family);
+  if (bind(descriptor, address->Get(), address->length) != 0) {
     return tl::unexpected(ErrorOf("bind"));
   }
   return made;
@@ -93,7 +93,7 @@
   sockaddr_storage storage{};
   socklen_t length = sizeof(storage);
   getsockname(this->descriptor, reinterpret_cast<sockaddr*>(&storage), &length);
-  return FromSocketAddress(storage);
+  return common::FromSocketAddress(storage);
 }
 
 std::span<const IncomingDatagram> TunnelSocket::Receive() {
@@ -131,7 +131,7 @@
   const std::uint32_t lost = OverflowOf(header, this->overflow_seen);
   this->counters.overflowed += lost - this->overflow_seen;
   this->overflow_seen = lost;
-  return {.from = FromSocketAddress(read.from),
+  return {.from = common::FromSocketAddress(read.from),
           .bytes = ByteView(read.bytes).first(length),
           .oversize = (header.msg_flags & MSG_TRUNC) != 0};
 }
@@ -147,14 +147,14 @@
 std::size_t TunnelSocket::SendBatch(
     std::span<const OutgoingDatagram> datagrams) {
   std::array<mmsghdr, kBatch> messages{};
-  std::array<SocketAddress, kBatch> addresses{};
+  std::array<common::SocketAddress, kBatch> addresses{};
   std::array<std::array<iovec, 2>, kBatch> parts{};
   for (std::size_t i = 0; i < datagrams.size(); ++i) {
     const OutgoingDatagram& datagram = datagrams[i];
     // An unreachable family leaves an empty address, which the kernel refuses
     // and `CountFailure` counts.
-    addresses[i] =
-        ToSocketAddress(datagram.to, this->family).value_or(SocketAddress{});
+    addresses[i] = common::ToSocketAddress(datagram.to, this->family)
+                       .value_or(common::SocketAddress{});
     parts[i] = {PartOf(datagram.header.View()), PartOf(datagram.inner)};
     msghdr& header = messages[i].msg_hdr;
     header.msg_name = &addresses[i].storage;
--- a/source/observe/http_server.cc
+++ b/source/observe/http_server.cc
@@ -1,13 +1,12 @@
 #include "observe/http_server.h"
 
-#include <arpa/inet.h>
 #include <microhttpd.h>
-#include <netinet/in.h>
 
-#include <algorithm>
 #include <cerrno>
 #include <cstring>
 
+#include "common/socket_address.h"
+
 namespace sassafrasdyke::observe {
 namespace {
 
@@ -52,36 +51,17 @@
                handler->Answer({path, ArgumentOf(connection, "flow")}));
 }
 
-/// The address to bind, in the form of its family.
-sockaddr_storage AddressOf(const common::Endpoint& endpoint) {
-  sockaddr_storage storage{};
-  if (endpoint.address.IsV4()) {
-    sockaddr_in v4{};
-    v4.sin_family = AF_INET;
-    v4.sin_addr.s_addr = htonl(endpoint.address.V4());
-    v4.sin_port = htons(endpoint.port);
-    std::memcpy(&storage, &v4, sizeof(v4));
-    return storage;
-  }
-  sockaddr_in6 v6{};
-  v6.sin6_family = AF_INET6;
-  std::ranges::copy(endpoint.address.Raw(), v6.sin6_addr.s6_addr);
-  v6.sin6_port = htons(endpoint.port);
-  std::memcpy(&storage, &v6, sizeof(v6));
-  return storage;
-}
-
 }  // namespace
 
 tl::expected<std::unique_ptr<HttpServer>, std::string> HttpServer::Open(
     const common::Endpoint& listen, HttpHandler& handler) {
-  const sockaddr_storage address = AddressOf(listen);
+  const common::SocketAddress address = common::ToSocketAddress(listen);
   const unsigned family = listen.address.IsV4() ? 0U : unsigned{MHD_USE_IPv6};
   MHD_Daemon* const daemon = MHD_start_daemon(
       MHD_USE_INTERNAL_POLLING_THREAD | family, 0, nullptr, nullptr, &OnRequest,
-      &handler, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_CONNECTION_LIMIT,
-      kMaxConnections, MHD_OPTION_CONNECTION_TIMEOUT, kIdleSeconds,
-      MHD_OPTION_END);
+      &handler, MHD_OPTION_SOCK_ADDR, address.Get(),
+      MHD_OPTION_CONNECTION_LIMIT, kMaxConnections,
+      MHD_OPTION_CONNECTION_TIMEOUT, kIdleSeconds, MHD_OPTION_END);
   if (daemon == nullptr) {
     return tl::unexpected("the metrics port " + listen.ToString() +
                           " can't be opened: " + std::strerror(errno));
--- a/source/peer/socket.cc
+++ b/source/peer/socket.cc
@@ -1,6 +1,5 @@
 #include "peer/socket.h"
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -10,62 +9,18 @@
 #include <cerrno>
 #include <cstring>
 
+#include "common/socket_address.h"
+
 namespace sassafrasdyke::peer {
 namespace {
 
-/// An endpoint as the system's calls take it.
-struct SystemAddress {
-  sockaddr_storage storage{};
-  socklen_t size{0};
-
-  const sockaddr* Get() const {
-    return reinterpret_cast<const sockaddr*>(&this->storage);
-  }
-};
-
-SystemAddress ToSystem(const common::Endpoint& endpoint) {
-  SystemAddress address;
-  if (endpoint.address.IsV4()) {
-    sockaddr_in v4{};
-    v4.sin_family = AF_INET;
-    v4.sin_port = htons(endpoint.port);
-    v4.sin_addr.s_addr = htonl(endpoint.address.V4());
-    std::memcpy(&address.storage, &v4, sizeof(v4));
-    address.size = sizeof(v4);
-    return address;
-  }
-  sockaddr_in6 v6{};
-  v6.sin6_family = AF_INET6;
-  v6.sin6_port = htons(endpoint.port);
-  const common::IpAddress::Bytes& bytes = endpoint.address.Raw();
-  std::copy(bytes.begin(), bytes.end(), v6.sin6_addr.s6_addr);
-  std::memcpy(&address.storage, &v6, sizeof(v6));
-  address.size = sizeof(v6);
-  return address;
-}
-
-common::Endpoint FromSystem(const sockaddr_storage& storage) {
-  if (storage.ss_family == AF_INET) {
-    sockaddr_in v4{};
-    std::memcpy(&v4, &storage, sizeof(v4));
-    return {common::IpAddress::FromV4(ntohl(v4.sin_addr.s_addr)),
-            ntohs(v4.sin_port)};
-  }
-  sockaddr_in6 v6{};
-  std::memcpy(&v6, &storage, sizeof(v6));
-  common::IpAddress::Bytes bytes{};
-  std::copy(std::begin(v6.sin6_addr.s6_addr), std::end(v6.sin6_addr.s6_addr),
-            bytes.begin());
-  return {common::IpAddress(bytes), ntohs(v6.sin6_port)};
-}
-
 void SetOption(const Socket& socket, int level, int option) {
   const int on = 1;
   setsockopt(socket.Descriptor(), level, option, &on, sizeof(on));
 }
 
 std::optional<Socket> Open(const common::Endpoint& endpoint) {
-  const int family = endpoint.address.IsV4() ? AF_INET : AF_INET6;
+  const int family = common::FamilyOf(endpoint);
   const int descriptor =
       socket(family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (descriptor < 0) {
@@ -75,8 +30,8 @@
 }
 
 bool Bind(const Socket& socket, const common::Endpoint& endpoint) {
-  const SystemAddress address = ToSystem(endpoint);
-  return bind(socket.Descriptor(), address.Get(), address.size) == 0;
+  const common::SocketAddress address = common::ToSocketAddress(endpoint);
+  return bind(socket.Descriptor(), address.Get(), address.length) == 0;
 }
 
 }  // namespace
@@ -120,8 +75,8 @@
     return std::nullopt;
   }
   SetOption(*opened, IPPROTO_TCP, TCP_NODELAY);
-  const SystemAddress address = ToSystem(to);
-  if (connect(opened->Descriptor(), address.Get(), address.size) != 0 &&
+  const common::SocketAddress address = common::ToSocketAddress(to);
+  if (connect(opened->Descriptor(), address.Get(), address.length) != 0 &&
       errno != EINPROGRESS) {
     return std::nullopt;
   }
@@ -137,7 +92,8 @@
   if (descriptor < 0) {
     return std::nullopt;
   }
-  AcceptedSocket accepted{Socket(descriptor), FromSystem(storage).address};
+  AcceptedSocket accepted{Socket(descriptor),
+                          common::FromSocketAddress(storage).address};
   SetOption(accepted.socket, IPPROTO_TCP, TCP_NODELAY);
   return accepted;
 }
@@ -147,7 +103,7 @@
   socklen_t size = sizeof(storage);
   getsockname(socket.Descriptor(), reinterpret_cast<sockaddr*>(&storage),
               &size);
-  return FromSystem(storage);
+  return common::FromSocketAddress(storage);
 }
 
 }  // namespace sassafrasdyke::peer
