Spread defaults and subsets more evenly over the targets

Cause: the comparison showed the core's balance no better than plain hashing's; some targets were the default of 6 partitions of 64 and others of 3. Change: no target is first, or in a subset, more often than its fair share rounded up.

--- a/source/core/exchange/exchange.cc
+++ b/source/core/exchange/exchange.cc
@@ -145,9 +145,17 @@
   const std::optional<CopyDestination> destination = this->DestinationOf(owner);
   const common::Incarnation incarnation =
       destination ? destination->incarnation : common::Incarnation{};
-  const bool replaced = owner == state.seen_owner &&
-                        incarnation != state.seen_incarnation &&
-                        state.seen_incarnation.value != 0;
+  // A new owner that has just joined asks the standby, which may never have
+  // decided anything: it says so, or returns what others have copied here.
+  const bool asks_standby =
+      owner != state.seen_owner &&
+      this->world.Owners().At(partition).standby == this->self;
+  // A new life of the owner at the same address knows nothing of what its
+  // earlier life copied here.
+  const bool reborn = owner == state.seen_owner &&
+                      incarnation != state.seen_incarnation &&
+                      state.seen_incarnation.value != 0 && destination &&
+                      this->HoldsForeignWord(partition, *destination);
   if (state.previous == owner) {
     state.previous = {};  // It decides now; there is nothing to wait for.
   }
@@ -168,14 +176,7 @@
     // one's, who may not have heard of them.
     this->sender.Stop(PartitionKey(this->world.Directory().KeyOf(partition)));
     this->StartHandOver(partition);
-  } else if (owner != state.seen_owner &&
-             this->world.Owners().At(partition).standby == this->self) {
-    // A new owner that has just joined asks the standby, which may never have
-    // decided anything: it says so, or returns what others have copied here.
-    this->StartHandOver(partition);
-  } else if (replaced && this->HoldsForeignWord(partition, *destination)) {
-    // A new life of the owner at the same address knows nothing of what its
-    // earlier life copied here.
+  } else if (asks_standby || reborn) {
     this->StartHandOver(partition);
   }
   state.seen_owner = owner;
--- a/source/core/placement/subset_map.cc
+++ b/source/core/placement/subset_map.cc
@@ -1,6 +1,7 @@
 #include "core/placement/subset_map.h"
 
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <utility>
 
@@ -16,8 +17,6 @@
 constexpr std::uint32_t kMostSubset = 16;
 /// Subsets in which each target should at least appear.
 constexpr std::size_t kCoverage = 4;
-/// A target may appear this much more often than its fair share.
-constexpr double kCoverageSlack = 1.25;
 
 struct Candidate {
   TargetSlot slot;
@@ -102,7 +101,7 @@
   const auto first = std::find_if(
       ranked.begin(), ranked.end(), [&coverage](const Scored& scored) {
         const Coverage& used = coverage[scored.candidate->slot];
-        return used.firsts + 1.0 <= used.fair_firsts * kCoverageSlack + 1.0;
+        return used.firsts + 1.0 <= std::ceil(used.fair_firsts);
       });
   if (first != ranked.end()) {
     std::rotate(ranked.begin(), first, first + 1);
@@ -111,7 +110,7 @@
     std::stable_partition(
         ranked.begin() + 1, ranked.end(), [&coverage](const Scored& scored) {
           const Coverage& used = coverage[scored.candidate->slot];
-          return used.total + 1.0 <= used.fair_total * kCoverageSlack + 1.0;
+          return used.total + 1.0 <= std::ceil(used.fair_total);
         });
   }
   for (std::size_t i = 0; i < std::min(size, ranked.size()); ++i) {
