Drop packets that waited through a pause, and explain more

Cause: an instance that stood still for 10 s found the packets of that time in its receive queue. It redirected them to the new owner, where their flows had ended: the old SYN opened the flow again and the request behind it ran twice.

Change: the kernel stamps each datagram; what waited for more than a second is counted as late and dropped, as is a batch that a pause was noticed in. Members, unreachable domains and budgets are in /explain, and who else knows a flow. Lines on cut streams are limited, so that strangers can't crowd out those on flows.

Conclusion: the packets' age has to be known, not only the process's pause.

--- a/source/app/control_task.cc
+++ b/source/app/control_task.cc
@@ -14,6 +14,8 @@
 
 /// Messages of the data task that wait here.
 constexpr std::size_t kMailCapacity = 4096;
+/// Lines on cut streams from one publication to the next.
+constexpr int kMostCutsNoted = 10;
 /// Ticks from one publication of metrics to the next.
 constexpr int kTicksAPublication = 10;
 
@@ -191,6 +193,12 @@
 void ControlTask::OnPeerCut(common::InstanceId peer,
                             const common::IpAddress& from,
                             peer::CutReason reason) {
+  // Anyone who can reach the port makes such lines. Unbounded, they would fill
+  // the log's queue, and the lines on flows would be lost; the metric counts
+  // all of them.
+  if (++this->cuts_noted > kMostCutsNoted) {
+    return;
+  }
   this->Note({.channel = observe::LogChannel::kPeer,
               .level = config::LogLevel::kWarn,
               .event = "cut",
@@ -216,6 +224,7 @@
 void ControlTask::Apply(const DataReport& newest) { this->report = newest; }
 
 void ControlTask::Publish() {
+  this->cuts_noted = 0;
   observe::Metrics& metrics = this->parts.metrics;
   observe::ControlState state = this->driver.State();
   PublishData(metrics, this->report);
--- a/source/app/control_task.h
+++ b/source/app/control_task.h
@@ -107,6 +107,7 @@
   LeaveWatch leave;
   DataReport report;
   int ticks{0};
+  int cuts_noted{0};
 };
 
 }  // namespace sassafrasdyke::app
--- a/source/app/data_task.cc
+++ b/source/app/data_task.cc
@@ -57,7 +57,9 @@
     const std::chrono::milliseconds now = this->parts.clock.Now();
     this->CheckPause(now);
     if (this->holding) {
-      this->held = batch;
+      // Taken before the pause or after it, nobody can tell any more; a
+      // caller's TCP sends again what is lost here.
+      this->handler.DropLate(batch.size());
       return;
     }
     this->HandleBatch(batch, now);
@@ -129,7 +131,7 @@
   const std::chrono::milliseconds now = this->parts.clock.Now();
   this->pause.OnWake(now);
   this->parts.balancer->OnTick(now, this->outbox);
-  this->HandleBatch(std::exchange(this->held, {}), now);
+  this->Flush();
   this->readable.start();
 }
 
--- a/source/app/data_task.h
+++ b/source/app/data_task.h
@@ -61,7 +61,7 @@
   void Apply(const PauseChecked& checked);
   void Apply(const StopTask& stop);
 
-  /// Notices a pause; from then on packets are held.
+  /// Notices a pause; from then on packets wait in the kernel's queue.
   void CheckPause(std::chrono::milliseconds now);
   void HandleBatch(std::span<const datapath::IncomingDatagram> batch,
                    std::chrono::milliseconds now);
@@ -80,8 +80,6 @@
   PauseDetector pause{kLongestGap};
   /// Packets are held: the belief may be from before a pause.
   bool holding{false};
-  /// Received but not decided while holding; views into the socket.
-  std::span<const datapath::IncomingDatagram> held;
   std::uint64_t pauses{0};
   std::chrono::milliseconds last_packet{0};
   std::thread thread;
--- a/source/datapath/packet_fault.cc
+++ b/source/datapath/packet_fault.cc
@@ -22,6 +22,8 @@
       return "looping";
     case PacketFault::kUntrustedHop:
       return "untrusted-hop";
+    case PacketFault::kLate:
+      return "late";
   }
   return "unknown";
 }
--- a/source/datapath/packet_fault.h
+++ b/source/datapath/packet_fault.h
@@ -18,11 +18,12 @@
   kNotTcp,        ///< Another transport protocol.
   kLooping,       ///< Came back from an instance as if from the fabric.
   kUntrustedHop,  ///< Claims an instance's origin from another address.
+  kLate,          ///< Waited too long in the kernel's queue.
 };
 
 /// The number of faults, for arrays of counters.
 inline constexpr std::size_t kPacketFaults =
-    static_cast<std::size_t>(PacketFault::kUntrustedHop) + 1;
+    static_cast<std::size_t>(PacketFault::kLate) + 1;
 
 /// The metric label's word for a fault; stable, documented in OPERATING.md.
 std::string_view Word(PacketFault fault);
--- a/source/datapath/packet_handler.cc
+++ b/source/datapath/packet_handler.cc
@@ -46,8 +46,20 @@
   return this->outgoing;
 }
 
+void PacketHandler::DropLate(std::size_t datagrams) {
+  this->counters.faults[static_cast<std::size_t>(PacketFault::kLate)] +=
+      datagrams;
+}
+
 tl::expected<PacketHandler::Segment, PacketFault> PacketHandler::Read(
     const IncomingDatagram& datagram) const {
+  // A process that stood still for seconds finds the packets of that time in
+  // its queue. Their flows went on over another owner and may have ended there:
+  // the old SYN would open the flow again, and the request behind it would run
+  // a second time. The caller's TCP has long sent what is still needed again.
+  if (datagram.waited > kLongestWait) {
+    return tl::unexpected(PacketFault::kLate);
+  }
   if (datagram.oversize) {
     return tl::unexpected(PacketFault::kOversize);
   }
--- a/source/datapath/packet_handler.h
+++ b/source/datapath/packet_handler.h
@@ -34,6 +34,10 @@
   std::array<std::uint64_t, kDropReasons> drops{};
 };
 
+/// Longest wait in the kernel's queue after which a datagram is still handled:
+/// the first retransmission of a caller's TCP comes about then.
+inline constexpr std::chrono::milliseconds kLongestWait{1000};
+
 /// The data path between the socket and the balancer. Holds no socket.
 class PacketHandler {
  public:
@@ -51,6 +55,9 @@
       std::span<const IncomingDatagram> batch, std::chrono::milliseconds now,
       core::Outbox& outbox);
 
+  /// Counts datagrams that are dropped unread because a pause lies behind them.
+  void DropLate(std::size_t datagrams);
+
   const PacketCounters& Counters() const { return this->counters; }
   /// When the fabric last handed over a packet; 0 when never.
   std::chrono::milliseconds LastFromFabric() const {
--- a/source/datapath/tunnel_socket.cc
+++ b/source/datapath/tunnel_socket.cc
@@ -34,19 +34,37 @@
          error == ENETUNREACH || error == EHOSTDOWN || error == EPROTO;
 }
 
-/// The count of datagrams that the kernel's full queue lost, if it is told.
-std::uint32_t OverflowOf(msghdr& header, std::uint32_t otherwise) {
+/// The ancillary value of that type, or `otherwise` when the kernel sent none.
+template <typename Value>
+Value AncillaryOf(msghdr& header, int type, Value otherwise) {
   for (cmsghdr* part = CMSG_FIRSTHDR(&header); part != nullptr;
        part = CMSG_NXTHDR(&header, part)) {
-    if (part->cmsg_level == SOL_SOCKET && part->cmsg_type == SO_RXQ_OVFL) {
-      std::uint32_t lost = 0;
-      std::memcpy(&lost, CMSG_DATA(part), sizeof(lost));
-      return lost;
+    if (part->cmsg_level == SOL_SOCKET && part->cmsg_type == type) {
+      std::memcpy(&otherwise, CMSG_DATA(part), sizeof(otherwise));
     }
   }
   return otherwise;
 }
 
+/// The system's clock, which the kernel stamps datagrams with.
+std::chrono::nanoseconds SystemTime() {
+  return std::chrono::system_clock::now().time_since_epoch();
+}
+
+/// How long ago the kernel took the datagram; 0 when the clock was set back.
+std::chrono::milliseconds WaitOf(msghdr& header, std::chrono::nanoseconds now) {
+  const timespec unknown{.tv_sec = -1, .tv_nsec = 0};
+  const timespec taken = AncillaryOf(header, SCM_TIMESTAMPNS, unknown);
+  if (taken.tv_sec < 0) {
+    return std::chrono::milliseconds{0};
+  }
+  const std::chrono::nanoseconds at = std::chrono::seconds(taken.tv_sec) +
+                                      std::chrono::nanoseconds(taken.tv_nsec);
+  return std::max(
+      std::chrono::milliseconds{0},
+      std::chrono::duration_cast<std::chrono::milliseconds>(now - at));
+}
+
 iovec PartOf(ByteView bytes) {
   // The kernel only reads what it sends, but the structure has no const.
   return {.iov_base = const_cast<std::uint8_t*>(bytes.data()),
@@ -69,6 +87,7 @@
   const bool options =
       SetOption(descriptor, SOL_SOCKET, SO_RCVBUF, kReceiveQueueBytes) &&
       SetOption(descriptor, SOL_SOCKET, SO_RXQ_OVFL, 1) &&
+      SetOption(descriptor, SOL_SOCKET, SO_TIMESTAMPNS, 1) &&
       SetOption(descriptor, v6 ? IPPROTO_IPV6 : IPPROTO_IP,
                 v6 ? IPV6_RECVERR : IP_RECVERR, 1);
   if (!options) {
@@ -118,22 +137,26 @@
     this->DrainErrors();
     return this->incoming;
   }
+  const std::chrono::nanoseconds now = SystemTime();
   for (std::size_t i = 0; i < static_cast<std::size_t>(count); ++i) {
-    this->incoming.push_back(this->ReadSlot(i, this->headers[i].msg_len));
+    this->incoming.push_back(this->ReadSlot(i, this->headers[i].msg_len, now));
   }
   this->counters.received += this->incoming.size();
   return this->incoming;
 }
 
-IncomingDatagram TunnelSocket::ReadSlot(std::size_t slot, std::size_t length) {
+IncomingDatagram TunnelSocket::ReadSlot(std::size_t slot, std::size_t length,
+                                        std::chrono::nanoseconds now) {
   const Slot& read = this->slots[slot];
   msghdr& header = this->headers[slot].msg_hdr;
-  const std::uint32_t lost = OverflowOf(header, this->overflow_seen);
+  const std::uint32_t lost =
+      AncillaryOf(header, SO_RXQ_OVFL, this->overflow_seen);
   this->counters.overflowed += lost - this->overflow_seen;
   this->overflow_seen = lost;
   return {.from = FromSocketAddress(read.from),
           .bytes = ByteView(read.bytes).first(length),
-          .oversize = (header.msg_flags & MSG_TRUNC) != 0};
+          .oversize = (header.msg_flags & MSG_TRUNC) != 0,
+          .waited = WaitOf(header, now)};
 }
 
 void TunnelSocket::Send(std::span<const OutgoingDatagram> datagrams) {
--- a/source/datapath/tunnel_socket.h
+++ b/source/datapath/tunnel_socket.h
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -31,6 +32,8 @@
   common::Endpoint from;
   ByteView bytes;
   bool oversize{false};  ///< `bytes` is only its start.
+  /// How long it lay in the kernel's queue.
+  std::chrono::milliseconds waited{0};
 };
 
 /// One datagram to send: a header and the inner packet, neither copied.
@@ -88,7 +91,9 @@
   /// Counts a failed send; returns how many datagrams of `waiting` are lost.
   std::size_t CountFailure(int error, std::size_t waiting);
   void DrainErrors();
-  IncomingDatagram ReadSlot(std::size_t slot, std::size_t length);
+  /// Reads a received datagram; `now` is the time of the system's clock.
+  IncomingDatagram ReadSlot(std::size_t slot, std::size_t length,
+                            std::chrono::nanoseconds now);
 
   /// What one received datagram needs.
   struct Slot {
--- a/source/observe/explain_json.cc
+++ b/source/observe/explain_json.cc
@@ -43,18 +43,36 @@
   return refusals;
 }
 
-Json MembersOf(const core::FleetView& view) {
+Json IdsOf(const std::vector<common::InstanceId>& instances) {
+  Json ids = Json::array();
+  for (const common::InstanceId instance : instances) {
+    ids.push_back(instance.value);
+  }
+  return ids;
+}
+
+Json MembersOf(const core::FleetStatus& status) {
   Json members = Json::array();
-  for (const core::InstanceView& instance : view.instances) {
-    members.push_back({{"instance", instance.id.value},
-                       {"domain", instance.domain.value},
-                       {"incarnation", instance.incarnation.value},
-                       {"tunnel", instance.tunnel.ToString()},
-                       {"use", Word(instance.use)}});
+  for (const core::MemberStatus& member : status.members) {
+    members.push_back({{"instance", member.id.value},
+                       {"domain", member.domain.value},
+                       {"incarnation", member.incarnation.value},
+                       {"use", Word(member.use)},
+                       {"suspected_by", IdsOf(member.suspected_by)},
+                       {"configuration", member.configuration.value},
+                       {"instances", member.instances.value}});
   }
   return members;
 }
 
+Json UnreachableOf(const core::FleetStatus& status) {
+  Json domains = Json::array();
+  for (const common::DomainId domain : status.unreachable) {
+    domains.push_back(domain.value);
+  }
+  return domains;
+}
+
 core::TargetHealth HealthOf(const ControlState& state, common::TargetId id) {
   const auto found =
       std::ranges::find(state.health, id, &core::TargetHealthChange::target);
@@ -88,11 +106,37 @@
   return exceptions;
 }
 
+std::string_view WordOf(core::MessageBudget budget) {
+  switch (budget) {
+    case core::MessageBudget::kHeartbeats:
+      return "heartbeats";
+    case core::MessageBudget::kMembers:
+      return "members";
+    case core::MessageBudget::kDeltas:
+      return "deltas";
+    case core::MessageBudget::kRequests:
+      return "requests";
+    case core::MessageBudget::kHealth:
+      return "health";
+    case core::MessageBudget::kCopies:
+      return "documents";
+  }
+  return "unknown";
+}
+
 Json BudgetsOf(const ControlState& state) {
   const core::FleetPolicy& policy = state.configuration->policy;
-  return {{"copy_bytes_per_second", policy.copy_bytes_per_second},
-          {"control_bytes_per_second", policy.control_bytes_per_second},
-          {"messages_limited", state.status.messages_limited}};
+  Json budgets = {
+      {"copy_bytes_per_second", policy.copy_bytes_per_second},
+      {"control_bytes_per_second", policy.control_bytes_per_second}};
+  for (const core::BudgetStatus& used : state.status.budgets) {
+    budgets[std::string(WordOf(used.budget))] = {{"messages", used.messages},
+                                                 {"bytes", used.bytes},
+                                                 {"limited", used.limited},
+                                                 {"dropped", used.dropped},
+                                                 {"waiting", used.waiting}};
+  }
+  return budgets;
 }
 
 Json FlowsOf(const core::BalancerStatus& status) {
@@ -123,7 +167,8 @@
                {"platform_reader", control.status.reader},
                {"owned_partitions", state.data->status.owned_partitions},
                {"flows", FlowsOf(state.data->status)},
-               {"members", MembersOf(control.view)},
+               {"unreachable_domains", UnreachableOf(control.status)},
+               {"members", MembersOf(control.status)},
                {"refusals", RefusalsOf(control)}};
   if (control.configuration != nullptr) {
     json["budgets"] = BudgetsOf(control);
--- a/source/observe/flow_explanation.cc
+++ b/source/observe/flow_explanation.cc
@@ -50,6 +50,18 @@
   return "";
 }
 
+/// Who remembers the flow besides the packets themselves.
+Json KnownBy(const FlowExplanation& explanation) {
+  const auto age = explanation.service.policy.copy_after;
+  return {{{"instance", explanation.owners.owner.value},
+           {"what", "the record of the flow"}},
+          {{"instance", explanation.owners.standby.value},
+           {"what",
+            "a copy, if the flow is away from its partition's fallback "
+            "and older than " +
+                std::to_string(age.count()) + " ms"}}};
+}
+
 Json TargetJson(const RankedTarget& ranked) {
   return {{"target", ranked.target.id.value},
           {"domain", ranked.target.domain.value},
@@ -159,6 +171,7 @@
       {"owner_why", WhyOwner(explanation)},
       {"standby", explanation.owners.standby.value},
       {"standby_why", "second in that order: inherits when the owner goes"},
+      {"known_by", KnownBy(explanation)},
       {"lease", Word(view.lease)},
       {"targets", std::move(targets)},
       {"exceptions", ExceptionsFor(explanation, configuration)}};
--- a/tests/app/explain_command_test.cc
+++ b/tests/app/explain_command_test.cc
@@ -26,6 +26,8 @@
   BOOST_TEST(json["home_domain"] == 1);
   BOOST_TEST(json["owner"].get<int>() + json["standby"].get<int>() == 1 + 2);
   BOOST_TEST(json["exceptions"][0]["reason"] == "short rentals");
+  BOOST_TEST(json["known_by"][0]["instance"] == json["owner"]);
+  BOOST_TEST(json["known_by"][1]["instance"] == json["standby"]);
   BOOST_REQUIRE(!json["targets"].empty());
   BOOST_TEST(json["targets"][0]["target"] == 101);
 }
--- a/tests/datapath/packet_handler_test.cc
+++ b/tests/datapath/packet_handler_test.cc
@@ -194,6 +194,35 @@
   BOOST_TEST(fixture.Faults(PacketFault::kLooping) == 1U);
 }
 
+struct Wait {
+  std::chrono::milliseconds waited;
+  bool handled;
+};
+
+std::ostream& operator<<(std::ostream& out, const Wait& row) {
+  return out << row.waited.count() << " ms";
+}
+
+const Wait kWaits[] = {{std::chrono::milliseconds{0}, true},
+                       {kLongestWait, true},
+                       {kLongestWait + std::chrono::milliseconds{1}, false},
+                       {std::chrono::minutes{5}, false}};
+
+// A balancer stands still while its flows go on over another owner and end
+// there. When it wakes, the packets of that time lie in its queue. Handled, the
+// old SYN and the swipe behind it would reach a target again: a student pays
+// for two meals.
+BOOST_DATA_TEST_CASE(what_waited_through_a_pause_is_dropped, kWaits, row) {
+  Fixture fixture;
+  const Bytes inner = Serialize({});
+  fixture.batch = {{.from = kFabric, .bytes = inner, .waited = row.waited}};
+
+  fixture.handler.Handle(fixture.batch, kNow, fixture.outbox);
+
+  BOOST_TEST(fixture.balancer.asked.empty() != row.handled);
+  BOOST_TEST(fixture.Faults(PacketFault::kLate) == (row.handled ? 0U : 1U));
+}
+
 BOOST_AUTO_TEST_CASE(counts_drops_by_reason) {
   Fixture fixture;
   fixture.balancer.action = core::DropPacket{core::DropReason::kStale};
--- a/tests/datapath/tunnel_socket_test.cc
+++ b/tests/datapath/tunnel_socket_test.cc
@@ -7,6 +7,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <string>
+#include <thread>
 
 #include "datapath/packets.h"
 
@@ -76,6 +77,22 @@
   BOOST_TEST(sender->Counters().refused == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(tells_how_long_a_datagram_waited) {
+  constexpr std::chrono::milliseconds kWait{30};
+  const auto sender = OpenAt("127.0.0.1:0");
+  const auto receiver = OpenAt("127.0.0.1:0");
+  const Bytes inner = Serialize({});
+  sender->Send(std::vector<OutgoingDatagram>{
+      {receiver->Local(), EncodeForTarget(inner), inner}});
+
+  std::this_thread::sleep_for(kWait);
+  const auto received = receiver->Receive();
+
+  BOOST_REQUIRE(received.size() == 1U);
+  // At least: a busy machine makes it longer, never shorter.
+  BOOST_CHECK(received[0].waited >= kWait - std::chrono::milliseconds{1});
+}
+
 BOOST_AUTO_TEST_CASE(an_address_in_use_is_an_error) {
   const auto first = OpenAt("127.0.0.1:0");
 
--- a/tests/observe/explain_json_test.cc
+++ b/tests/observe/explain_json_test.cc
@@ -38,6 +38,15 @@
   state.view.lease = core::Lease::kStale;
   state.health.push_back(
       {{101}, core::TargetHealth::kShedding, 4, common::InstanceId{9}});
+  core::MemberStatus member;
+  member.id = {4};
+  member.use = core::InstanceUse::kSuspected;
+  member.suspected_by = {{5}, {6}};
+  state.status.members.push_back(member);
+  core::BudgetStatus budget;
+  budget.budget = core::MessageBudget::kDeltas;
+  budget.limited = 3;
+  state.status.budgets.push_back(budget);
   core::DocumentRefused refused;
   refused.revision = {8};
   refused.faults = {{"/services/diary/address", "is missing"}};
@@ -51,6 +60,9 @@
   BOOST_TEST(json["exceptions"][0]["reason"] == "short rentals");
   BOOST_TEST(json["targets"][0]["service"] == "diary");
   BOOST_TEST(json["targets"][0]["health"] == "shedding");
+  BOOST_TEST(json["members"][0]["use"] == "suspected");
+  BOOST_TEST(json["members"][0]["suspected_by"] == Json({5, 6}));
+  BOOST_TEST(json["budgets"]["deltas"]["limited"] == 3);
   BOOST_TEST(json["refusals"][0]["faults"][0]["path"] ==
              "/services/diary/address");
 }
