Name the first faults of a refused document and count the rest

Cause: a wrong template gives each of tens of thousands of entries a fault, and the log line and the live explanation named them all, megabytes at every instance. Change: both name the first ten (kNamedFaults) and say in faults_not_named how many more there are, by one writer in source/observe/fault_json. Conclusion: the size of a refusal no longer grows with the document.

--- a/source/observe/explain_json.cc
+++ b/source/observe/explain_json.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "observe/fault_json.h"
 #include "observe/words.h"
 
 namespace sassafrasdyke::observe {
@@ -25,20 +26,13 @@
   return "unknown";
 }
 
-Json FaultsOf(const core::DocumentRefused& refused) {
-  Json faults = Json::array();
-  for (const core::DocumentFault& fault : refused.faults) {
-    faults.push_back({{"path", fault.path}, {"what", fault.what}});
-  }
-  return faults;
-}
-
 Json RefusalsOf(const ControlState& state) {
   Json refusals = Json::array();
   for (const core::DocumentRefused& refused : state.refusals) {
-    refusals.push_back({{"document", Word(refused.kind)},
-                        {"revision", refused.revision.value},
-                        {"faults", FaultsOf(refused)}});
+    Json refusal = {{"document", Word(refused.kind)},
+                    {"revision", refused.revision.value}};
+    WriteFaults(refused, refusal);
+    refusals.push_back(std::move(refusal));
   }
   return refusals;
 }
--- a/source/observe/log_line.cc
+++ b/source/observe/log_line.cc
@@ -6,6 +6,7 @@
 #include <utility>
 #include <variant>
 
+#include "observe/fault_json.h"
 #include "observe/words.h"
 
 namespace sassafrasdyke::observe {
@@ -111,11 +112,7 @@
     this->json["decision"] = "document-refused";
     this->json["document"] = Word(refused.kind);
     this->json["refused"] = refused.revision.value;
-    Json faults = Json::array();
-    for (const core::DocumentFault& fault : refused.faults) {
-      faults.push_back({{"path", fault.path}, {"what", fault.what}});
-    }
-    this->json["faults"] = std::move(faults);
+    WriteFaults(refused, this->json);
   }
 
   void operator()(const core::MemberChanged& changed) {
--- a/tests/observe/explain_json_test.cc
+++ b/tests/observe/explain_json_test.cc
@@ -4,6 +4,8 @@
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
+#include "observe/fault_json.h"
+
 namespace sassafrasdyke::observe {
 namespace {
 
@@ -53,6 +55,26 @@
   BOOST_TEST(json["targets"][0]["health"] == "shedding");
   BOOST_TEST(json["refusals"][0]["faults"][0]["path"] ==
              "/services/diary/address");
+  BOOST_TEST(json["refusals"][0]["faults_not_named"] == 0);
+}
+
+// A template that writes the targets gets a key wrong, and each of tens of
+// thousands of entries has a fault. Somebody who asks an instance why it still
+// runs the old revision must not get megabytes of the same answer.
+BOOST_AUTO_TEST_CASE(names_the_first_faults_and_counts_the_rest) {
+  constexpr std::size_t kFaults = 40'000;
+  core::DocumentRefused refused;
+  refused.faults.assign(kFaults, {"targets/diary-01", "is missing"});
+  ControlState state;
+  state.refusals.push_back(refused);
+  StateBoard board;
+  board.Publish(state);
+
+  const Json json = Json::parse(ExplainState({{3}, {2}}, board.Read()));
+
+  const Json& refusal = json["refusals"][0];
+  BOOST_TEST(refusal["faults"].size() == kNamedFaults);
+  BOOST_TEST(refusal["faults_not_named"] == kFaults - kNamedFaults);
 }
 
 }  // namespace
--- a/tests/observe/log_line_test.cc
+++ b/tests/observe/log_line_test.cc
@@ -6,6 +6,9 @@
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 #include <ostream>
+#include <string>
+
+#include "observe/fault_json.h"
 
 namespace sassafrasdyke::observe {
 namespace {
@@ -106,5 +109,23 @@
   BOOST_TEST(line["faults"].size() == 1U);
 }
 
+// A template that writes the targets gets a key wrong, and the platform
+// publishes the result: each of tens of thousands of entries has a fault. With
+// all of them in one line, the line that tells why nothing changes any more is
+// megabytes long, and what collects the log drops it.
+BOOST_AUTO_TEST_CASE(a_line_names_the_first_faults_and_counts_the_rest) {
+  constexpr std::size_t kFaults = 40'000;
+  core::DocumentRefused refused;
+  for (std::size_t i = 0; i < kFaults; ++i) {
+    refused.faults.push_back({"targets/" + std::to_string(i), "is missing"});
+  }
+
+  const Json line = LineOf(core::FleetDecision{refused});
+
+  BOOST_TEST(line["faults"].size() == kNamedFaults);
+  BOOST_TEST(line["faults"][0]["path"] == "targets/0");
+  BOOST_TEST(line["faults_not_named"] == kFaults - kNamedFaults);
+}
+
 }  // namespace
 }  // namespace sassafrasdyke::observe
