--- a/tests/app/check_command_test.cc
+++ b/tests/app/check_command_test.cc
@@ -46,8 +46,9 @@
   const bool good = row.says.empty();
   BOOST_CHECK(ran.code == (good ? ExitCode::kSuccess : ExitCode::kInvalid));
   BOOST_TEST(ran.err.empty() == good);
+  const std::string start = file + ": ";
   for (const std::string& part : row.says) {
-    BOOST_TEST(Contains(ran.err, file + ": " + part));
+    BOOST_TEST(Contains(ran.err, std::string(start).append(part)));
   }
 }
 
