Limit the messages that are taken from one listed peer

Cause: a listed peer whose own limits fail could send without end; its receivers would spend their time on it and be late for others. Signs of life still pass, and no copy of an exception is lost here. Pauses are counted by what was spent. The links now use the monotonic clock, which tests can replace. Conclusion: the excess of one peer stays with that peer. A new connection starts with a full budget.

--- a/source/peer/http2_connection.cc
+++ b/source/peer/http2_connection.cc
@@ -107,10 +107,16 @@
     nghttp2_session_callbacks_set_on_stream_close_callback(callbacks,
                                                            &OnStreamClose);
     nghttp2_session* session = nullptr;
+    nghttp2_option* options = nullptr;
+    if (nghttp2_option_new(&options) != 0) {
+      std::abort();  // Out of memory.
+    }
+    nghttp2_option_set_no_auto_window_update(options, 1);
     const auto open = role == Http2Role::kConnects
-                          ? &nghttp2_session_client_new
-                          : &nghttp2_session_server_new;
-    const int outcome = open(&session, callbacks, &connection);
+                          ? &nghttp2_session_client_new2
+                          : &nghttp2_session_server_new2;
+    const int outcome = open(&session, callbacks, &connection, options);
+    nghttp2_option_del(options);
     nghttp2_session_callbacks_del(callbacks);
     if (outcome != 0) {
       std::abort();  // Out of memory.
@@ -181,10 +187,20 @@
   this->WatchSocket();
 }
 
+void Http2Connection::Consume(std::size_t bytes) {
+  if (!this->stopped && bytes > 0) {
+    nghttp2_session_consume(this->session.get(), this->stream, bytes);
+    this->WatchSocket();
+  }
+}
+
 void Http2Connection::End(CutReason reason) {
   if (!this->ended) {
     this->ended = reason;
   }
+  if (!this->stopped) {
+    this->watcher.feed_event(ev::READ);
+  }
 }
 
 void Http2Connection::Stop() {
--- a/source/peer/http2_connection.h
+++ b/source/peer/http2_connection.h
@@ -56,7 +56,11 @@
   void WakeBody();
   /// Asks the other end for a sign of life.
   void Ping();
-  /// Ends the connection from within a handler's function; `OnEnded` follows.
+  /// Lets the other end send `bytes` more of its body. What `OnBody` gave and
+  /// is not handed back here fills the stream's window (64 KiB), and then the
+  /// other end has to wait; signs of life still pass.
+  void Consume(std::size_t bytes);
+  /// Ends the connection; `OnEnded` follows from the loop.
   void End(CutReason reason);
   /// Ends the connection at once; no function of the handler is called again.
   void Stop();
--- a/source/peer/incoming_link.cc
+++ b/source/peer/incoming_link.cc
@@ -14,7 +14,10 @@
       id(id),
       source(accepted.source),
       splitter(kHelloLimit),
-      deadline(context.loop) {
+      limiter(context.limits.receive),
+      deadline(context.loop),
+      receive_again(context.loop) {
+  this->receive_again.set<IncomingLink, &IncomingLink::OnReceiveAgain>(this);
   this->deadline.set<IncomingLink, &IncomingLink::OnDeadline>(this);
   this->deadline.start(Seconds(context.limits.hello_deadline));
   this->connection = std::make_unique<Http2Connection>(
@@ -32,6 +35,7 @@
   }
   this->state = State::kStopped;
   this->deadline.stop();
+  this->receive_again.stop();
   this->connection->Stop();
 }
 
@@ -46,18 +50,61 @@
 }
 
 void IncomingLink::OnBody(std::string_view bytes) {
-  if (this->state != State::kWaiting && this->state != State::kAdmitted) {
+  if (!this->Reading()) {
     return;
   }
   this->splitter.Append(bytes);
-  while (const std::optional<std::string> frame = this->splitter.Next()) {
-    this->OnFrame(*frame);
+  this->unconsumed += bytes.size();
+  if (!this->next) {
+    this->TakeFrames();
   }
-  const bool reading =
-      this->state == State::kWaiting || this->state == State::kAdmitted;
-  if (reading && this->splitter.TooLong()) {
+}
+
+bool IncomingLink::Reading() const {
+  return this->state == State::kWaiting || this->state == State::kAdmitted;
+}
+
+void IncomingLink::TakeFrames() {
+  while (this->Reading() && (this->next = this->splitter.Next())) {
+    if (!this->MayTake(*this->next)) {
+      return;
+    }
+    this->OnFrame(*std::exchange(this->next, std::nullopt));
+  }
+  if (this->Reading() && this->splitter.TooLong()) {
     this->connection->End(CutReason::kTooLong);
   }
+  this->connection->Consume(std::exchange(this->unconsumed, 0));
+}
+
+bool IncomingLink::MayTake(const std::string& frame) {
+  if (this->state != State::kAdmitted) {
+    return true;
+  }
+  const std::optional<ReceiveLimit> spent =
+      this->limiter.Take(frame.size() + kFrameHeader, this->context.Now());
+  if (!spent) {
+    return true;
+  }
+  // A peer whose own limits have failed would take this instance's processor
+  // time, and its heartbeats to others would come late: the overload spreads.
+  // To drop the excess would lose copies of exceptions without their sender
+  // knowing until its deadline, and it would send them again into the same
+  // overload. So the rest waits at the sender, in its bounded queue.
+  if (!this->receive_again.is_active()) {
+    ++this->context.counts.paused[static_cast<std::size_t>(*spent)];
+    const ev::tstamp pause = Seconds(this->context.limits.receive_again);
+    this->receive_again.start(pause, pause);
+  }
+  return false;
+}
+
+void IncomingLink::OnReceiveAgain(ev::timer& /*timer*/, int /*events*/) {
+  if (this->MayTake(*this->next)) {
+    this->receive_again.stop();
+    this->OnFrame(*std::exchange(this->next, std::nullopt));
+    this->TakeFrames();
+  }
 }
 
 void IncomingLink::OnFrame(const std::string& frame) {
--- a/source/peer/incoming_link.h
+++ b/source/peer/incoming_link.h
@@ -3,8 +3,10 @@
 
 #include <ev++.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -15,6 +17,7 @@
 #include "peer/hello.h"
 #include "peer/http2_connection.h"
 #include "peer/peer_context.h"
+#include "peer/receive_limiter.h"
 #include "peer/socket.h"
 
 namespace sassafrasdyke::peer {
@@ -59,6 +62,10 @@
  private:
   enum class State { kWaiting, kAdmitted, kRefused, kStopped };
 
+  bool Reading() const;
+  void TakeFrames();
+  bool MayTake(const std::string& frame);
+  void OnReceiveAgain(ev::timer& timer, int events);
   void OnFrame(const std::string& frame);
   void OnHello(const std::string& frame);
   void OnMessage(const std::string& frame);
@@ -71,9 +78,13 @@
   const IncomingLinkId id;
   const common::IpAddress source;
   FrameSplitter splitter;
-  Hello hello;  ///< All 0 until the peer is let in.
+  ReceiveLimiter limiter;
+  std::optional<std::string> next;  ///< A frame that waits for the budget.
+  std::size_t unconsumed{0};        ///< Body bytes not handed back yet.
+  Hello hello;                      ///< All 0 until the peer is let in.
   State state{State::kWaiting};
   ev::timer deadline;
+  ev::timer receive_again;  ///< Runs while a frame waits.
   std::unique_ptr<Http2Connection> connection;
 };
 
--- a/source/peer/peer_context.cc
+++ b/source/peer/peer_context.cc
@@ -11,11 +11,6 @@
 
 }  // namespace
 
-std::chrono::milliseconds PeerContext::Now() const {
-  return std::chrono::milliseconds(static_cast<std::chrono::milliseconds::rep>(
-      this->loop.now() * kMillisecondsPerSecond));
-}
-
 std::unique_ptr<Transport> PeerContext::MakeTransport(Socket socket,
                                                       TlsRole role) {
   if (this->tls == nullptr) {
--- a/source/peer/peer_context.h
+++ b/source/peer/peer_context.h
@@ -12,7 +12,9 @@
 #include "common/ids.h"
 #include "core/messages.h"
 #include "peer/instance_directory.h"
+#include "peer/peer_clock.h"
 #include "peer/peer_counts.h"
+#include "peer/receive_limiter.h"
 #include "peer/send_queue.h"
 #include "peer/tls_context.h"
 #include "peer/tls_transport.h"
@@ -39,6 +41,10 @@
   /// Connections that may wait for their hello at once.
   std::size_t waiting{64};
   SendQueueLimits queue;
+  /// What is taken from one peer.
+  ReceiveLimits receive;
+  /// Time until a message that was over the budget is tried again.
+  std::chrono::milliseconds receive_again{20};
 };
 
 /// What this instance says of itself.
@@ -74,9 +80,9 @@
   InstanceDirectory directory;
   std::unique_ptr<TlsContext> tls;  ///< Null for plain TCP.
   std::uint64_t seed{0};
+  const PeerClock& clock;
   PeerCounts counts{};
-  /// Milliseconds of the loop's clock.
-  std::chrono::milliseconds Now() const;
+  std::chrono::milliseconds Now() const { return this->clock.Now(); }
   /// A transport over `socket`, encrypted if the settings say so.
   std::unique_ptr<Transport> MakeTransport(Socket socket, TlsRole role);
 };
--- a/source/peer/peer_counts.h
+++ b/source/peer/peer_counts.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "peer/peer_kinds.h"
+#include "peer/receive_limiter.h"
 
 namespace sassafrasdyke::peer {
 
@@ -51,6 +52,9 @@
   std::array<std::uint64_t, kKinds> dropped_old{};
   std::array<std::uint64_t, kKinds> dropped_unlisted{};
   std::array<std::uint64_t, static_cast<std::size_t>(CutReason::kCount)> cut{};
+  /// Times that a peer's next message had to wait, by what it had spent.
+  std::array<std::uint64_t, static_cast<std::size_t>(ReceiveLimit::kCount)>
+      paused{};
   /// Bytes through the sockets, above TCP and TLS.
   std::uint64_t wire_bytes_sent{0};
   std::uint64_t wire_bytes_received{0};
@@ -64,6 +68,9 @@
   std::uint64_t Cut(CutReason reason) const {
     return this->cut[static_cast<std::size_t>(reason)];
   }
+  std::uint64_t Paused(ReceiveLimit limit) const {
+    return this->paused[static_cast<std::size_t>(limit)];
+  }
 };
 
 }  // namespace sassafrasdyke::peer
--- a/source/peer/peer_links.cc
+++ b/source/peer/peer_links.cc
@@ -19,7 +19,7 @@
 tl::expected<std::unique_ptr<PeerLinks>, PeerOpenFault> PeerLinks::Open(
     ev::loop_ref loop, const PeerIdentity& self,
     const config::ControlSettings& settings, const PeerLimits& limits,
-    std::uint64_t seed, PeerListener& listener) {
+    std::uint64_t seed, PeerListener& listener, const PeerClock& clock) {
   std::unique_ptr<TlsContext> tls;
   if (settings.tls) {
     auto opened = TlsContext::Open(*settings.tls);
@@ -35,7 +35,7 @@
   }
   PeerContext context{loop,           self,     settings.listen.address,
                       limits,         listener, InstanceDirectory(self.id),
-                      std::move(tls), seed};
+                      std::move(tls), seed,     clock};
   return std::unique_ptr<PeerLinks>(
       new PeerLinks(std::move(context), std::move(*socket)));
 }
--- a/source/peer/peer_links.h
+++ b/source/peer/peer_links.h
@@ -31,13 +31,14 @@
 /// task and used from its loop only.
 class PeerLinks final : public IncomingLinkOwner {
  public:
-  /// Starts to listen. `loop` and `listener` must outlive the links; `seed`
-  /// varies jitter only. Fails if the address can't be listened at or a file
-  /// of the certificates can't be used.
+  /// Starts to listen. `loop`, `listener` and `clock` must outlive the links;
+  /// `seed` varies jitter only. Fails if the address can't be listened at or a
+  /// file of the certificates can't be used.
   static tl::expected<std::unique_ptr<PeerLinks>, PeerOpenFault> Open(
       ev::loop_ref loop, const PeerIdentity& self,
       const config::ControlSettings& settings, const PeerLimits& limits,
-      std::uint64_t seed, PeerListener& listener);
+      std::uint64_t seed, PeerListener& listener,
+      const PeerClock& clock = SteadyPeerClock::Shared());
   ~PeerLinks() override;
   PeerLinks(const PeerLinks&) = delete;
   PeerLinks& operator=(const PeerLinks&) = delete;
--- a/tests/peer/peer_fixture.h
+++ b/tests/peer/peer_fixture.h
@@ -67,7 +67,7 @@
     instance->links =
         std::move(PeerLinks::Open(this->loop, {{id}, {this->incarnation}},
                                   settings, this->limits, id,
-                                  instance->recorder))
+                                  instance->recorder, *this->clock))
             .value();
     instance->control = instance->links->Listening();
     this->instances.push_back(std::move(instance));
@@ -95,6 +95,7 @@
   }
 
   PeerLimits limits;
+  const PeerClock* clock{&SteadyPeerClock::Shared()};
   std::optional<config::TlsSettings> tls;
   std::uint64_t incarnation{1};
   ev::dynamic_loop loop;
--- a/tests/peer/scripted_client.h
+++ b/tests/peer/scripted_client.h
@@ -39,6 +39,11 @@
     this->connection->WakeBody();
   }
 
+  /// Asks for a sign of life.
+  void Ping() { this->connection->Ping(); }
+  /// What the window has kept back.
+  std::size_t Left() const { return this->body.size(); }
+
   void OnAnswer(bool accepted) override { this->answer = accepted; }
   void OnBody(std::string_view /*bytes*/) override {}
   std::size_t NextBody(std::span<char> into) override {
@@ -47,9 +52,10 @@
     this->body.erase(0, size);
     return size;
   }
-  void OnAlive() override {}
+  void OnAlive() override { ++this->frames; }
   void OnEnded(CutReason reason) override { this->ended = reason; }
 
+  std::size_t frames{0};  ///< Whole ones that came.
   std::optional<bool> answer;
   std::optional<CutReason> ended;
 
