--- a/tests/core/differential/random_events.cc
+++ b/tests/core/differential/random_events.cc
@@ -277,8 +277,9 @@
       case EventKind::kRemoveTarget:
         this->fleet.Publish([&event](Configuration& next) {
           if (next.targets.size() > kServices) {
-            next.targets.erase(next.targets.begin() +
-                               event.pick % next.targets.size());
+            next.targets.erase(
+                next.targets.begin() +
+                static_cast<std::ptrdiff_t>(event.pick % next.targets.size()));
           }
         });
         break;
--- a/tests/core/model/callers.cc
+++ b/tests/core/model/callers.cc
@@ -131,7 +131,7 @@
 }
 
 void Callers::CheckForwarded(ModelFlow& flow, const Fate& fate) {
-  flow.sent_to.insert(fate.tunnel);
+  flow.sent_to.push_back(fate.tunnel);
   if (fate.target.value / kTargetsPerServiceLimit != flow.service) {
     this->Fail(flow, fate, "reached another service");
   }
--- a/tests/core/model/callers.h
+++ b/tests/core/model/callers.h
@@ -41,7 +41,7 @@
   std::optional<std::chrono::milliseconds> stalled_since;
   /// Targets that got any packet of it; more than one when both sides of a cut
   /// got its SYN.
-  std::set<common::Endpoint> sent_to;
+  std::vector<common::Endpoint> sent_to;
   /// Targets that took payload of it.
   std::set<common::TargetId> ran_at;
   bool payload_sent{false};
