Let a woken instance learn of its replacement before it acts

The woken instance had its lease back 6 ms after it noticed the pause, and heard only a second later that it had been suspected and its partitions had moved.

Change: while the lease isn't held, a peer's answer renews it only when both hold the same member reports, within the same bound as for documents. The test of a paused instance now asks for the order stale, suspected, held, owner; it failed before.

--- a/source/core/fleet/live_fleet.cc
+++ b/source/core/fleet/live_fleet.cc
@@ -212,8 +212,15 @@
     return;
   }
   if (!message.stale) {
-    this->lease_keeper.OnPeerWord(*asked_at,
-                                  this->CaughtUpWith(message.digests));
+    // A woken instance doesn't know yet that it was suspected and replaced. If
+    // it took its lease back before the others' words, it would place flows
+    // beside the new owner, and requests would run twice.
+    if (this->lease != Lease::kHeld) {
+      this->RefreshMembers(turn);
+    }
+    const bool same_members = message.members == this->reports.MembersHash();
+    this->lease_keeper.OnPeerWord(
+        *asked_at, same_members && this->CaughtUpWith(message.digests));
   }
   if (this->members.Suspects(from.id)) {
     this->reports.Spread(this->members.Say(from.id, MemberWord::kAlive), turn);
--- a/tests/core/fleet/membership_test.cc
+++ b/tests/core/fleet/membership_test.cc
@@ -125,6 +125,11 @@
   const auto* first = std::get_if<LeaseChanged>(&decisions[known]);
   BOOST_REQUIRE(first != nullptr);
   BOOST_TEST((first->lease == Lease::kStale));
+  // It learns that it was replaced before it may act again.
+  const auto* second = std::get_if<MemberChanged>(&decisions[known + 1]);
+  BOOST_REQUIRE(second != nullptr);
+  BOOST_TEST(second->about.value == 2U);
+  BOOST_TEST((second->use == InstanceUse::kSuspected));
   BOOST_TEST((network.Of(2).view->lease == Lease::kHeld));
   BOOST_TEST(network.AllBelieve(2, InstanceUse::kOwner));
 }
