Tie a peer's certificate to its published address

Cause: any certificate of the authority was good for every instance's address. Change: both ends demand that the other's certificate names the published control address as an IP subject alternative name. Checked: a certificate of the same authority for another address, with a DNS name that reads like it, or without a name is refused both ways and counted as tls. The test certificates now name the tests' addresses. Conclusion: the key of one instance no longer speaks for another. Certificates without such a name, which were accepted before, are refused.

--- a/source/config/settings.cc
+++ b/source/config/settings.cc
@@ -18,7 +18,9 @@
   static const KeyTable<TlsSettings> table =
       KeyTable<TlsSettings>()
           .Add("certificate", &TlsSettings::certificate, Text{1, kPathLimit},
-               KeyUse::kRequired, "File of this instance's certificates, PEM.")
+               KeyUse::kRequired,
+               "File of this instance's certificates, PEM; the first names its "
+               "control address as a subject alternative name.")
           .Add("key", &TlsSettings::key, Text{1, kPathLimit}, KeyUse::kRequired,
                "File of its private key, PEM.")
           .Add("authority", &TlsSettings::authority, Text{1, kPathLimit},
--- a/source/peer/incoming_link.cc
+++ b/source/peer/incoming_link.cc
@@ -22,7 +22,8 @@
   this->deadline.start(Seconds(context.limits.hello_deadline));
   this->connection = std::make_unique<Http2Connection>(
       context.loop,
-      context.MakeTransport(std::move(accepted.socket), TlsRole::kAccepts),
+      context.MakeTransport(std::move(accepted.socket), TlsRole::kAccepts,
+                            accepted.source),
       Http2Role::kAccepts, *this, context.counts);
 }
 
--- a/source/peer/outgoing_link.cc
+++ b/source/peer/outgoing_link.cc
@@ -52,7 +52,8 @@
   }
   this->connection = std::make_unique<Http2Connection>(
       this->context.loop,
-      this->context.MakeTransport(std::move(*socket), TlsRole::kConnects),
+      this->context.MakeTransport(std::move(*socket), TlsRole::kConnects,
+                                  this->peer.control.address),
       Http2Role::kConnects, *this, this->context.counts);
   this->timer.start(Seconds(this->context.limits.connect_deadline));
 }
--- a/source/peer/peer_context.cc
+++ b/source/peer/peer_context.cc
@@ -11,12 +11,12 @@
 
 }  // namespace
 
-std::unique_ptr<Transport> PeerContext::MakeTransport(Socket socket,
-                                                      TlsRole role) {
+std::unique_ptr<Transport> PeerContext::MakeTransport(
+    Socket socket, TlsRole role, const common::IpAddress& peer) {
   if (this->tls == nullptr) {
     return std::make_unique<TcpTransport>(std::move(socket));
   }
-  SslSession session = this->tls->NewSession();
+  SslSession session = this->tls->NewSession(peer);
   this->counts.tls_reload_failures = this->tls->ReloadFailures();
   return std::make_unique<TlsTransport>(std::move(socket), std::move(session),
                                         role);
--- a/source/peer/peer_context.h
+++ b/source/peer/peer_context.h
@@ -83,8 +83,10 @@
   const PeerClock& clock;
   PeerCounts counts{};
   std::chrono::milliseconds Now() const { return this->clock.Now(); }
-  /// A transport over `socket`, encrypted if the settings say so.
-  std::unique_ptr<Transport> MakeTransport(Socket socket, TlsRole role);
+  /// A transport over `socket` to the instance at `peer`, encrypted if the
+  /// settings say so.
+  std::unique_ptr<Transport> MakeTransport(Socket socket, TlsRole role,
+                                           const common::IpAddress& peer);
 };
 
 /// A time as the loop's timers take it.
--- a/source/peer/tls_context.cc
+++ b/source/peer/tls_context.cc
@@ -1,6 +1,7 @@
 #include "peer/tls_context.h"
 
 #include <openssl/err.h>
+#include <openssl/x509v3.h>
 #include <sys/stat.h>
 
 #include <csignal>
@@ -37,9 +38,16 @@
   return opened;
 }
 
-SslSession TlsContext::NewSession() {
+SslSession TlsContext::NewSession(const common::IpAddress& peer) {
   this->ReloadIfChanged();
-  return SslSession(SSL_new(this->context.get()));
+  SslSession session(SSL_new(this->context.get()));
+  // With the authority's word alone, the key of any instance is good for the
+  // address of every other: who steals one and takes over an address is
+  // believed as the instance that is published there, and nothing would show.
+  const bool tied = session != nullptr &&
+                    X509_VERIFY_PARAM_set1_ip_asc(SSL_get0_param(session.get()),
+                                                  peer.ToString().c_str()) == 1;
+  return tied ? std::move(session) : nullptr;
 }
 
 tl::expected<TlsContext::Context, std::string> TlsContext::Load(
--- a/source/peer/tls_context.h
+++ b/source/peer/tls_context.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <tl/expected.hpp>
 
+#include "common/address.h"
 #include "config/settings.h"
 
 namespace sassafrasdyke::peer {
@@ -28,9 +29,10 @@
       const config::TlsSettings& settings);
 
   /// A session that verifies the other end's certificate against the
-  /// authority. Reads the files again first if they have changed; null if the
-  /// library fails.
-  SslSession NewSession();
+  /// authority, and that it names `peer`, the other end's published control
+  /// address, as an IP address among its subject alternative names. Reads the
+  /// files again first if they have changed; null if the library fails.
+  SslSession NewSession(const common::IpAddress& peer);
 
   /// Times that changed files could not be used; the certificates read before
   /// stay in use.
--- a/tests/peer/peer_tls_test.cc
+++ b/tests/peer/peer_tls_test.cc
@@ -1,6 +1,9 @@
 /// Streams between instances under mutual TLS.
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <fstream>
+#include <ostream>
 #include <string>
 
 #include "peer/peer_fixture.h"
@@ -68,6 +71,39 @@
   BOOST_TEST(pair.two->recorder.messages.empty());
 }
 
+struct Misplaced {
+  std::string name;
+  const char* addresses;
+};
+
+std::ostream& operator<<(std::ostream& out, const Misplaced& row) {
+  return out << row.name;
+}
+
+const Misplaced kMisplaced[] = {
+    {"another instance's address", "IP:127.0.1.1"},
+    {"a name that reads like the address", "DNS:127.0.1.2"},
+    {"no address", nullptr},
+};
+
+// The key of one instance was stolen, or its files were copied to another. The
+// authority did sign the certificate, but for another address: whoever holds it
+// must not be believed as the instance that is published here.
+BOOST_DATA_TEST_CASE(a_certificate_for_another_address_is_refused, kMisplaced,
+                     row) {
+  const TestCertificates ours;
+  const TestCertificates misplaced(ours, row.addresses);
+  TlsPair pair(ours, &misplaced);
+  pair.one->links->Send({2}, core::Heartbeat{});
+  pair.two->links->Send({1}, core::Heartbeat{});
+
+  BOOST_TEST(pair.RunUntil(
+      [&pair] { return pair.one->links->Counts().Cut(CutReason::kTls) >= 2; }));
+  BOOST_TEST(pair.one->recorder.messages.empty());
+  BOOST_TEST(pair.two->recorder.messages.empty());
+  BOOST_TEST(pair.one->recorder.ups == 0);
+}
+
 // One instance was started without certificates. The others must not fall back
 // to plain TCP for it.
 BOOST_AUTO_TEST_CASE(plain_tcp_is_refused) {
@@ -104,8 +140,9 @@
   BOOST_REQUIRE(context.has_value());
   std::ofstream(certificates.Settings().certificate) << "broken";
 
-  BOOST_TEST((context.value()->NewSession() != nullptr));
-  BOOST_TEST((context.value()->NewSession() != nullptr));
+  const auto peer = common::IpAddress::Parse("127.0.1.2").value();
+  BOOST_TEST((context.value()->NewSession(peer) != nullptr));
+  BOOST_TEST((context.value()->NewSession(peer) != nullptr));
 
   BOOST_TEST(context.value()->ReloadFailures() == 1U);
 }
--- a/tests/peer/test_certificates.cc
+++ b/tests/peer/test_certificates.cc
@@ -29,7 +29,8 @@
 
 /// A certificate for `key`, signed by `signer`.
 Certificate MakeCertificate(EVP_PKEY* key, const char* subject,
-                            EVP_PKEY* signer, const char* issuer, bool ca) {
+                            EVP_PKEY* signer, const char* issuer, bool ca,
+                            const char* addresses) {
   Certificate certificate(X509_new(), &X509_free);
   X509* const raw = certificate.get();
   X509_set_version(raw, kVersion3);
@@ -44,6 +45,12 @@
                           ca ? "critical,CA:TRUE" : "critical,CA:FALSE");
   X509_add_ext(raw, constraint, -1);
   X509_EXTENSION_free(constraint);
+  if (addresses != nullptr) {
+    X509_EXTENSION* const names =
+        X509V3_EXT_conf_nid(nullptr, nullptr, NID_subject_alt_name, addresses);
+    X509_add_ext(raw, names, -1);
+    X509_EXTENSION_free(names);
+  }
   X509_sign(raw, signer, EVP_sha256());
   return certificate;
 }
@@ -58,6 +65,12 @@
   PEM_write_PrivateKey(file.get(), key, nullptr, nullptr, 0, nullptr, nullptr);
 }
 
+Key ReadKey(const std::filesystem::path& path) {
+  const File file(std::fopen(path.c_str(), "r"), &std::fclose);
+  return {PEM_read_PrivateKey(file.get(), nullptr, nullptr, nullptr),
+          &EVP_PKEY_free};
+}
+
 std::filesystem::path MakeFolder() {
   std::string name =
       (std::filesystem::temp_directory_path() / "certificates-XXXXXX").string();
@@ -66,14 +79,31 @@
 
 }  // namespace
 
-TestCertificates::TestCertificates() : folder(MakeFolder()) {
-  const Key authority_key = MakeKey();
+TestCertificates::TestCertificates(const char* addresses)
+    : folder(MakeFolder()) {
   const Key key = MakeKey();
   const Certificate authority = MakeCertificate(
-      authority_key.get(), "authority", authority_key.get(), "authority", true);
-  const Certificate certificate = MakeCertificate(
-      key.get(), "instance", authority_key.get(), "authority", false);
+      key.get(), "authority", key.get(), "authority", true, nullptr);
   WriteCertificate(this->folder / "authority", authority.get());
+  WriteKey(this->folder / "authority-key", key.get());
+  this->WriteCertificateOf(addresses);
+}
+
+TestCertificates::TestCertificates(const TestCertificates& issuer,
+                                   const char* addresses)
+    : folder(MakeFolder()) {
+  for (const char* const name : {"authority", "authority-key"}) {
+    std::filesystem::copy_file(issuer.folder / name, this->folder / name);
+  }
+  this->WriteCertificateOf(addresses);
+}
+
+void TestCertificates::WriteCertificateOf(const char* addresses) {
+  const Key authority_key = ReadKey(this->folder / "authority-key");
+  const Key key = MakeKey();
+  const Certificate certificate =
+      MakeCertificate(key.get(), "instance", authority_key.get(), "authority",
+                      false, addresses);
   WriteCertificate(this->folder / "certificate", certificate.get());
   WriteKey(this->folder / "key", key.get());
 }
