Place adopted flows where someone answers

The log showed 'adopted' placements at the dead targets: once the platform no longer lists the domain's instances, the domain isn't 'unreachable' any more, and its targets count as the best of the partition's subset. Ruled out: the ejection (it works, but only after each target has swallowed its flows) and the domain's reachability (right until the list changed). Change: while a partition is adopted, its home's targets are taken only when no other target can serve. A service whose targets all lie in a domain without instances is served by another domain's instances; its packets were dropped before.

--- a/source/core/flow_balancer.cc
+++ b/source/core/flow_balancer.cc
@@ -338,6 +338,7 @@
   if (!this->world.Table().HasRoom(Admission::kNewFlow)) {
     return this->Refuse(context, DropReason::kTableFull);
   }
+  const bool adopted = this->world.Owners().At(context.partition).adopted;
   const PlacementRequest request{
       .flow = context.flow,
       .service = &this->world.Directory().At(context.service),
@@ -345,6 +346,7 @@
       .fallback = this->exchange.FallbackOf(context.partition),
       .local = this->world.Owners().View().domain,
       .unreachable = this->world.Owners().View().unreachable,
+      .adopted = adopted,
       .prefer_fallback = context.now < state.contested_until,
       .reluctance = this->exchange.Reluctance()};
   std::optional<Placement> placement =
@@ -352,7 +354,6 @@
   if (!placement) {
     return this->Refuse(context, DropReason::kNoTarget);
   }
-  const bool adopted = this->world.Owners().At(context.partition).adopted;
   placement->reason =
       adopted ? PlacementReason::kAdopted : reason.value_or(placement->reason);
   const FlowRecord record =
--- a/source/core/placement/placer.cc
+++ b/source/core/placement/placer.cc
@@ -19,7 +19,8 @@
 enum class Obstacle {
   kNone,
   kRamp,     ///< Takes only a part of its flows yet.
-  kAvoided,  ///< Ejected, or reported as shedding or failing.
+  kAvoided,  ///< Ejected, reported as shedding or failing, or in a domain
+             ///< without instances.
   kClosed,   ///< Gone, draining, full or out of reach: never.
 };
 
@@ -94,6 +95,7 @@
     // Reports that condemn most of a service are wrong or of no use: all the
     // flows would crowd on the few targets that look well.
     if (this->targets.IsEjected(slot, this->now) ||
+        this->IsInLostHome(record.target.domain) ||
         (reported_bad && !this->distrusted)) {
       return Obstacle::kAvoided;
     }
@@ -105,6 +107,13 @@
     return std::find(cut.begin(), cut.end(), domain) != cut.end();
   }
 
+  /// A failure domain that loses its power loses instances and targets at
+  /// once, and nobody is left there to say so of the targets. A flow sent to
+  /// one of them waits for an answer that never comes.
+  bool IsInLostHome(common::DomainId domain) const {
+    return this->request.adopted && domain == this->request.targets.home;
+  }
+
   /// A flow's hash decides, so that its repeated SYN meets the same answer.
   bool InRampShare(TargetSlot slot) const {
     const double share = this->targets.RampShare(
--- a/source/core/placement/placer.h
+++ b/source/core/placement/placer.h
@@ -30,6 +30,9 @@
   common::DomainId local;
   /// Failure domains whose targets can't be reached from here.
   std::span<const common::DomainId> unreachable;
+  /// The partition's home has no instance that owns, so its targets may be as
+  /// dead as those.
+  bool adopted{false};
   /// Keep to the fallback as long as it takes flows: another instance may
   /// believe that it owns the partition, and would look for the flow there.
   bool prefer_fallback{false};
--- a/source/core/placement/subset_map.cc
+++ b/source/core/placement/subset_map.cc
@@ -72,7 +72,9 @@
   return std::min(bounded, targets);
 }
 
-/// The domains that serve a service, best home of the partition first.
+/// All domains, best home of the partition first. Those without targets of the
+/// service (capacity 0) come last: their instances stand in only when the
+/// domains that serve it have nobody left.
 std::vector<common::DomainId> RankDomains(
     const std::map<common::DomainId, double>& capacities,
     std::uint64_t partition_hash) {
@@ -82,8 +84,9 @@
         common::HashNumbers(partition_hash, domain.value, kDomainSalt);
     scored.emplace_back(common::RendezvousScore(hash, capacity), domain);
   }
-  std::sort(scored.begin(), scored.end(),
-            [](const auto& a, const auto& b) { return a.first > b.first; });
+  std::sort(scored.begin(), scored.end(), [](const auto& a, const auto& b) {
+    return a.first != b.first ? a.first > b.first : a.second < b.second;
+  });
   std::vector<common::DomainId> ranked;
   ranked.reserve(scored.size());
   for (const auto& [score, domain] : scored) {
@@ -169,6 +172,11 @@
     group.all.push_back({*slot, target.id, target.domain, weight,
                          target.state == TargetState::kServing});
   }
+  for (auto& [service, group] : groups) {
+    for (const Domain& domain : configuration.domains) {
+      group.capacities.try_emplace(domain.id, 0.0);
+    }
+  }
   return groups;
 }
 
--- /dev/null
+++ b/tests/core/lost_domain_test.cc
@@ -0,0 +1,104 @@
+/// New flows whose home failure domain has nobody left to own them.
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <ostream>
+#include <string_view>
+
+#include "core/balancer.h"
+#include "samples.h"
+
+namespace sassafrasdyke::core::testing {
+namespace {
+
+using std::chrono_literals::operator""ms;
+
+constexpr common::DomainId kLost{2};
+constexpr std::uint32_t kFlows = 200;
+
+struct Loss {
+  std::string_view how;
+  FleetView view;
+};
+
+std::ostream& operator<<(std::ostream& out, const Loss& row) {
+  return out << row.how;
+}
+
+FleetView Unlisted() {
+  FleetView view = SampleView(1, 2, 2);
+  view.instances.resize(1);
+  return view;
+}
+
+FleetView Suspected() {
+  FleetView view = SampleView(1, 2, 2);
+  InstanceOf(view, 2).use = InstanceUse::kSuspected;
+  return view;
+}
+
+FleetView CutOff() {
+  FleetView view = SampleView(1, 2, 2);
+  view.unreachable.push_back(kLost);
+  return view;
+}
+
+const Loss kLosses[] = {{"no longer listed", Unlisted()},
+                        {"suspected", Suspected()},
+                        {"cut off", CutOff()}};
+
+/// A domain that is cut off can't be reached at all.
+const Loss kPlausible[] = {kLosses[0], kLosses[1]};
+
+bool IsInLostDomain(common::TargetId target) {
+  return target.value % 2 == kLost.value % 2;
+}
+
+// A whole failure domain loses its power, and after a while the platform no
+// longer lists its instances. Its targets are still published as serving. A
+// flow whose home was there is placed by another domain; sent to one of the
+// dead targets, its caller would wait for a SYN-ACK that never comes.
+BOOST_DATA_TEST_CASE(an_adopted_flow_goes_where_someone_answers, kLosses, row) {
+  const auto balancer =
+      MakeBalancer(common::InstanceId{1}, common::Incarnation{1});
+  Outbox outbox;
+  balancer->OnConfiguration(
+      Accept(SampleConfiguration({.targets_per_service = 4, .domains = 2})),
+      0ms, outbox);
+  balancer->OnFleetView(row.view, 0ms, outbox);
+
+  std::uint32_t adopted = 0;
+  for (std::uint32_t caller = 1; caller <= kFlows; ++caller) {
+    const PacketAction action =
+        balancer->OnPacket(Syn(FlowOf(caller)), 10'000ms, outbox);
+    const auto* const forward = std::get_if<ForwardToTarget>(&action);
+    BOOST_REQUIRE(forward != nullptr);
+    BOOST_TEST(!IsInLostDomain(forward->target));
+    adopted += forward->reason == PlacementReason::kAdopted ? 1 : 0;
+  }
+  BOOST_TEST(adopted > 0U);
+}
+
+// The same loss, but the other domain has no target of the service. A target
+// that may be dead is then better than a refusal, which surely serves nobody.
+BOOST_DATA_TEST_CASE(a_lost_domain_serves_when_nobody_else_can, kPlausible,
+                     row) {
+  Configuration configuration =
+      SampleConfiguration({.targets_per_service = 4, .domains = 2});
+  for (Target& target : configuration.targets) {
+    target.domain = kLost;
+  }
+  const auto balancer =
+      MakeBalancer(common::InstanceId{1}, common::Incarnation{1});
+  Outbox outbox;
+  balancer->OnConfiguration(Accept(configuration), 0ms, outbox);
+  balancer->OnFleetView(row.view, 0ms, outbox);
+
+  const PacketAction action =
+      balancer->OnPacket(Syn(FlowOf(1)), 10'000ms, outbox);
+
+  BOOST_TEST(ForwardedTo(action).value != 0U);
+}
+
+}  // namespace
+}  // namespace sassafrasdyke::core::testing
