Let instances of different releases agree on a protocol version

Cause: the hello named one version and any other was refused, so a rolling upgrade to a new version would have split the fleet. Change: the hello names the lowest and the highest version spoken. The accepting end picks the highest common one, answers with it, and both hold it; with none in common the stream is refused and counted as other-version. This changes the hello on the wire. Conclusion: a release that adds a version and keeps the one before can be rolled out instance by instance.

--- a/source/peer/http2_connection.cc
+++ b/source/peer/http2_connection.cc
@@ -1,6 +1,7 @@
 #include "peer/http2_connection.h"
 
 #include <array>
+#include <charconv>
 #include <cstdlib>
 #include <utility>
 
@@ -14,6 +15,14 @@
 constexpr std::uint32_t kHeaderListLimit = 1024;
 constexpr std::string_view kAccepted = "200";
 constexpr std::string_view kForbidden = "403";
+constexpr std::string_view kVersionHeader = "version";
+
+/// 0, which no instance speaks, for what is no number.
+ProtocolVersion VersionIn(std::string_view text) {
+  ProtocolVersion version = 0;
+  std::from_chars(text.data(), text.data() + text.size(), version);
+  return version;
+}
 
 nghttp2_nv Header(std::string_view name, std::string_view value) {
   // The library takes pointers that aren't const and leaves the bytes alone.
@@ -45,8 +54,11 @@
     const std::string_view text(reinterpret_cast<const char*>(value),
                                 value_size);
     Http2Connection& self = Self(user);
-    if (frame->headers.cat == NGHTTP2_HCAT_RESPONSE && key == ":status") {
-      self.handler.OnAnswer(text == kAccepted);
+    const bool answer = frame->headers.cat == NGHTTP2_HCAT_RESPONSE;
+    if (answer && key == ":status" && text != kAccepted) {
+      self.handler.OnAnswer(std::nullopt);
+    } else if (answer && key == kVersionHeader) {
+      self.handler.OnAnswer(VersionIn(text));
     }
     return Result(self);
   }
@@ -165,13 +177,16 @@
                              headers.size(), &body, nullptr);
 }
 
-void Http2Connection::Answer(bool accepted) {
-  const std::array<nghttp2_nv, 1> headers{
-      Header(":status", accepted ? kAccepted : kForbidden)};
+void Http2Connection::Answer(std::optional<ProtocolVersion> version) {
+  const std::string chosen = std::to_string(version.value_or(0));
+  const std::array<nghttp2_nv, 2> headers{
+      Header(":status", version ? kAccepted : kForbidden),
+      Header(kVersionHeader, chosen)};
   nghttp2_data_provider body{};
   body.read_callback = &Http2Callbacks::ReadNothing;
   nghttp2_submit_response(this->session.get(), this->stream, headers.data(),
-                          headers.size(), accepted ? &body : nullptr);
+                          version ? headers.size() : 1,
+                          version ? &body : nullptr);
   this->WatchSocket();
 }
 
--- a/source/peer/http2_connection.h
+++ b/source/peer/http2_connection.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <string_view>
 
+#include "peer/hello.h"
 #include "peer/peer_counts.h"
 #include "peer/transport.h"
 
@@ -24,8 +25,8 @@
  public:
   virtual ~Http2Handler() = default;
 
-  /// The accepting end answered the request.
-  virtual void OnAnswer(bool accepted) = 0;
+  /// The accepting end let this one in and chose a version, or refused it.
+  virtual void OnAnswer(std::optional<ProtocolVersion> version) = 0;
   /// A part of the connecting end's body.
   virtual void OnBody(std::string_view bytes) = 0;
   /// Fills `into` with the next part of the body; returns its size, 0 when
@@ -50,8 +51,9 @@
   Http2Connection(const Http2Connection&) = delete;
   Http2Connection& operator=(const Http2Connection&) = delete;
 
-  /// Answers the request. After a refusal the other end closes.
-  void Answer(bool accepted);
+  /// Answers the request with the version to use, or refuses it; the other end
+  /// closes then.
+  void Answer(std::optional<ProtocolVersion> version);
   /// There is something for `NextBody` to send.
   void WakeBody();
   /// Asks the other end for a sign of life.
--- a/source/peer/incoming_link.cc
+++ b/source/peer/incoming_link.cc
@@ -40,7 +40,7 @@
   this->connection->Stop();
 }
 
-void IncomingLink::OnAnswer(bool /*accepted*/) {}
+void IncomingLink::OnAnswer(std::optional<ProtocolVersion> /*version*/) {}
 
 std::size_t IncomingLink::NextBody(std::span<char> /*into*/) { return 0; }
 
@@ -128,10 +128,11 @@
     return;
   }
   this->hello = *said;
+  this->version = HighestCommon(said->versions, this->context.self.versions);
   this->state = State::kAdmitted;
   this->splitter.SetLimit(kMessageLimit);
   this->deadline.start(Seconds(this->context.limits.silent_after));
-  this->connection->Answer(true);
+  this->connection->Answer(this->version);
   this->owner.OnAdmitted(this->id);
 }
 
@@ -152,7 +153,7 @@
   this->Count(reason);
   this->state = State::kRefused;
   // The other end reads the answer and closes; the deadline holds if not.
-  this->connection->Answer(false);
+  this->connection->Answer(std::nullopt);
 }
 
 void IncomingLink::OnEnded(CutReason reason) {
--- a/source/peer/incoming_link.h
+++ b/source/peer/incoming_link.h
@@ -49,11 +49,13 @@
   common::Incarnation PeerIncarnation() const {
     return this->hello.incarnation;
   }
+  /// Chosen when the peer was let in.
+  std::optional<ProtocolVersion> Version() const { return this->version; }
   const common::IpAddress& Source() const { return this->source; }
   /// Ends the link at once and counts why; the owner isn't told.
   void Stop(CutReason reason);
 
-  void OnAnswer(bool accepted) override;
+  void OnAnswer(std::optional<ProtocolVersion> version) override;
   void OnBody(std::string_view bytes) override;
   std::size_t NextBody(std::span<char> into) override;
   void OnAlive() override;
@@ -82,6 +84,7 @@
   std::optional<std::string> next;  ///< A frame that waits for the budget.
   std::size_t unconsumed{0};        ///< Body bytes not handed back yet.
   Hello hello;                      ///< All 0 until the peer is let in.
+  std::optional<ProtocolVersion> version;
   State state{State::kWaiting};
   ev::timer deadline;
   ev::timer receive_again;  ///< Runs while a frame waits.
--- a/source/peer/instance_directory.cc
+++ b/source/peer/instance_directory.cc
@@ -27,7 +27,7 @@
 
 std::optional<CutReason> InstanceDirectory::Judge(
     const Hello& hello, const common::IpAddress& source) const {
-  if (hello.version != kProtocolVersion) {
+  if (!HighestCommon(hello.versions, this->versions)) {
     return CutReason::kOtherVersion;
   }
   if (this->fleet.empty()) {
--- a/source/peer/instance_directory.h
+++ b/source/peer/instance_directory.h
@@ -16,7 +16,8 @@
 /// The list in force and the fleet's name.
 class InstanceDirectory {
  public:
-  explicit InstanceDirectory(common::InstanceId self) : self(self) {}
+  InstanceDirectory(common::InstanceId self, VersionRange versions)
+      : self(self), versions(versions) {}
 
   void Set(const core::InstanceList& list, const std::string& fleet);
   const std::string& Fleet() const { return this->fleet; }
@@ -30,6 +31,7 @@
 
  private:
   common::InstanceId self;
+  VersionRange versions;
   std::string fleet;
   std::unordered_map<common::InstanceId, core::Instance> instances;
 };
--- a/source/peer/message_fields.h
+++ b/source/peer/message_fields.h
@@ -16,7 +16,8 @@
 /// Each overload calls `visit` with all fields of `m` and returns its result.
 template <typename Visit, Is<Hello> Message>
 auto VisitFields(Message& m, Visit& visit) {
-  return visit(m.version, m.fleet, m.from, m.incarnation, m.to);
+  return visit(m.versions.lowest, m.versions.highest, m.fleet, m.from,
+               m.incarnation, m.to);
 }
 
 template <typename Visit, Is<core::DocumentEntry> Message>
--- a/source/peer/outgoing_link.cc
+++ b/source/peer/outgoing_link.cc
@@ -59,20 +59,25 @@
 }
 
 std::string OutgoingLink::HelloFrame() const {
-  const Hello hello{kProtocolVersion, this->context.directory.Fleet(),
-                    this->context.self.id, this->context.self.incarnation,
-                    this->peer.id};
+  const Hello hello{this->context.self.versions,
+                    this->context.directory.Fleet(), this->context.self.id,
+                    this->context.self.incarnation, this->peer.id};
   return Framed(Encode(hello));
 }
 
-void OutgoingLink::OnAnswer(bool accepted) {
+void OutgoingLink::OnAnswer(std::optional<ProtocolVersion> answer) {
   if (this->state != State::kConnecting) {
     return;
   }
-  if (!accepted) {
+  if (!answer) {
     this->connection->End(CutReason::kRefused);
     return;
   }
+  if (!HighestCommon(this->context.self.versions, {*answer, *answer})) {
+    this->connection->End(CutReason::kOtherVersion);
+    return;
+  }
+  this->version = answer;
   this->state = State::kUp;
   this->backoff.OnSuccess();
   this->alive = true;
@@ -124,6 +129,7 @@
 
 void OutgoingLink::End(CutReason reason) {
   const bool was_up = this->state == State::kUp;
+  this->version.reset();
   this->connection.reset();
   ++this->context.counts.Cut(reason);
   if (reason == CutReason::kUnused) {
--- a/source/peer/outgoing_link.h
+++ b/source/peer/outgoing_link.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -13,6 +14,7 @@
 #include "core/configuration.h"
 #include "core/fleet/backoff.h"
 #include "core/fleet/jitter.h"
+#include "peer/hello.h"
 #include "peer/http2_connection.h"
 #include "peer/peer_context.h"
 #include "peer/send_queue.h"
@@ -29,11 +31,13 @@
                std::uint64_t seed);
 
   const core::Instance& Peer() const { return this->peer; }
+  /// What the peer chose; nothing while the stream isn't up.
+  std::optional<ProtocolVersion> Version() const { return this->version; }
   void Send(QueuedMessage message);
   /// Ends everything at once; the listener isn't told.
   void Stop();
 
-  void OnAnswer(bool accepted) override;
+  void OnAnswer(std::optional<ProtocolVersion> answer) override;
   void OnBody(std::string_view bytes) override;
   std::size_t NextBody(std::span<char> into) override;
   void OnAlive() override { this->alive = true; }
@@ -63,6 +67,7 @@
   SendQueue queue;
   ev::timer timer;
   State state{State::kIdle};
+  std::optional<ProtocolVersion> version;
   std::unique_ptr<Http2Connection> connection;
   std::string frame;    ///< The frame that is being sent.
   std::size_t sent{0};  ///< How much of it has been handed over.
--- a/source/peer/peer_context.h
+++ b/source/peer/peer_context.h
@@ -11,6 +11,7 @@
 #include "common/address.h"
 #include "common/ids.h"
 #include "core/messages.h"
+#include "peer/hello.h"
 #include "peer/instance_directory.h"
 #include "peer/peer_clock.h"
 #include "peer/peer_counts.h"
@@ -51,6 +52,7 @@
 struct PeerIdentity {
   common::InstanceId id;
   common::Incarnation incarnation;
+  VersionRange versions{kSpokenVersions};
 };
 
 /// Takes what comes from peers.
--- a/source/peer/peer_counts.h
+++ b/source/peer/peer_counts.h
@@ -14,7 +14,7 @@
 enum class CutReason : std::uint8_t {
   kNotListed,        ///< Its address or id is not on the instance list.
   kOtherFleet,       ///< It names another fleet.
-  kOtherVersion,     ///< It speaks another version of the protocol.
+  kOtherVersion,     ///< No version of the protocol in common.
   kMisdirected,      ///< It means to reach another instance.
   kOldIncarnation,   ///< A life before the published one.
   kNoConfiguration,  ///< This instance doesn't know its own fleet yet.
--- a/source/peer/peer_links.cc
+++ b/source/peer/peer_links.cc
@@ -33,9 +33,10 @@
     return tl::unexpected(PeerOpenFault{"can't listen for peers at " +
                                         settings.listen.ToString()});
   }
-  PeerContext context{loop,           self,     settings.listen.address,
-                      limits,         listener, InstanceDirectory(self.id),
-                      std::move(tls), seed,     clock};
+  PeerContext context{
+      loop,           self,     settings.listen.address,
+      limits,         listener, InstanceDirectory(self.id, self.versions),
+      std::move(tls), seed,     clock};
   return std::unique_ptr<PeerLinks>(
       new PeerLinks(std::move(context), std::move(*socket)));
 }
@@ -81,6 +82,22 @@
   link->Send(std::move(queued));
 }
 
+std::optional<ProtocolVersion> PeerLinks::VersionTo(
+    common::InstanceId peer) const {
+  const auto found = this->outgoing.find(peer);
+  return found == this->outgoing.end() ? std::nullopt
+                                       : found->second->Version();
+}
+
+std::optional<ProtocolVersion> PeerLinks::VersionFrom(
+    common::InstanceId peer) const {
+  const auto found = std::find_if(
+      this->incoming.begin(), this->incoming.end(),
+      [peer](const auto& entry) { return entry.second->Peer() == peer; });
+  return found == this->incoming.end() ? std::nullopt
+                                       : found->second->Version();
+}
+
 void PeerLinks::OnAcceptable(ev::io& /*watcher*/, int /*events*/) {
   for (int i = 0; i < kAcceptsAtOnce; ++i) {
     std::optional<AcceptedSocket> accepted = Accept(this->socket);
--- a/source/peer/peer_links.h
+++ b/source/peer/peer_links.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <tl/expected.hpp>
 #include <unordered_map>
@@ -51,6 +52,10 @@
   /// Queues a message; connects if need be. What can't be sent is counted.
   void Send(common::InstanceId to, const core::PeerMessage& message);
 
+  /// The version in use on the stream to or from a peer; nothing while there is
+  /// no such stream.
+  std::optional<ProtocolVersion> VersionTo(common::InstanceId peer) const;
+  std::optional<ProtocolVersion> VersionFrom(common::InstanceId peer) const;
   const PeerCounts& Counts() const { return this->context.counts; }
   /// Where this instance listens.
   common::Endpoint Listening() const { return LocalEndpoint(this->socket); }
--- a/tests/peer/peer_codec_test.cc
+++ b/tests/peer/peer_codec_test.cc
@@ -48,7 +48,7 @@
 }
 
 BOOST_AUTO_TEST_CASE(hello_survives_the_way_there_and_back) {
-  const Hello hello{kProtocolVersion, "lensmoor", {3}, {4}, {5}};
+  const Hello hello{kSpokenVersions, "lensmoor", {3}, {4}, {5}};
 
   const auto decoded = DecodeHello(Encode(hello));
 
--- a/tests/peer/peer_fixture.h
+++ b/tests/peer/peer_fixture.h
@@ -65,7 +65,8 @@
     settings.tls = this->tls;
     auto instance = std::make_unique<TestInstance>();
     instance->links =
-        std::move(PeerLinks::Open(this->loop, {{id}, {this->incarnation}},
+        std::move(PeerLinks::Open(this->loop,
+                                  {{id}, {this->incarnation}, this->versions},
                                   settings, this->limits, id,
                                   instance->recorder, *this->clock))
             .value();
@@ -98,6 +99,7 @@
   const PeerClock* clock{&SteadyPeerClock::Shared()};
   std::optional<config::TlsSettings> tls;
   std::uint64_t incarnation{1};
+  VersionRange versions{kSpokenVersions};
   ev::dynamic_loop loop;
   std::vector<std::unique_ptr<TestInstance>> instances;
 };
--- a/tests/peer/peer_links_test.cc
+++ b/tests/peer/peer_links_test.cc
@@ -93,25 +93,25 @@
 
 std::string Say(const Hello& hello) { return Framed(Encode(hello)); }
 
-const Hello kHello{kProtocolVersion, "lensmoor", {2}, {1}, {1}};
+const Hello kHello{kSpokenVersions, "lensmoor", {2}, {1}, {1}};
 
 const Stranger kStrangers[] = {
     {"another fleet", "127.0.1.2",
-     Say({kProtocolVersion, "hmcdu", {2}, {1}, {1}}), CutReason::kOtherFleet},
-    {"another version", "127.0.1.2", Say({9, "lensmoor", {2}, {1}, {1}}),
+     Say({kSpokenVersions, "hmcdu", {2}, {1}, {1}}), CutReason::kOtherFleet},
+    {"another version", "127.0.1.2", Say({{9, 9}, "lensmoor", {2}, {1}, {1}}),
      CutReason::kOtherVersion},
     {"meant for another instance", "127.0.1.2",
-     Say({kProtocolVersion, "lensmoor", {2}, {1}, {3}}),
+     Say({kSpokenVersions, "lensmoor", {2}, {1}, {3}}),
      CutReason::kMisdirected},
     {"an id that isn't listed", "127.0.1.2",
-     Say({kProtocolVersion, "lensmoor", {3}, {1}, {1}}), CutReason::kNotListed},
+     Say({kSpokenVersions, "lensmoor", {3}, {1}, {1}}), CutReason::kNotListed},
     {"this instance's own id", "127.0.1.1",
-     Say({kProtocolVersion, "lensmoor", {1}, {1}, {1}}), CutReason::kNotListed},
+     Say({kSpokenVersions, "lensmoor", {1}, {1}, {1}}), CutReason::kNotListed},
     {"another instance's id", "127.0.1.1", Say(kHello), CutReason::kNotListed},
     {"an address that isn't listed", "127.0.1.9", Say(kHello),
      CutReason::kNotListed},
     {"a life before this one", "127.0.1.2",
-     Say({kProtocolVersion, "lensmoor", {2}, {0}, {1}}),
+     Say({kSpokenVersions, "lensmoor", {2}, {0}, {1}}),
      CutReason::kOldIncarnation},
     {"a hello that is none", "127.0.1.2", Framed("\x90"),
      CutReason::kMalformed},
--- /dev/null
+++ b/tests/peer/protocol_version_test.cc
@@ -0,0 +1,69 @@
+/// Instances of different releases agree on a version, or part.
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <ostream>
+#include <string>
+
+#include "peer/hello.h"
+#include "peer/peer_fixture.h"
+
+namespace sassafrasdyke::peer {
+namespace {
+
+struct Releases {
+  std::string name;
+  VersionRange one;
+  VersionRange two;
+  std::optional<ProtocolVersion> common;
+};
+
+std::ostream& operator<<(std::ostream& out, const Releases& row) {
+  return out << row.name;
+}
+
+const Releases kReleases[] = {
+    {"the same", {1, 1}, {1, 1}, 1},
+    {"one speaks a newer one too", {1, 2}, {1, 1}, 1},
+    {"they overlap", {1, 3}, {2, 5}, 3},
+    {"they touch", {1, 2}, {2, 3}, 2},
+    {"one within the other", {1, 9}, {4, 6}, 6},
+    {"none in common", {1, 1}, {2, 3}, std::nullopt},
+    {"a range that holds nothing", {1, 5}, {4, 3}, std::nullopt},
+};
+
+// A fleet is upgraded one instance after the other, and for an hour half of it
+// runs the new release. Both halves must go on talking, in what both speak; if
+// they refused each other, each would suspect the other and take over its
+// flows. Releases too far apart are cut off and counted instead.
+BOOST_DATA_TEST_CASE(both_ends_use_the_highest_common_version, kReleases, row) {
+  PeerFixture fixture;
+  fixture.versions = row.one;
+  TestInstance& one = fixture.Open(1);
+  fixture.versions = row.two;
+  TestInstance& two = fixture.Open(2);
+  const core::InstanceList list = PeerFixture::ListOf({&one, &two});
+  one.links->SetInstances(list, PeerFixture::kFleet);
+  two.links->SetInstances(list, PeerFixture::kFleet);
+
+  one.links->Send({2}, core::Heartbeat{});
+  two.links->Send({1}, core::Heartbeat{});
+  const std::size_t expected = row.common ? 1 : 0;
+  BOOST_TEST(fixture.RunUntil([&one, &two, expected] {
+    const auto settled = [expected](const TestInstance& instance) {
+      return instance.recorder.messages.size() == expected &&
+             (expected > 0 ||
+              instance.links->Counts().Cut(CutReason::kOtherVersion) > 0);
+    };
+    return settled(one) && settled(two);
+  }));
+
+  BOOST_TEST((one.links->VersionTo({2}) == row.common));
+  BOOST_TEST((one.links->VersionFrom({2}) == row.common));
+  BOOST_TEST((two.links->VersionTo({1}) == row.common));
+  BOOST_TEST((two.links->VersionFrom({1}) == row.common));
+}
+
+}  // namespace
+}  // namespace sassafrasdyke::peer
--- a/tests/peer/receive_limiter_test.cc
+++ b/tests/peer/receive_limiter_test.cc
@@ -135,7 +135,7 @@
   copy.document.entries.push_back({"defaults", std::string(kEntry, 'x')});
   const std::string message = Framed(Encode(copy));
   std::string said =
-      Framed(Encode(Hello{kProtocolVersion, kFleet, {2}, {1}, {1}}));
+      Framed(Encode(Hello{kSpokenVersions, kFleet, {2}, {1}, {1}}));
   for (std::size_t i = 0; i < kMessages; ++i) {
     said += message;
   }
--- a/tests/peer/scripted_client.h
+++ b/tests/peer/scripted_client.h
@@ -44,7 +44,9 @@
   /// What the window has kept back.
   std::size_t Left() const { return this->body.size(); }
 
-  void OnAnswer(bool accepted) override { this->answer = accepted; }
+  void OnAnswer(std::optional<ProtocolVersion> version) override {
+    this->answer = version.has_value();
+  }
   void OnBody(std::string_view /*bytes*/) override {}
   std::size_t NextBody(std::span<char> into) override {
     const std::size_t size = std::min(into.size(), this->body.size());
