--- a/source/app/metrics_publisher.cc
+++ b/source/app/metrics_publisher.cc
@@ -117,6 +117,10 @@
     to.SetTotal(metrics::kPeerCuts, counts.cut[i],
                 Word(static_cast<peer::CutReason>(i)));
   }
+  for (std::size_t i = 0; i < counts.paused.size(); ++i) {
+    to.SetTotal(metrics::kPeerPauses, counts.paused[i],
+                Word(static_cast<peer::ReceiveLimit>(i)));
+  }
 }
 
 void PublishProbes(Metrics& to, const platform::ProbeCounts& counts) {
--- a/source/observe/metrics.h
+++ b/source/observe/metrics.h
@@ -74,6 +74,9 @@
 inline constexpr MetricInfo kPeerCuts{
     "sassafrasdyke_peer_cuts_total",
     "Streams between instances that ended or were not let in.", "reason"};
+inline constexpr MetricInfo kPeerPauses{
+    "sassafrasdyke_peer_pauses_total",
+    "Times that an instance's next message had to wait.", "limit"};
 inline constexpr MetricInfo kProbes{"sassafrasdyke_probes_total",
                                     "Probes of targets' health.", "result"};
 inline constexpr MetricInfo kMailDropped{
--- a/source/observe/words.cc
+++ b/source/observe/words.cc
@@ -46,8 +46,10 @@
   }
   const auto found =
       std::ranges::find(configuration->services, service, &core::Service::id);
-  return found == configuration->services.end() ? std::string_view{}
-                                                : std::string_view(found->name);
+  if (found == configuration->services.end()) {
+    return {};
+  }
+  return found->name;
 }
 
 std::string Hex(std::uint64_t value) {
