Use one token bucket, and let it fill while nobody takes

Cause: duplicates named two token buckets, one for copies and one for messages; a third user borrowed the second from the fleet. Reading the first showed a fault: its fill grew only when something was taken, so after a burst with nothing to copy, placement went on avoiding exceptions as if the budget were empty. Change: common/token_bucket serves copies, messages and the peers' receive limit; Fill takes the time. A bucket starts full with its first limits. The effect on balance was not measured apart.

--- a/source/core/fleet/token_bucket.cc
+++ b/source/common/token_bucket.cc
@@ -1,8 +1,8 @@
-#include "core/fleet/token_bucket.h"
+#include "common/token_bucket.h"
 
 #include <algorithm>
 
-namespace sassafrasdyke::core {
+namespace sassafrasdyke::common {
 namespace {
 
 constexpr std::chrono::milliseconds kLongestGap{1000};
@@ -13,18 +13,29 @@
 TokenBucket::TokenBucket(BucketLimits limits)
     : limits(limits), available(limits.burst) {}
 
-bool TokenBucket::Take(std::size_t bytes, std::chrono::milliseconds now) {
+bool TokenBucket::Take(std::size_t amount, std::chrono::milliseconds now) {
   this->Refill(now);
-  if (bytes > this->available) {
+  if (amount > this->available) {
     return false;
   }
-  this->available -= bytes;
+  this->available -= amount;
   return true;
 }
 
 void TokenBucket::SetLimits(BucketLimits limits) {
+  const bool is_first = this->limits.burst == 0;
   this->limits = limits;
-  this->available = std::min(this->available, limits.burst);
+  this->available =
+      is_first ? limits.burst : std::min(this->available, limits.burst);
+}
+
+double TokenBucket::Fill(std::chrono::milliseconds now) {
+  if (this->limits.burst == 0) {
+    return 0.0;
+  }
+  this->Refill(now);
+  return static_cast<double>(this->available) /
+         static_cast<double>(this->limits.burst);
 }
 
 void TokenBucket::Refill(std::chrono::milliseconds now) {
@@ -43,4 +54,4 @@
   this->refilled_at = now;
 }
 
-}  // namespace sassafrasdyke::core
+}  // namespace sassafrasdyke::common
--- a/source/core/fleet/token_bucket.h
+++ b/source/common/token_bucket.h
@@ -4,12 +4,12 @@
 #include <chrono>
 #include <cstddef>
 
-namespace sassafrasdyke::core {
+namespace sassafrasdyke::common {
 
 /// The shape of a token bucket.
 struct BucketLimits {
-  std::size_t per_second{0};  ///< Average, in bytes.
-  std::size_t burst{0};       ///< Most that may leave at once, in bytes.
+  std::size_t per_second{0};  ///< Average, in bytes or messages.
+  std::size_t burst{0};       ///< Most that may leave at once, likewise.
 };
 
 /// A token bucket, full at the start.
@@ -17,12 +17,16 @@
  public:
   explicit TokenBucket(BucketLimits limits);
 
-  /// Takes `bytes` at `now` (monotonic), or nothing and returns false.
-  bool Take(std::size_t bytes, std::chrono::milliseconds now);
+  /// Takes `amount` at `now` (monotonic), or nothing and returns false.
+  bool Take(std::size_t amount, std::chrono::milliseconds now);
 
-  /// Changes the shape; what is available stays, up to the new burst.
+  /// Changes the shape; what is available stays, up to the new burst. A bucket
+  /// without a burst until now starts full.
   void SetLimits(BucketLimits limits);
 
+  /// The filled part at `now`, from 0 to 1.
+  double Fill(std::chrono::milliseconds now);
+
   std::size_t Available() const { return this->available; }
 
  private:
@@ -33,4 +37,4 @@
   std::chrono::milliseconds refilled_at{0};
 };
 
-}  // namespace sassafrasdyke::core
+}  // namespace sassafrasdyke::common
--- a/source/core/exchange/copy_sender.cc
+++ b/source/core/exchange/copy_sender.cc
@@ -52,7 +52,8 @@
 
 }  // namespace
 
-void CopySender::SetLimits(CopyLimits copies, CopyLimits hand_overs) {
+void CopySender::SetLimits(common::BucketLimits copies,
+                           common::BucketLimits hand_overs) {
   this->copy_budget.SetLimits(copies);
   this->hand_over_budget.SetLimits(hand_overs);
 }
@@ -205,9 +206,9 @@
 
 void CopySender::SendSome(const PartitionKey& partition, OutgoingSet& set,
                           std::chrono::milliseconds now, Outbox& outbox) {
-  CopyBudget& budget = set.purpose == CopyPurpose::kHandOver
-                           ? this->hand_over_budget
-                           : this->copy_budget;
+  common::TokenBucket& budget = set.purpose == CopyPurpose::kHandOver
+                                    ? this->hand_over_budget
+                                    : this->copy_budget;
   while (this->IsDue(set, now)) {
     const std::size_t bytes = BytesOf(std::min(kBatch, set.added.size()),
                                       std::min(kBatch, set.ended.size()));
--- a/source/core/exchange/copy_sender.h
+++ b/source/core/exchange/copy_sender.h
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include "common/ids.h"
+#include "common/token_bucket.h"
 #include "core/balancer.h"
-#include "core/exchange/copy_budget.h"
 #include "core/messages.h"
 
 namespace sassafrasdyke::core {
@@ -68,7 +68,7 @@
   explicit CopySender(common::Incarnation incarnation)
       : incarnation(incarnation) {}
 
-  void SetLimits(CopyLimits copies, CopyLimits hand_overs);
+  void SetLimits(common::BucketLimits copies, common::BucketLimits hand_overs);
 
   /// Sends `partition` to `destination` from now on. What the same destination
   /// already has isn't sent again, unless the fallback differs.
@@ -112,7 +112,9 @@
   bool IsHandingOver() const;
 
   /// How much of the copy budget is left, from 0 to 1.
-  double BudgetLeft() const { return this->copy_budget.Fill(); }
+  double BudgetLeft(std::chrono::milliseconds now) {
+    return this->copy_budget.Fill(now);
+  }
 
  private:
   bool IsDue(const OutgoingSet& set, std::chrono::milliseconds now) const;
@@ -123,8 +125,8 @@
 
   common::Incarnation incarnation;
   std::map<PartitionKey, OutgoingSet> sets;
-  CopyBudget copy_budget;
-  CopyBudget hand_over_budget;
+  common::TokenBucket copy_budget{common::BucketLimits{}};
+  common::TokenBucket hand_over_budget{common::BucketLimits{}};
   /// Never falls while the process lives.
   std::uint64_t generations{0};
   /// Where the last flush ended, so that the budget goes round.
--- a/source/core/exchange/exchange.cc
+++ b/source/core/exchange/exchange.cc
@@ -41,7 +41,7 @@
          set.incarnation >= destination.incarnation;
 }
 
-CopyLimits LimitsFor(std::size_t bytes_per_second) {
+common::BucketLimits LimitsFor(std::size_t bytes_per_second) {
   return {bytes_per_second, kBurstSeconds * bytes_per_second};
 }
 
@@ -785,8 +785,8 @@
   this->store.EraseFlow(this->world.Directory().KeyOf(partition), flow);
 }
 
-double Exchange::Reluctance() const {
-  const double left = this->sender.BudgetLeft();
+double Exchange::Reluctance(std::chrono::milliseconds now) {
+  const double left = this->sender.BudgetLeft(now);
   if (left < kNearlyUsed) {
     return kNearlyReluctance;
   }
--- a/source/core/exchange/exchange.h
+++ b/source/core/exchange/exchange.h
@@ -74,7 +74,7 @@
   TargetSlot FallbackOf(PartitionIndex partition) const;
 
   /// How reluctant placement should be to make exceptions: 1 or more.
-  double Reluctance() const;
+  double Reluctance(std::chrono::milliseconds now);
 
   std::size_t CopiesHeld() const { return this->store.Size(); }
   std::size_t CopiesWaiting() const;
--- a/source/core/fleet/send_limiter.cc
+++ b/source/core/fleet/send_limiter.cc
@@ -35,7 +35,8 @@
 /// A whole document is up to a megabyte and can't wait for a budget of
 /// kilobytes a second: a joining instance would be useless for minutes. Copies
 /// are rare, so they have a budget of their own; two may leave at once.
-constexpr BucketLimits kCopyLimits{.per_second = 65'536, .burst = 4'194'304};
+constexpr common::BucketLimits kCopyLimits{.per_second = 65'536,
+                                           .burst = 4'194'304};
 
 bool MayWait(MessageBudget budget) {
   return budget == MessageBudget::kMembers ||
@@ -85,12 +86,12 @@
     this->lanes[lane].status.budget = static_cast<MessageBudget>(lane);
   }
   this->lanes[IndexOf(MessageBudget::kCopies)].bucket =
-      TokenBucket(kCopyLimits);
+      common::TokenBucket(kCopyLimits);
   const std::size_t control = ControlBytes(FleetPolicy{});
   for (const LaneShape& shape : kShapes) {
     const std::size_t rate = control * shape.percent / kPercent;
     this->lanes[IndexOf(shape.budget)].bucket =
-        TokenBucket({rate, rate * shape.burst_seconds});
+        common::TokenBucket({rate, rate * shape.burst_seconds});
   }
 }
 
--- a/source/core/fleet/send_limiter.h
+++ b/source/core/fleet/send_limiter.h
@@ -9,9 +9,9 @@
 #include <deque>
 #include <vector>
 
+#include "common/token_bucket.h"
 #include "core/configuration.h"
 #include "core/fleet/fleet.h"
-#include "core/fleet/token_bucket.h"
 #include "core/messages.h"
 
 namespace sassafrasdyke::core {
@@ -50,7 +50,7 @@
     std::chrono::milliseconds since{0};
   };
   struct Lane {
-    TokenBucket bucket{BucketLimits{}};
+    common::TokenBucket bucket{common::BucketLimits{}};
     std::deque<Waiting> queue;
     BudgetStatus status;
   };
--- a/source/core/flow_balancer.cc
+++ b/source/core/flow_balancer.cc
@@ -348,7 +348,7 @@
       .unreachable = this->world.Owners().View().unreachable,
       .adopted = adopted,
       .prefer_fallback = context.now < state.contested_until,
-      .reluctance = this->exchange.Reluctance()};
+      .reluctance = this->exchange.Reluctance(context.now)};
   std::optional<Placement> placement =
       Place(request, this->world.Targets(), context.now);
   if (!placement) {
--- a/source/peer/receive_limiter.h
+++ b/source/peer/receive_limiter.h
@@ -7,7 +7,7 @@
 #include <optional>
 #include <string_view>
 
-#include "core/fleet/token_bucket.h"
+#include "common/token_bucket.h"
 
 namespace sassafrasdyke::peer {
 
@@ -20,10 +20,10 @@
 /// What one peer may send: far above the published budgets, so that only a
 /// peer that has lost its own limits meets these.
 struct ReceiveLimits {
-  core::BucketLimits messages{.per_second = 1000, .burst = 4096};
+  common::BucketLimits messages{.per_second = 1000, .burst = 4096};
   /// Encoded, frame headers included. The burst must hold the greatest frame.
-  core::BucketLimits bytes{.per_second = std::size_t{1} << 20U,
-                           .burst = std::size_t{4} << 20U};
+  common::BucketLimits bytes{.per_second = std::size_t{1} << 20U,
+                             .burst = std::size_t{4} << 20U};
 };
 
 /// The budget of one peer.
@@ -37,8 +37,8 @@
                                    std::chrono::milliseconds now);
 
  private:
-  core::TokenBucket messages;
-  core::TokenBucket bytes;
+  common::TokenBucket messages;
+  common::TokenBucket bytes;
   bool message_paid{false};  ///< The next message waits for its bytes only.
 };
 
--- a/tests/core/fleet/limits_test.cc
+++ b/tests/core/fleet/limits_test.cc
@@ -4,12 +4,12 @@
 #include <boost/test/unit_test.hpp>
 #include <ostream>
 
+#include "common/token_bucket.h"
 #include "core/fleet/backoff.h"
 #include "core/fleet/fleet_network.h"
 #include "core/fleet/message_size.h"
 #include "core/fleet/retry_budget.h"
 #include "core/fleet/send_limiter.h"
-#include "core/fleet/token_bucket.h"
 
 namespace sassafrasdyke::core {
 namespace {
@@ -33,7 +33,7 @@
 // The kernel stops an instance for minutes. When it wakes, its control traffic
 // must not leave all at once, or its peers miss the heartbeats of others.
 BOOST_DATA_TEST_CASE(a_pause_earns_no_more_than_a_second, kWakeUps, row) {
-  TokenBucket bucket({.per_second = 1000, .burst = 5000});
+  common::TokenBucket bucket({.per_second = 1000, .burst = 5000});
   BOOST_REQUIRE(bucket.Take(5000, 0ms));
 
   BOOST_TEST(!bucket.Take(1001, row.pause));
