Take fallbacks and the gathering of copies out of the exchange

Change: Fallbacks and CopyGatherer are classes of their own; behaviour stays. Conclusion: the rest of the exchange is ownership alone.

--- a/source/core/exchange/exchange.cc
+++ b/source/core/exchange/exchange.cc
@@ -20,10 +20,6 @@
 constexpr std::size_t kQueueBatch = 2000;
 /// Burst of the budgets, in seconds of their average.
 constexpr std::size_t kBurstSeconds = 4;
-/// The fallback moves when another target has more than this many times the
-/// flows, and a margin so that a few flows don't move it to and fro.
-constexpr std::uint32_t kFlipFactor = 2;
-constexpr std::uint32_t kFlipMargin = 16;
 /// Factors on the deviation threshold with the budget half and nearly used.
 constexpr double kHalfUsed = 0.5;
 constexpr double kNearlyUsed = 0.25;
@@ -35,12 +31,6 @@
   return std::find(domains.begin(), domains.end(), domain) != domains.end();
 }
 
-/// Whether a set is the destination's own word, of its present life.
-bool KnowsItself(const CopyDestination& destination, const CopySet& set) {
-  return set.from == destination.to &&
-         set.incarnation >= destination.incarnation;
-}
-
 common::BucketLimits LimitsFor(std::size_t bytes_per_second) {
   return {bytes_per_second, kBurstSeconds * bytes_per_second};
 }
@@ -49,7 +39,11 @@
 
 Exchange::Exchange(common::InstanceId self, common::Incarnation incarnation,
                    FlowWorld& world)
-    : self(self), world(world), sender(incarnation) {}
+    : self(self),
+      world(world),
+      sender(incarnation),
+      fallbacks(world, this->store),
+      gatherer(world, this->store, this->sender) {}
 
 void Exchange::OnConfiguration(const std::vector<common::TargetId>& ended,
                                std::chrono::milliseconds now, Outbox& outbox) {
@@ -68,7 +62,10 @@
     return;
   }
   for (std::uint32_t i = 0; i < this->world.Partitions().size(); ++i) {
-    this->RefreshFallback(PartitionIndex{i}, outbox);
+    if (this->fallbacks.Refresh(PartitionIndex{i})) {
+      this->Note(PartitionIndex{i}, PartitionEvent::kFallbackChanged, {},
+                 outbox);
+    }
   }
   this->Reconcile(now, outbox);
 }
@@ -230,11 +227,11 @@
   const CopySet* const set = this->store.SetFrom(key, before);
   for (const CopySet& other : this->store.SetsOf(key)) {
     if (other.handed_over && other.fallback.value != 0) {
-      this->AdoptFallback(partition, other.fallback);
+      this->fallbacks.Adopt(partition, other.fallback);
     }
   }
   if (set != nullptr && set->complete && set->fallback.value != 0) {
-    this->AdoptFallback(partition, set->fallback);
+    this->fallbacks.Adopt(partition, set->fallback);
   }
   if (state.fallback == kNoSlot && !owners.At(partition).adopted) {
     state.fallback = this->world.DefaultTarget(partition);
@@ -337,6 +334,16 @@
   }
 }
 
+void Exchange::FlipFallbacks(std::chrono::milliseconds now, Outbox& outbox) {
+  for (std::uint32_t i = 0; i < this->world.Partitions().size(); ++i) {
+    const PartitionIndex partition{i};
+    if (this->fallbacks.Flip(partition, now)) {
+      this->UpdateStandby(partition);
+      this->Note(partition, PartitionEvent::kFallbackChanged, {}, outbox);
+    }
+  }
+}
+
 void Exchange::UpdateStandby(PartitionIndex partition) {
   const PartitionKey& key = this->world.Directory().KeyOf(partition);
   // A new life of this instance must not replace what its earlier life copied
@@ -351,7 +358,7 @@
     return;
   }
   this->sender.Start(key, *destination, CopyPurpose::kStandby,
-                     this->FallbackId(partition));
+                     this->fallbacks.IdOf(partition));
 }
 
 void Exchange::OnCopy(common::InstanceId from, const ExceptionCopy& copy,
@@ -375,7 +382,7 @@
   const bool decides = state.owned || state.IsHandingOver();
   if (decides && set->complete && !set->arriving && set->fallback.value != 0 &&
       (state.previous == from || state.fallback_guessed)) {
-    this->AdoptFallback(*partition, set->fallback);
+    this->fallbacks.Adopt(*partition, set->fallback);
   }
   if (outcome.handed_over && learns) {
     this->Absorb(*partition, *set, now);
@@ -438,7 +445,7 @@
         key, {flow, this->world.Targets().At(record.target).target.id}, now);
     return;
   }
-  if (!this->IsAtFallback(record, partition)) {
+  if (!this->fallbacks.Finds(record, partition)) {
     const ServiceIndex service = this->world.Directory().ServiceOf(partition);
     this->pending.push_back(
         {flow, key.service,
@@ -474,17 +481,11 @@
   this->StartDeferred(now);
   this->FlipFallbacks(now, outbox);
   this->QueueDue(now);
-  this->Gather(now);
+  this->gatherer.Gather(now);
   this->sender.Flush(now, outbox);
   this->DropOldCopies(now);
 }
 
-bool Exchange::IsAtFallback(const FlowRecord& record,
-                            PartitionIndex partition) const {
-  const PartitionState& state = this->world.StateOf(partition);
-  return !state.fallback_guessed && record.target == state.fallback;
-}
-
 void Exchange::QueueDue(std::chrono::milliseconds now) {
   for (std::size_t looks = 0; looks < kQueueBatch; ++looks) {
     if (this->pending.empty() || this->pending.front().due > now) {
@@ -497,7 +498,7 @@
         partition ? this->world.LiveRecord(next.flow, *partition) : nullptr;
     if (record == nullptr || record->copied ||
         record->state == FlowState::kClosing ||
-        this->IsAtFallback(*record, *partition)) {
+        this->fallbacks.Finds(*record, *partition)) {
       continue;
     }
     record->copied = true;
@@ -507,81 +508,10 @@
   }
 }
 
-void Exchange::Gather(std::chrono::milliseconds now) {
-  const std::map<PartitionKey, Gathering> wanted = this->sender.Wanted();
-  if (wanted.empty()) {
-    return;
-  }
-  struct Order {
-    Gathering gathering{Gathering::kNone};
-    bool hand_over{false};
-    TargetSlot fallback{kNoSlot};
-    std::vector<FlowException> flows;
-  };
-  std::vector<Order> orders(this->world.Partitions().size());
-  for (const auto& [key, gathering] : wanted) {
-    const auto partition = this->world.Directory().Find(key);
-    if (!partition) {
-      this->sender.Stop(key);
-      continue;
-    }
-    const PartitionState& state = this->world.StateOf(*partition);
-    const OutgoingSet* const set = this->sender.Find(key);
-    Order& order = orders[partition->value];
-    order.gathering = gathering;
-    order.hand_over = set->purpose == CopyPurpose::kHandOver;
-    order.fallback = set->fallback.value == 0 ? kNoSlot : state.fallback;
-    order.flows = this->CopiesToReturn(*partition, *set);
-  }
-  this->world.ForEachRecord([this, &orders](common::Fingerprint flow,
-                                            FlowRecord& record) {
-    const auto partition = this->world.PartitionOf(flow, record.service);
-    if (!partition || !this->world.IsLive(record, *partition)) {
-      return;
-    }
-    Order& order = orders[partition->value];
-    // A SYN that is sent again must find its target, wherever it is; any other
-    // flow at the fallback is found without being named.
-    const bool is_named = record.target != order.fallback ||
-                          (order.hand_over && record.state == FlowState::kSyn);
-    const bool is_new = order.gathering == Gathering::kWhole || !record.copied;
-    const TargetRecord& target = this->world.Targets().At(record.target);
-    if (order.gathering != Gathering::kNone && is_named && is_new &&
-        !target.gone) {
-      order.flows.push_back({flow, target.target.id});
-      record.copied = true;
-    }
-  });
-  for (std::uint32_t i = 0; i < orders.size(); ++i) {
-    if (orders[i].gathering != Gathering::kNone) {
-      this->sender.Load(this->world.Directory().KeyOf(PartitionIndex{i}),
-                        std::move(orders[i].flows), now);
-    }
-  }
-}
-
-std::vector<FlowException> Exchange::CopiesToReturn(
-    PartitionIndex partition, const OutgoingSet& outgoing) const {
-  std::vector<FlowException> flows;
-  if (outgoing.purpose != CopyPurpose::kHandOver) {
-    return flows;
-  }
-  for (const CopySet& set :
-       this->store.SetsOf(this->world.Directory().KeyOf(partition))) {
-    if (KnowsItself(outgoing.destination, set)) {
-      continue;
-    }
-    for (const auto& [flow, target] : AllFlows(set)) {
-      flows.push_back({flow, target});
-    }
-  }
-  return flows;
-}
-
 common::TargetId Exchange::ClaimFor(PartitionIndex partition,
                                     const CopyDestination& destination) const {
   if (this->world.StateOf(partition).remembers) {
-    return this->FallbackId(partition);
+    return this->fallbacks.IdOf(partition);
   }
   // This instance never decided, but may hold the word of one that did.
   const CopySet* best = nullptr;
@@ -637,7 +567,7 @@
   record.payload_forwarded = true;
   record.from_copy = true;
   record.copied = (state.owned || state.IsHandingOver()) &&
-                  !this->IsAtFallback(record, partition);
+                  !this->fallbacks.Finds(record, partition);
   if (this->world.OpenFlow(exception.flow, partition, record,
                            Admission::kEstablishedFlow) != nullptr &&
       record.copied) {
@@ -645,102 +575,6 @@
   }
 }
 
-void Exchange::AdoptFallback(PartitionIndex partition,
-                             common::TargetId fallback) {
-  PartitionState& state = this->world.StateOf(partition);
-  const auto slot = this->world.Targets().Find(fallback);
-  const common::ServiceId service =
-      this->world.Directory().KeyOf(partition).service;
-  if (!slot) {
-    state.unresolved = fallback;
-    return;
-  }
-  if (this->world.Targets().At(*slot).target.service == service) {
-    state.fallback = *slot;
-    state.fallback_guessed = false;
-    state.unresolved = {};
-  }
-}
-
-common::TargetId Exchange::FallbackId(PartitionIndex partition) const {
-  // A guess is nobody's word: until it is settled, every flow is named.
-  if (this->world.StateOf(partition).fallback_guessed) {
-    return {};
-  }
-  const TargetSlot fallback = this->FallbackOf(partition);
-  return fallback == kNoSlot ? common::TargetId{}
-                             : this->world.Targets().At(fallback).target.id;
-}
-
-TargetSlot Exchange::FallbackOf(PartitionIndex partition) const {
-  const PartitionState& state = this->world.StateOf(partition);
-  if (state.owned || state.remembers) {
-    return state.fallback;
-  }
-  const PartitionKey& key = this->world.Directory().KeyOf(partition);
-  const CopySet* const set = this->store.SetFrom(key, state.seen_owner);
-  if (set == nullptr || !set->complete) {
-    return kNoSlot;
-  }
-  const auto slot = this->world.Targets().Find(set->fallback);
-  const bool same_service =
-      slot && this->world.Targets().At(*slot).target.service == key.service;
-  return same_service ? *slot : kNoSlot;
-}
-
-void Exchange::RefreshFallback(PartitionIndex partition, Outbox& outbox) {
-  PartitionState& state = this->world.StateOf(partition);
-  if (state.unresolved.value != 0) {
-    const common::TargetId wanted = state.unresolved;
-    this->AdoptFallback(partition, wanted);
-    state.unresolved = {};
-  }
-  if (!state.owned && !state.remembers) {
-    return;
-  }
-  const bool adopted = this->world.Owners().At(partition).adopted;
-  const bool usable = state.fallback != kNoSlot &&
-                      !this->world.Targets().At(state.fallback).gone;
-  if (usable || (adopted && state.fallback == kNoSlot)) {
-    return;
-  }
-  // The flows that had no record were at a target that is no more. Nothing of
-  // them is left to protect, so the default of today takes its place.
-  state.fallback = this->world.DefaultTarget(partition);
-  this->Note(partition, PartitionEvent::kFallbackChanged, {}, outbox);
-}
-
-void Exchange::FlipFallbacks(std::chrono::milliseconds now, Outbox& outbox) {
-  for (std::uint32_t i = 0; i < this->world.Partitions().size(); ++i) {
-    const PartitionIndex partition{i};
-    PartitionState& state = this->world.StateOf(partition);
-    if (!state.owned || state.counts.empty() || state.fallback == kNoSlot) {
-      continue;
-    }
-    const ServicePolicy& policy =
-        this->world.Directory()
-            .At(this->world.Directory().ServiceOf(partition))
-            .policy;
-    // An idle flow of an earlier owner has no record here and is found only by
-    // the fallback. It must have spoken or expired before the fallback moves.
-    if (now - state.owned_since < policy.established_idle) {
-      continue;
-    }
-    const auto most =
-        std::max_element(state.counts.begin(), state.counts.end(),
-                         [](const TargetCount& a, const TargetCount& b) {
-                           return a.flows < b.flows;
-                         });
-    const std::uint32_t stay = state.FlowsAt(state.fallback);
-    if (most->flows <= kFlipFactor * stay + kFlipMargin) {
-      continue;
-    }
-    state.fallback = most->slot;
-    this->UpdateStandby(partition);
-    this->Note(partition, PartitionEvent::kFallbackChanged, {}, outbox);
-  }
-}
-
 std::optional<common::InstanceId> Exchange::WhomToAsk(
     PartitionIndex partition, std::chrono::milliseconds now) const {
   const PartitionState& state = this->world.StateOf(partition);
--- a/source/core/exchange/exchange.h
+++ b/source/core/exchange/exchange.h
@@ -9,8 +9,10 @@
 
 #include "common/ids.h"
 #include "core/balancer.h"
+#include "core/exchange/copy_gatherer.h"
 #include "core/exchange/copy_sender.h"
 #include "core/exchange/copy_store.h"
+#include "core/exchange/fallbacks.h"
 #include "core/flow/flow_world.h"
 #include "core/messages.h"
 
@@ -71,7 +73,9 @@
   void EraseCopy(common::Fingerprint flow, PartitionIndex partition);
 
   /// Where an established flow that nobody remembers is presumed to be.
-  TargetSlot FallbackOf(PartitionIndex partition) const;
+  TargetSlot FallbackOf(PartitionIndex partition) const {
+    return this->fallbacks.Of(partition);
+  }
 
   /// How reluctant placement should be to make exceptions: 1 or more.
   double Reluctance(std::chrono::milliseconds now);
@@ -114,18 +118,10 @@
   void AbsorbAll(PartitionIndex partition, std::chrono::milliseconds now);
   void AbsorbFlow(PartitionIndex partition, const FlowException& exception,
                   std::chrono::milliseconds now);
-  void AdoptFallback(PartitionIndex partition, common::TargetId fallback);
-  common::TargetId FallbackId(PartitionIndex partition) const;
-  /// Whether the flow is found by the fallback, without being named.
-  bool IsAtFallback(const FlowRecord& record, PartitionIndex partition) const;
   void SettleFallback(PartitionIndex partition, std::chrono::milliseconds now);
-  void RefreshFallback(PartitionIndex partition, Outbox& outbox);
   void FlipFallbacks(std::chrono::milliseconds now, Outbox& outbox);
 
   void QueueDue(std::chrono::milliseconds now);
-  void Gather(std::chrono::milliseconds now);
-  std::vector<FlowException> CopiesToReturn(
-      PartitionIndex partition, const OutgoingSet& destination) const;
   /// The fallback that this instance can vouch for towards a new owner; 0 when
   /// it knows none.
   common::TargetId ClaimFor(PartitionIndex partition,
@@ -139,6 +135,8 @@
   FlowWorld& world;
   CopySender sender;
   CopyStore store;
+  Fallbacks fallbacks;
+  CopyGatherer gatherer;
   std::deque<Pending> pending;
   std::chrono::milliseconds cleaned_at{0};
 };
