--- a/tests/common/token_bucket_test.cc
+++ b/tests/common/token_bucket_test.cc
@@ -10,7 +10,7 @@
 namespace sassafrasdyke::common {
 namespace {
 
-using std::chrono_literals::operator""ms;
+using namespace std::chrono_literals;
 
 struct Wait {
   std::chrono::milliseconds wait;
--- a/tests/core/lost_domain_test.cc
+++ b/tests/core/lost_domain_test.cc
@@ -11,10 +11,13 @@
 namespace sassafrasdyke::core::testing {
 namespace {
 
-using std::chrono_literals::operator""ms;
+using namespace std::chrono_literals;
 
 constexpr common::DomainId kLost{2};
 constexpr std::uint32_t kFlows = 200;
+constexpr std::chrono::milliseconds kStart = 0ms;
+/// When every target has its full share.
+constexpr std::chrono::milliseconds kLater = 10'000ms;
 
 struct Loss {
   std::string_view how;
@@ -64,13 +67,13 @@
   Outbox outbox;
   balancer->OnConfiguration(
       Accept(SampleConfiguration({.targets_per_service = 4, .domains = 2})),
-      0ms, outbox);
-  balancer->OnFleetView(row.view, 0ms, outbox);
+      kStart, outbox);
+  balancer->OnFleetView(row.view, kStart, outbox);
 
   std::uint32_t adopted = 0;
   for (std::uint32_t caller = 1; caller <= kFlows; ++caller) {
     const PacketAction action =
-        balancer->OnPacket(Syn(FlowOf(caller)), 10'000ms, outbox);
+        balancer->OnPacket(Syn(FlowOf(caller)), kLater, outbox);
     const auto* const forward = std::get_if<ForwardToTarget>(&action);
     BOOST_REQUIRE(forward != nullptr);
     BOOST_TEST(!IsInLostDomain(forward->target));
@@ -91,11 +94,11 @@
   const auto balancer =
       MakeBalancer(common::InstanceId{1}, common::Incarnation{1});
   Outbox outbox;
-  balancer->OnConfiguration(Accept(configuration), 0ms, outbox);
-  balancer->OnFleetView(row.view, 0ms, outbox);
+  balancer->OnConfiguration(Accept(configuration), kStart, outbox);
+  balancer->OnFleetView(row.view, kStart, outbox);
 
   const PacketAction action =
-      balancer->OnPacket(Syn(FlowOf(1)), 10'000ms, outbox);
+      balancer->OnPacket(Syn(FlowOf(1)), kLater, outbox);
 
   BOOST_TEST(ForwardedTo(action).value != 0U);
 }
