Believe nothing that follows a malformed frame

Cause: a reader of the code noticed that the connection ends in the loop's next turn, and that frames which came in the same read as a malformed one were still handled. Change: the link is broken from the malformed frame on. Figures: the new row of cuts_off_what_is_no_peer failed before (one heartbeat was taken) and passes after.

--- a/source/peer/incoming_link.cc
+++ b/source/peer/incoming_link.cc
@@ -73,7 +73,7 @@
     this->OnFrame(*std::exchange(this->next, std::nullopt));
   }
   if (this->Reading() && this->splitter.TooLong()) {
-    this->connection->End(CutReason::kTooLong);
+    this->Break(CutReason::kTooLong);
   }
   this->connection->Consume(std::exchange(this->unconsumed, 0));
 }
@@ -119,7 +119,7 @@
 void IncomingLink::OnHello(const std::string& frame) {
   const tl::expected<Hello, CodecFault> said = DecodeHello(frame);
   if (!said) {
-    this->connection->End(CutReason::kMalformed);
+    this->Break(CutReason::kMalformed);
     return;
   }
   if (const std::optional<CutReason> reason =
@@ -140,7 +140,7 @@
   const tl::expected<core::PeerMessage, CodecFault> message =
       DecodeMessage(frame);
   if (!message) {
-    this->connection->End(CutReason::kMalformed);
+    this->Break(CutReason::kMalformed);
     return;
   }
   Traffic& traffic = this->context.counts.received[message->index()];
@@ -156,6 +156,14 @@
   this->connection->Answer(std::nullopt);
 }
 
+void IncomingLink::Break(CutReason reason) {
+  // The connection ends only in the next turn of the loop. Until then more of
+  // what came with the malformed frame would be believed, though the peer has
+  // lost its place in the stream or speaks another tongue.
+  this->state = State::kBroken;
+  this->connection->End(reason);
+}
+
 void IncomingLink::OnEnded(CutReason reason) {
   this->Stop(reason);
   this->owner.OnIncomingEnded(this->id);
--- a/source/peer/incoming_link.h
+++ b/source/peer/incoming_link.h
@@ -62,7 +62,13 @@
   void OnEnded(CutReason reason) override;
 
  private:
-  enum class State { kWaiting, kAdmitted, kRefused, kStopped };
+  enum class State {
+    kWaiting,
+    kAdmitted,
+    kRefused,
+    kBroken,  ///< Said something malformed; the connection is ending.
+    kStopped,
+  };
 
   bool Reading() const;
   void TakeFrames();
@@ -72,6 +78,7 @@
   void OnHello(const std::string& frame);
   void OnMessage(const std::string& frame);
   void Refuse(CutReason reason);
+  void Break(CutReason reason);
   void OnDeadline(ev::timer& timer, int events);
   void Count(CutReason reason);
 
--- a/tests/peer/peer_links_test.cc
+++ b/tests/peer/peer_links_test.cc
@@ -119,6 +119,9 @@
      Framed(std::string(kHelloLimit + 1, 'x')), CutReason::kTooLong},
     {"a message that is none", "127.0.1.2", Say(kHello) + Framed("garbage"),
      CutReason::kMalformed},
+    {"a message after one that is none", "127.0.1.2",
+     Say(kHello) + Framed("garbage") + Framed(Encode(core::Heartbeat{})),
+     CutReason::kMalformed},
     {"a message that is too long", "127.0.1.2",
      Say(kHello) + std::string("\x7F\xFF\xFF\xFF", 4), CutReason::kTooLong},
 };
