--- a/source/app/explain_command.cc
+++ b/source/app/explain_command.cc
@@ -15,7 +15,8 @@
 /// The files that an explanation needs, as written on the command line.
 struct ExplainFiles {
   std::string configuration;
-  std::string instances;
+  /// Without it the owner and the standby stay unknown.
+  std::optional<std::string> instances;
   std::optional<common::DomainId> domain;
 };
 
@@ -64,8 +65,10 @@
                           const common::FlowKey& flow, const Streams& streams) {
   const auto configuration =
       ReadFile<&config::ReadConfigurationText>(files.configuration, streams);
-  const auto list =
-      ReadFile<&config::ReadInstancesText>(files.instances, streams);
+  std::optional<core::InstanceList> list{std::in_place};
+  if (files.instances) {
+    list = ReadFile<&config::ReadInstancesText>(*files.instances, streams);
+  }
   if (!configuration || !list) {
     return ExitCode::kInvalid;
   }
@@ -109,7 +112,7 @@
 
 void ExplainCommand::Declare(cxxopts::Options& options) const {
   options.custom_help(
-      "--flow FLOW (--live ADDRESS | --configuration FILE --instances FILE "
+      "--flow FLOW (--live ADDRESS | --configuration FILE [--instances FILE] "
       "[--domain ID])");
   options.add_options()("flow", "The flow, as 'SRC:PORT->DST:PORT'",
                         cxxopts::value<std::string>(), "FLOW")(
@@ -117,7 +120,8 @@
       cxxopts::value<std::string>(),
       "ADDRESS")("configuration", "Configuration of the fleet, as published",
                  cxxopts::value<std::string>(), "FILE")(
-      "instances", "Instance list, as published", cxxopts::value<std::string>(),
+      "instances", "Instance list, as published; names owner and standby",
+      cxxopts::value<std::string>(),
       "FILE")("domain", "Failure domain whose fabric has the packet",
               cxxopts::value<std::string>(), "ID");
 }
@@ -128,10 +132,11 @@
   const auto live = ValueOf(options, "live");
   const auto configuration = ValueOf(options, "configuration");
   const auto instances = ValueOf(options, "instances");
-  const bool from_files = configuration && instances;
-  if (!text || live.has_value() == from_files) {
-    streams.err << "explain needs --flow, and either --live or both "
-                   "--configuration and --instances\n";
+  const bool from_files = configuration.has_value();
+  const bool mixed = live && instances;
+  if (!text || live.has_value() == from_files || mixed) {
+    streams.err << "explain needs --flow, and either --live or "
+                   "--configuration with --instances if there is a list\n";
     return ExitCode::kInvalid;
   }
   const auto flow = observe::ParseFlow(*text);
@@ -143,7 +148,7 @@
   if (live) {
     return ExplainLive(*live, *flow, streams);
   }
-  ExplainFiles files{*configuration, *instances, std::nullopt};
+  ExplainFiles files{*configuration, instances, std::nullopt};
   if (const auto domain = ValueOf(options, "domain")) {
     files.domain = ParseDomain(*domain);
     if (!files.domain) {
--- a/source/observe/flow_explanation.cc
+++ b/source/observe/flow_explanation.cc
@@ -27,7 +27,7 @@
 
 std::string WhyOwner(const FlowExplanation& explanation) {
   if (explanation.owners.owner.value == 0) {
-    return "no instance may own partitions";
+    return "no instance is listed that may own partitions";
   }
   if (explanation.owners.adopted) {
     return "no instance of the home domain may own, so this domain stands in";
@@ -52,6 +52,9 @@
 
 /// Who remembers the flow besides the packets themselves.
 Json KnownBy(const FlowExplanation& explanation) {
+  if (explanation.owners.owner.value == 0) {
+    return Json::array();
+  }
   const auto age = explanation.service.policy.copy_after;
   return {{{"instance", explanation.owners.owner.value},
            {"what", "the record of the flow"}},
--- a/tests/app/explain_command_test.cc
+++ b/tests/app/explain_command_test.cc
@@ -32,6 +32,23 @@
   BOOST_TEST(json["targets"][0]["target"] == 101);
 }
 
+// Before a configuration is published its author asks where flows would go, and
+// has no instance list at hand. Owner and standby are unknown then, the rest is
+// not.
+BOOST_AUTO_TEST_CASE(needs_no_instance_list_for_service_and_targets) {
+  const TestFolder folder;
+  const Ran ran =
+      RunWith({"explain", "--flow", "198.51.100.7:40000->192.0.2.10:443",
+               "--configuration", folder.Write("c.json", kConfigurationText)});
+
+  BOOST_REQUIRE(ran.code == ExitCode::kSuccess);
+  const Json json = Json::parse(ran.out);
+  BOOST_TEST(json["service"] == "diary");
+  BOOST_TEST(json["owner"] == 0);
+  BOOST_TEST(json["known_by"].empty());
+  BOOST_TEST(json["targets"][0]["target"] == 101);
+}
+
 BOOST_AUTO_TEST_CASE(an_unknown_service_is_said) {
   const Ran ran = Explain("198.51.100.7:40000->192.0.2.99:443");
 
