--- a/source/core/exchange/copy_gatherer.cc
+++ b/source/core/exchange/copy_gatherer.cc
@@ -15,10 +15,11 @@
     : world(world), store(store), sender(sender) {}
 
 void CopyGatherer::Gather(std::chrono::milliseconds now) {
-  if (this->sender.Wanted().empty()) {
+  const std::map<PartitionKey, Gathering> wanted = this->sender.Wanted();
+  if (wanted.empty()) {
     return;
   }
-  std::vector<Order> orders = this->TakeOrders();
+  std::vector<Order> orders = this->TakeOrders(wanted);
   this->world.ForEachRecord(
       [this, &orders](common::Fingerprint flow, FlowRecord& record) {
         this->Collect(flow, record, orders);
@@ -31,9 +32,10 @@
   }
 }
 
-std::vector<CopyGatherer::Order> CopyGatherer::TakeOrders() const {
+std::vector<CopyGatherer::Order> CopyGatherer::TakeOrders(
+    const std::map<PartitionKey, Gathering>& wanted) const {
   std::vector<Order> orders(this->world.Partitions().size());
-  for (const auto& [key, gathering] : this->sender.Wanted()) {
+  for (const auto& [key, gathering] : wanted) {
     const auto partition = this->world.Directory().Find(key);
     if (!partition) {
       this->sender.Stop(key);
--- a/source/core/exchange/copy_gatherer.h
+++ b/source/core/exchange/copy_gatherer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <map>
 #include <vector>
 
 #include "core/exchange/copy_sender.h"
@@ -32,7 +33,8 @@
     std::vector<FlowException> flows;
   };
 
-  std::vector<Order> TakeOrders() const;
+  std::vector<Order> TakeOrders(
+      const std::map<PartitionKey, Gathering>& wanted) const;
   void Collect(common::Fingerprint flow, FlowRecord& record,
                std::vector<Order>& orders) const;
   std::vector<FlowException> CopiesToReturn(PartitionIndex partition,
