--- a/source/app/control_task.h
+++ b/source/app/control_task.h
@@ -15,6 +15,8 @@
 #include "app/leave_watch.h"
 #include "app/mailbox.h"
 #include "app/task_messages.h"
+#include "clients/platform_reader.h"
+#include "clients/target_prober.h"
 #include "config/configuration_reader.h"
 #include "config/settings.h"
 #include "core/fleet/fleet.h"
@@ -22,14 +24,12 @@
 #include "observe/metrics.h"
 #include "observe/state_board.h"
 #include "peer/peer_links.h"
-#include "platform/platform_reader.h"
-#include "platform/target_prober.h"
 
 namespace sassafrasdyke::app {
 
 /// Keeps the fleet's state and tells the data task what to believe.
-class ControlTask final : private platform::PlatformListener,
-                          private platform::ProbeListener,
+class ControlTask final : private clients::PlatformListener,
+                          private clients::ProbeListener,
                           private peer::PeerListener {
  public:
   /// What the task works with; all must outlive it.
@@ -94,8 +94,8 @@
   ev::dynamic_loop loop;
   config::ConfigurationReader documents;
   FleetDriver driver;
-  platform::PlatformReader platform;
-  platform::TargetProber prober;
+  clients::PlatformReader platform;
+  clients::TargetProber prober;
   std::unique_ptr<peer::PeerLinks> peers;
   /// The list that the streams follow.
   common::Revision peers_follow;
--- a/source/app/main.cc
+++ b/source/app/main.cc
@@ -7,6 +7,6 @@
 
 int main(int argc, char** argv) {
   const std::vector<std::string> arguments(argv + 1, argv + argc);
-  return static_cast<int>(
-      sassafrasdyke::app::RunProgram(arguments, {std::cout, std::cerr}));
+  return static_cast<int>(sassafrasdyke::app::RunProgram(
+      sassafrasdyke::app::AllCommands(), arguments, {std::cout, std::cerr}));
 }
--- a/source/app/metrics_publisher.cc
+++ b/source/app/metrics_publisher.cc
@@ -90,7 +90,7 @@
 }
 
 void PublishReads(Metrics& to, core::DocumentKind kind,
-                  const platform::PlatformCounts& counts) {
+                  const clients::PlatformCounts& counts) {
   const std::string document(observe::Word(kind));
   to.SetTotal(metrics::kPlatformReads, counts.reads, document + "-all");
   to.SetTotal(metrics::kPlatformReads, counts.documents, document + "-newer");
@@ -123,7 +123,7 @@
   }
 }
 
-void PublishProbes(Metrics& to, const platform::ProbeCounts& counts) {
+void PublishProbes(Metrics& to, const clients::ProbeCounts& counts) {
   to.SetTotal(metrics::kProbes, counts.probes, "all");
   to.SetTotal(metrics::kProbes, counts.unreachable, "unreachable");
   to.SetTotal(metrics::kProbes, counts.unreadable, "unreadable");
--- a/source/app/metrics_publisher.h
+++ b/source/app/metrics_publisher.h
@@ -5,13 +5,13 @@
 #include <cstdint>
 
 #include "app/task_messages.h"
+#include "clients/document_watch.h"
+#include "clients/target_prober.h"
 #include "core/fleet/fleet.h"
 #include "core/fleet_view.h"
 #include "observe/decision_log.h"
 #include "observe/metrics.h"
 #include "peer/peer_counts.h"
-#include "platform/document_watch.h"
-#include "platform/target_prober.h"
 
 namespace sassafrasdyke::app {
 
@@ -19,10 +19,10 @@
 void PublishFleet(observe::Metrics& metrics, const core::FleetStatus& status,
                   const core::FleetView& view);
 void PublishReads(observe::Metrics& metrics, core::DocumentKind kind,
-                  const platform::PlatformCounts& counts);
+                  const clients::PlatformCounts& counts);
 void PublishPeers(observe::Metrics& metrics, const peer::PeerCounts& counts);
 void PublishProbes(observe::Metrics& metrics,
-                   const platform::ProbeCounts& counts);
+                   const clients::ProbeCounts& counts);
 void PublishLog(observe::Metrics& metrics, const observe::DecisionLog& log);
 
 }  // namespace sassafrasdyke::app
--- a/source/app/probe_plan.cc
+++ b/source/app/probe_plan.cc
@@ -38,10 +38,10 @@
 
 }  // namespace
 
-std::vector<platform::ProbedTarget> PlanProbes(
+std::vector<clients::ProbedTarget> PlanProbes(
     const core::Configuration& configuration, const core::FleetView& view) {
   const std::vector<common::InstanceId> probers = ProbersOf(view);
-  std::vector<platform::ProbedTarget> plan;
+  std::vector<clients::ProbedTarget> plan;
   if (std::ranges::find(probers, view.self) == probers.end()) {
     return plan;
   }
--- a/source/app/probe_plan.h
+++ b/source/app/probe_plan.h
@@ -3,9 +3,9 @@
 
 #include <vector>
 
+#include "clients/target_prober.h"
 #include "core/configuration.h"
 #include "core/fleet_view.h"
-#include "platform/target_prober.h"
 
 namespace sassafrasdyke::app {
 
@@ -16,7 +16,7 @@
 /// order of the instances in the target's failure domain. Each instance works
 /// it out alone, and the load on a target doesn't grow with the fleet. Targets
 /// without a health address are left out.
-std::vector<platform::ProbedTarget> PlanProbes(
+std::vector<clients::ProbedTarget> PlanProbes(
     const core::Configuration& configuration, const core::FleetView& view);
 
 }  // namespace sassafrasdyke::app
--- a/source/app/program.cc
+++ b/source/app/program.cc
@@ -3,25 +3,11 @@
 #include <algorithm>
 #include <memory>
 
-#include "app/balance_command.h"
-#include "app/check_command.h"
-#include "app/explain_command.h"
-
 namespace sassafrasdyke::app {
 namespace {
 
 constexpr std::string_view kProgram = "sassafrasdyke";
 
-using Commands = std::vector<std::unique_ptr<Command>>;
-
-Commands AllCommands() {
-  Commands commands;
-  commands.push_back(std::make_unique<BalanceCommand>());
-  commands.push_back(std::make_unique<CheckCommand>());
-  commands.push_back(std::make_unique<ExplainCommand>());
-  return commands;
-}
-
 void WriteHelp(std::ostream& out, const Commands& commands) {
   out << kProgram << ": a layer-4 load balancer\n\n"
       << "Usage:\n  " << kProgram << " COMMAND [OPTION...]\n  " << kProgram
@@ -83,9 +69,9 @@
 
 }  // namespace
 
-ExitCode RunProgram(const std::vector<std::string>& arguments,
+ExitCode RunProgram(const Commands& commands,
+                    const std::vector<std::string>& arguments,
                     const Streams& streams) {
-  const Commands commands = AllCommands();
   if (arguments.empty()) {
     return WriteUsageError(streams, "a command is missing", "");
   }
--- a/source/app/program.h
+++ b/source/app/program.h
@@ -1,6 +1,7 @@
 /// The program's command line: finds the subcommand and reads its options.
 #pragma once
 
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -8,8 +9,14 @@
 
 namespace sassafrasdyke::app {
 
-/// Runs the program with the arguments after its name.
-ExitCode RunProgram(const std::vector<std::string>& arguments,
+using Commands = std::vector<std::unique_ptr<Command>>;
+
+/// The subcommands that this build has.
+Commands AllCommands();
+
+/// Runs one of `commands` with the arguments after the program's name.
+ExitCode RunProgram(const Commands& commands,
+                    const std::vector<std::string>& arguments,
                     const Streams& streams);
 
 }  // namespace sassafrasdyke::app
--- a/source/platform/document_watch.cc
+++ b/source/clients/document_watch.cc
@@ -1,11 +1,11 @@
-#include "platform/document_watch.h"
+#include "clients/document_watch.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "config/document_splitter.h"
 
-namespace sassafrasdyke::platform {
+namespace sassafrasdyke::clients {
 namespace {
 
 constexpr double kMillisecondsPerSecond = 1000.0;
@@ -140,4 +140,4 @@
   }
 }
 
-}  // namespace sassafrasdyke::platform
+}  // namespace sassafrasdyke::clients
--- a/source/platform/document_watch.h
+++ b/source/clients/document_watch.h
@@ -7,14 +7,14 @@
 #include <cstdint>
 #include <string>
 
+#include "clients/http_client.h"
 #include "common/ids.h"
 #include "core/fleet/backoff.h"
 #include "core/fleet/fleet.h"
 #include "core/fleet/jitter.h"
 #include "core/messages.h"
-#include "platform/http_client.h"
 
-namespace sassafrasdyke::platform {
+namespace sassafrasdyke::clients {
 
 /// Times and sizes of reading the platform.
 struct PlatformLimits {
@@ -106,4 +106,4 @@
   PlatformCounts counts;
 };
 
-}  // namespace sassafrasdyke::platform
+}  // namespace sassafrasdyke::clients
--- a/source/platform/health_hysteresis.cc
+++ b/source/clients/health_hysteresis.cc
@@ -1,8 +1,8 @@
-#include "platform/health_hysteresis.h"
+#include "clients/health_hysteresis.h"
 
 #include <algorithm>
 
-namespace sassafrasdyke::platform {
+namespace sassafrasdyke::clients {
 
 std::optional<core::TargetHealth> HealthHysteresis::Observe(
     core::TargetHealth reading) {
@@ -37,4 +37,4 @@
   return this->state;
 }
 
-}  // namespace sassafrasdyke::platform
+}  // namespace sassafrasdyke::clients
--- a/source/platform/health_hysteresis.h
+++ b/source/clients/health_hysteresis.h
@@ -5,7 +5,7 @@
 
 #include "core/messages.h"
 
-namespace sassafrasdyke::platform {
+namespace sassafrasdyke::clients {
 
 /// Readings in a row that a change takes.
 struct HysteresisLimits {
@@ -40,4 +40,4 @@
   Run better;
 };
 
-}  // namespace sassafrasdyke::platform
+}  // namespace sassafrasdyke::clients
--- a/source/platform/http_client.cc
+++ b/source/clients/http_client.cc
@@ -1,10 +1,10 @@
-#include "platform/http_client.h"
+#include "clients/http_client.h"
 
 #include <cstdlib>
 #include <optional>
 #include <utility>
 
-namespace sassafrasdyke::platform {
+namespace sassafrasdyke::clients {
 namespace {
 
 constexpr double kMillisecondsPerSecond = 1000.0;
@@ -190,4 +190,4 @@
   return answer;
 }
 
-}  // namespace sassafrasdyke::platform
+}  // namespace sassafrasdyke::clients
--- a/source/platform/http_client.h
+++ b/source/clients/http_client.h
@@ -16,7 +16,7 @@
 
 #include "common/ids.h"
 
-namespace sassafrasdyke::platform {
+namespace sassafrasdyke::clients {
 
 /// Names a request for as long as it runs.
 using HttpRequestId = common::Id<struct HttpRequestTag, std::uint64_t>;
@@ -108,4 +108,4 @@
   std::uint64_t last_id{0};
 };
 
-}  // namespace sassafrasdyke::platform
+}  // namespace sassafrasdyke::clients
--- a/source/platform/platform_reader.cc
+++ b/source/clients/platform_reader.cc
@@ -1,6 +1,6 @@
-#include "platform/platform_reader.h"
+#include "clients/platform_reader.h"
 
-namespace sassafrasdyke::platform {
+namespace sassafrasdyke::clients {
 
 PlatformReader::PlatformReader(ev::loop_ref loop, const std::string& base_url,
                                const PlatformLimits& limits, std::uint64_t seed,
@@ -31,4 +31,4 @@
              : this->instances.Counts();
 }
 
-}  // namespace sassafrasdyke::platform
+}  // namespace sassafrasdyke::clients
--- a/source/platform/platform_reader.h
+++ b/source/clients/platform_reader.h
@@ -6,11 +6,11 @@
 #include <cstdint>
 #include <string>
 
+#include "clients/document_watch.h"
+#include "clients/http_client.h"
 #include "core/messages.h"
-#include "platform/document_watch.h"
-#include "platform/http_client.h"
 
-namespace sassafrasdyke::platform {
+namespace sassafrasdyke::clients {
 
 /// Holds a watch on both documents while it is told to.
 class PlatformReader {
@@ -34,4 +34,4 @@
   DocumentWatch instances;
 };
 
-}  // namespace sassafrasdyke::platform
+}  // namespace sassafrasdyke::clients
--- a/source/platform/target_prober.cc
+++ b/source/clients/target_prober.cc
@@ -1,11 +1,11 @@
-#include "platform/target_prober.h"
+#include "clients/target_prober.h"
 
 #include <algorithm>
 
 #include "config/json_text.h"
 #include "config/value_format.h"
 
-namespace sassafrasdyke::platform {
+namespace sassafrasdyke::clients {
 namespace {
 
 constexpr double kMillisecondsPerSecond = 1000.0;
@@ -147,4 +147,4 @@
   return std::max(this->limits.interval, within_budget);
 }
 
-}  // namespace sassafrasdyke::platform
+}  // namespace sassafrasdyke::clients
--- a/source/platform/target_prober.h
+++ b/source/clients/target_prober.h
@@ -12,14 +12,14 @@
 #include <unordered_map>
 #include <vector>
 
+#include "clients/health_hysteresis.h"
+#include "clients/http_client.h"
 #include "common/address.h"
 #include "common/ids.h"
 #include "core/fleet/jitter.h"
 #include "core/messages.h"
-#include "platform/health_hysteresis.h"
-#include "platform/http_client.h"
 
-namespace sassafrasdyke::platform {
+namespace sassafrasdyke::clients {
 
 /// Times, sizes and the budget of probing.
 struct ProbeLimits {
@@ -114,4 +114,4 @@
   ProbeCounts counts;
 };
 
-}  // namespace sassafrasdyke::platform
+}  // namespace sassafrasdyke::clients
--- /dev/null
+++ b/source/config/front_settings.cc
@@ -0,0 +1,140 @@
+#include "config/front_settings.h"
+
+#include <utility>
+
+namespace sassafrasdyke::config {
+namespace {
+
+constexpr std::uint64_t kNameLimit = 255;
+/// Addresses listed at most; the platform names three.
+constexpr std::size_t kMostSeeds = 64;
+
+/// A list of addresses.
+struct EndpointList {
+  bool Read(const Json& json, std::vector<common::Endpoint>& value) const {
+    if (!json.is_array() || json.size() > kMostSeeds) {
+      return false;
+    }
+    std::vector<common::Endpoint> read(json.size());
+    for (std::size_t i = 0; i < json.size(); ++i) {
+      if (!EndpointText{}.Read(json[i], read[i])) {
+        return false;
+      }
+    }
+    value = std::move(read);
+    return true;
+  }
+  FormatReference Describe() const {
+    return {"list of addresses and ports", "up to 64", ""};
+  }
+  Json Write(const std::vector<common::Endpoint>& value) const {
+    Json list = Json::array();
+    for (const common::Endpoint& endpoint : value) {
+      list.push_back(endpoint.ToString());
+    }
+    return list;
+  }
+};
+
+/// A time in seconds, with a fraction if need be.
+struct Seconds {
+  bool Read(const Json& json, std::chrono::milliseconds& value) const {
+    constexpr double kLongest = 86'400.0;
+    if (!json.is_number()) {
+      return false;
+    }
+    const double seconds = json.get<double>();
+    if (!(seconds >= 0.0 && seconds <= kLongest)) {
+      return false;
+    }
+    value = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::duration<double>(seconds));
+    return true;
+  }
+  FormatReference Describe() const { return {"number", "0 to 86400", "s"}; }
+  Json Write(std::chrono::milliseconds value) const {
+    return std::chrono::duration<double>(value).count();
+  }
+};
+
+const KeyTable<FrontListenSettings>& ListenKeys() {
+  static const KeyTable<FrontListenSettings> table =
+      KeyTable<FrontListenSettings>()
+          .Add("packets", &FrontListenSettings::packets, EndpointText{},
+               KeyUse::kRequired, "UDP address for clients' packets.")
+          .Add("readiness", &FrontListenSettings::readiness, EndpointText{},
+               KeyUse::kRequired, "TCP address for the routers' checks.")
+          .Add("peers", &FrontListenSettings::peers, EndpointText{},
+               KeyUse::kRequired,
+               "UDP and TCP address for other instances; the port is the same "
+               "on all of them.")
+          .Add("metrics", &FrontListenSettings::metrics, EndpointText{},
+               KeyUse::kRequired, "TCP address for metrics.");
+  return table;
+}
+
+const KeyTable<FrontTimeSettings>& TimeKeys() {
+  static const KeyTable<FrontTimeSettings> table =
+      KeyTable<FrontTimeSettings>()
+          .Add("grace_s", &FrontTimeSettings::grace, Seconds{},
+               KeyUse::kOptional,
+               "From the order to stop until the process is killed.")
+          .Add("flow_life_s", &FrontTimeSettings::flow_life, Seconds{},
+               KeyUse::kOptional, "The longest that a flow stays open.")
+          .Add("apply_ms", &FrontTimeSettings::apply, Milliseconds{},
+               KeyUse::kOptional, "Within this a change must be in force.")
+          .Add("contact_ms", &FrontTimeSettings::contact, Milliseconds{},
+               KeyUse::kOptional,
+               "Calm after which an instance counts as undisturbed.");
+  return table;
+}
+
+KeyTable<FrontSettings> MakeKeys() {
+  KeyTable<FrontSettings> table;
+  table
+      .Add("instance", &FrontSettings::instance, Text{1, kNameLimit},
+           KeyUse::kRequired, "This instance's name, for logs.")
+      .Add("domain", &FrontSettings::domain, Text{1, kNameLimit},
+           KeyUse::kRequired, "Its failure domain.")
+      .Add("region", &FrontSettings::region, Text{0, kNameLimit},
+           KeyUse::kOptional, "The region of that domain.")
+      .AddSection("listen", &FrontSettings::listen, ListenKeys(),
+                  KeyUse::kRequired, "Where this instance is reached.")
+      .Add("store", &FrontSettings::store, EndpointText{}, KeyUse::kRequired,
+           "TCP address of the platform's store.")
+      .Add("seeds", &FrontSettings::seeds, EndpointList{}, KeyUse::kOptional,
+           "Instances to ask first for others.")
+      .AddSection("times", &FrontSettings::times, TimeKeys(), KeyUse::kOptional,
+                  "Times that the platform promises.");
+  return table;
+}
+
+const KeyTable<FrontSettings>& Keys() {
+  static const KeyTable<FrontSettings> table = MakeKeys();
+  return table;
+}
+
+}  // namespace
+
+tl::expected<FrontSettings, core::DocumentFaults> ReadFrontSettings(
+    std::string_view json) {
+  const auto parsed = ParseJson(json, "");
+  if (!parsed) {
+    return tl::unexpected(parsed.error());
+  }
+  FrontSettings settings;
+  core::DocumentFaults faults;
+  Keys().Read(*parsed, "", settings, faults);
+  if (!faults.empty()) {
+    return tl::unexpected(std::move(faults));
+  }
+  return settings;
+}
+
+std::vector<KeyReference> FrontSettingsReference() {
+  std::vector<KeyReference> references;
+  Keys().Describe("", references);
+  return references;
+}
+
+}  // namespace sassafrasdyke::config
--- /dev/null
+++ b/source/config/front_settings.h
@@ -0,0 +1,56 @@
+/// The settings of an instance that steers flows by the word they carry.
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <vector>
+
+#include "common/address.h"
+#include "config/key_table.h"
+#include "core/fleet/fleet.h"
+
+namespace sassafrasdyke::config {
+
+/// Where this instance is reached.
+struct FrontListenSettings {
+  common::Endpoint packets;    ///< UDP, clients' packets.
+  common::Endpoint readiness;  ///< TCP, the routers' checks.
+  common::Endpoint peers;      ///< UDP and TCP, other instances.
+  common::Endpoint metrics;    ///< TCP, scrapers.
+};
+
+/// Times that follow from the platform's promises.
+struct FrontTimeSettings {
+  /// From the order to stop until the process is killed.
+  std::chrono::milliseconds grace{6000};
+  /// The longest that a flow stays open.
+  std::chrono::milliseconds flow_life{60'000};
+  /// Within this time a change must be in force.
+  std::chrono::milliseconds apply{3000};
+  /// How long calm must have lasted before the platform counts an instance as
+  /// undisturbed.
+  std::chrono::milliseconds contact{4000};
+};
+
+/// All settings of the process.
+struct FrontSettings {
+  std::string instance;  ///< Its name, for logs.
+  std::string domain;    ///< Its failure domain.
+  std::string region;
+  FrontListenSettings listen;
+  common::Endpoint store;
+  /// Instances to ask first for others; some may be down.
+  std::vector<common::Endpoint> seeds;
+  FrontTimeSettings times;
+};
+
+/// Reads settings, JSON with comments, and checks them; all faults at once.
+tl::expected<FrontSettings, core::DocumentFaults> ReadFrontSettings(
+    std::string_view json);
+
+/// Every key, for the operators' reference.
+std::vector<KeyReference> FrontSettingsReference();
+
+}  // namespace sassafrasdyke::config
--- /dev/null
+++ b/source/core/steering/flow_steering.cc
@@ -0,0 +1,181 @@
+#include "core/steering/flow_steering.h"
+
+#include <algorithm>
+
+namespace sassafrasdyke::core {
+namespace {
+
+/// A client repeats a SYN after 200 ms. Copies closer together than this have
+/// waited on the way, and say nothing about the target.
+constexpr std::chrono::milliseconds kRepeatIsReal{150};
+/// A view this old or younger is believed when it lacks something. Longer than
+/// the longest pause between two answers of the store to a waiting watch.
+constexpr std::chrono::milliseconds kFreshView{3000};
+/// How long a word must stay unknown before its target counts as gone. News of
+/// a target that another instance already uses takes well under a second.
+constexpr std::chrono::milliseconds kUnknownIsGone{1500};
+/// A target whose entry was removed, but that answered a client this lately, is
+/// alive behind a cut.
+constexpr std::chrono::milliseconds kSignOfLife{1000};
+/// Unknown words remembered at most; forged ones must not take memory.
+constexpr std::size_t kMostUnknown = 256;
+
+/// A packet by which a client confirms that something of the target's arrived.
+bool ShowsLife(const FlowPacket& packet) {
+  return packet.flags.ack && packet.payload_bytes == 0 && !packet.flags.fin;
+}
+
+}  // namespace
+
+SteeringAction FlowSteering::OnPacket(const FlowPacket& packet,
+                                      std::chrono::milliseconds now) {
+  if (packet.flags.syn && packet.flags.ack) {
+    return StaySilent{SilenceReason::kNotAClients};
+  }
+  if (!this->view.routes.Loaded()) {
+    return StaySilent{SilenceReason::kNoView};
+  }
+  if (packet.flags.syn) {
+    return this->OnSyn(packet, now);
+  }
+  const Route* const route = this->view.routes.Find(packet.flow.service);
+  if (route == nullptr) {
+    return this->OnUnknownRoute(now);
+  }
+  return this->OnCarried(packet, *route, now);
+}
+
+SteeringAction FlowSteering::OnUnknownRoute(
+    std::chrono::milliseconds now) const {
+  // A route that was added while this instance heard nothing is not unknown.
+  // A wrong reset would fail the client's attempt; silence lets it repeat, and
+  // perhaps reach an instance that knows.
+  if (!this->ViewIsFresh(now)) {
+    return StaySilent{SilenceReason::kStaleView};
+  }
+  return Refuse{RefusalReason::kNoRoute};
+}
+
+SteeringAction FlowSteering::OnSyn(const FlowPacket& packet,
+                                   std::chrono::milliseconds now) {
+  const Route* const route = this->view.routes.Find(packet.flow.service);
+  if (route == nullptr) {
+    return this->OnUnknownRoute(now);
+  }
+  if (Opening* const opening = this->openings.Find(packet.flow);
+      opening != nullptr) {
+    return this->OnRepeatedSyn(packet, *opening, *route, now);
+  }
+  const auto chosen = this->choice.Choose(
+      {*route, common::FingerprintOf(packet.flow, 0), std::nullopt, now});
+  if (!chosen) {
+    return Refuse{RefusalReason::kNoTarget};
+  }
+  this->watch.OnPlaced(chosen->target, now);
+  this->openings.Add(packet.flow, {chosen->target, now, false});
+  return SendToTarget{chosen->target, chosen->reason};
+}
+
+// A target that died without a word swallows SYNs until its entry lapses, two
+// to four seconds later. Sending the copies there as well would fail each
+// attempt after 1.4 s; another target opens the flow 200 ms after the first
+// SYN. Both may answer if the first answer was merely late; the client then
+// stays with the one whose answer came first, and the other forgets the flow.
+SteeringAction FlowSteering::OnRepeatedSyn(const FlowPacket& packet,
+                                           Opening& opening, const Route& route,
+                                           std::chrono::milliseconds now) {
+  const bool serving =
+      this->view.targets.At(opening.target).phase == TargetPhase::kServing;
+  const bool real = now - opening.sent_at >= kRepeatIsReal;
+  if (serving && (!real || opening.retried)) {
+    return SendToTarget{opening.target, SteeringReason::kRepeated};
+  }
+  if (real) {
+    this->watch.OnMissed(opening.target, now);
+  }
+  const auto chosen = this->choice.Choose(
+      {route, common::FingerprintOf(packet.flow, 0), opening.target, now});
+  if (!chosen) {
+    return Refuse{RefusalReason::kNoTarget};
+  }
+  this->watch.OnPlaced(chosen->target, now);
+  opening = {chosen->target, now, true};
+  return SendToTarget{chosen->target, SteeringReason::kRetried};
+}
+
+SteeringAction FlowSteering::OnCarried(const FlowPacket& packet,
+                                       const Route& route,
+                                       std::chrono::milliseconds now) {
+  const auto index = this->view.targets.IndexOf(packet.word);
+  if (!index) {
+    return this->OnUnknownWord(packet, now);
+  }
+  const TargetEntry& target = this->view.targets.At(*index);
+  // An instance that started a moment ago knows only the newest configuration;
+  // flows that an older one placed are still open, so it believes the word.
+  const bool knows_former = now > this->view.routes.FlowLife();
+  if (knows_former && !route.MayUse(target.published.service, now)) {
+    return StaySilent{SilenceReason::kOtherService};
+  }
+  if (this->openings.Finish(packet.flow) || ShowsLife(packet)) {
+    this->watch.OnAnswered(*index, now);
+  }
+  if (target.phase == TargetPhase::kGone) {
+    return this->OnGoneTarget(packet, *index, target, now);
+  }
+  return SendToTarget{*index, SteeringReason::kCarried};
+}
+
+// The target of an established flow has ended, and nobody will ever answer it.
+// A client that isn't told waits until its own deadline; a reset lets it come
+// back at once. A target that only lost its registration still answers: its
+// clients' acknowledgements show that, and it keeps its flows.
+SteeringAction FlowSteering::OnGoneTarget(const FlowPacket& packet,
+                                          TargetIndex index,
+                                          const TargetEntry& target,
+                                          std::chrono::milliseconds now) {
+  const std::chrono::milliseconds answered = this->watch.LastAnswered(index);
+  const bool lives = answered > target.gone_at && now - answered <= kSignOfLife;
+  if (lives || packet.payload_bytes == 0) {
+    return SendToTarget{index, SteeringReason::kCarried};
+  }
+  return Refuse{RefusalReason::kTargetGone};
+}
+
+// Another instance may already use a target that this one hasn't heard of, so
+// an unknown word is first waited for: the client repeats its packet. Only when
+// a view that is fresh all the while still lacks it, the target has ended.
+SteeringAction FlowSteering::OnUnknownWord(const FlowPacket& packet,
+                                           std::chrono::milliseconds now) {
+  if (!this->ViewIsFresh(now) || this->view.contact.LapseLikely(now)) {
+    this->unknown.erase(packet.word);
+    return StaySilent{SilenceReason::kUnknownTarget};
+  }
+  const bool room = this->unknown.size() < kMostUnknown;
+  const auto found = this->unknown.find(packet.word);
+  if (found == this->unknown.end()) {
+    if (room) {
+      this->unknown.emplace(packet.word, now);
+    }
+    return StaySilent{SilenceReason::kUnknownTarget};
+  }
+  if (now - found->second < kUnknownIsGone || packet.payload_bytes == 0) {
+    return StaySilent{SilenceReason::kUnknownTarget};
+  }
+  return Refuse{RefusalReason::kTargetGone};
+}
+
+bool FlowSteering::ViewIsFresh(std::chrono::milliseconds now) const {
+  const auto age = this->view.contact.Age(now);
+  return age && *age <= kFreshView;
+}
+
+void FlowSteering::OnTick(std::chrono::milliseconds now) {
+  this->openings.Expire(now);
+  std::erase_if(this->unknown, [&](const auto& entry) {
+    return this->view.targets.Find(entry.first) != nullptr ||
+           now - entry.second > this->view.routes.FlowLife();
+  });
+}
+
+}  // namespace sassafrasdyke::core
--- /dev/null
+++ b/source/core/steering/flow_steering.h
@@ -0,0 +1,69 @@
+/// Decides for every packet of flows that carry the word of their target. It
+/// keeps nothing of established flows, so any instance can forward any packet,
+/// and an instance that dies or restarts costs no flow.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <unordered_map>
+
+#include "core/steering/flow_packet.h"
+#include "core/steering/opening_table.h"
+#include "core/steering/target_choice.h"
+#include "core/steering/target_watch.h"
+#include "core/view/route_table.h"
+#include "core/view/store_contact.h"
+#include "core/view/target_table.h"
+
+namespace sassafrasdyke::core {
+
+/// What the steering knows of the world; outlives it.
+struct SteeringView {
+  const RouteTable& routes;
+  const TargetTable& targets;
+  const StoreContact& contact;
+};
+
+/// The decisions. Times are monotonic, since process start.
+class FlowSteering {
+ public:
+  FlowSteering(const std::string& domain, SteeringView view)
+      : view(view), choice(domain, view.targets, this->watch) {}
+
+  SteeringAction OnPacket(const FlowPacket& packet,
+                          std::chrono::milliseconds now);
+  /// The process stood still until now.
+  void OnPause(std::chrono::milliseconds now) { this->openings.OnPause(now); }
+  /// A target can't come back.
+  void Forget(TargetIndex target) { this->watch.Forget(target); }
+  /// Bounded periodic work.
+  void OnTick(std::chrono::milliseconds now);
+
+  const TargetWatch& Watch() const { return this->watch; }
+  std::size_t Openings() const { return this->openings.Size(); }
+
+ private:
+  SteeringAction OnSyn(const FlowPacket& packet, std::chrono::milliseconds now);
+  SteeringAction OnRepeatedSyn(const FlowPacket& packet, Opening& opening,
+                               const Route& route,
+                               std::chrono::milliseconds now);
+  SteeringAction OnCarried(const FlowPacket& packet, const Route& route,
+                           std::chrono::milliseconds now);
+  SteeringAction OnGoneTarget(const FlowPacket& packet, TargetIndex index,
+                              const TargetEntry& target,
+                              std::chrono::milliseconds now);
+  SteeringAction OnUnknownWord(const FlowPacket& packet,
+                               std::chrono::milliseconds now);
+  SteeringAction OnUnknownRoute(std::chrono::milliseconds now) const;
+  bool ViewIsFresh(std::chrono::milliseconds now) const;
+
+  SteeringView view;
+  TargetWatch watch;
+  TargetChoice choice;
+  OpeningTable openings;
+  /// Words that name no known target, and since when they have been met.
+  std::unordered_map<TargetWord, std::chrono::milliseconds> unknown;
+};
+
+}  // namespace sassafrasdyke::core
--- /dev/null
+++ b/source/core/steering/target_choice.cc
@@ -0,0 +1,106 @@
+#include "core/steering/target_choice.h"
+
+#include <algorithm>
+
+#include "common/hash.h"
+
+namespace sassafrasdyke::core {
+namespace {
+
+constexpr std::uint64_t kShareSalt = 0x7368617265ULL;
+/// Share of the flows that a target takes while it is still slow after its
+/// start. Targets work 1.6 times longer then; six tenths keeps their queues as
+/// short as the others'.
+constexpr double kColdShare = 0.6;
+
+/// The position of the service that the flow's hash falls to. The same on
+/// every instance, so that a repeated SYN stays with its service.
+std::size_t ShareOf(const Route& route, common::Fingerprint flow) {
+  const std::uint64_t hash = common::HashNumbers(flow.value, 0, kShareSalt);
+  std::uint64_t left = hash % std::max<std::uint64_t>(route.total_weight, 1);
+  for (std::size_t i = 0; i < route.shares.size(); ++i) {
+    if (left < route.shares[i].weight) {
+      return i;
+    }
+    left -= route.shares[i].weight;
+  }
+  return 0;
+}
+
+}  // namespace
+
+std::optional<Choice> TargetChoice::Choose(const ChoiceQuery& query) const {
+  const std::size_t first = ShareOf(query.route, query.flow);
+  const std::size_t count = query.route.shares.size();
+  // The route allows any of its services; a flow whose own share has nobody
+  // left is better served by another than refused.
+  for (std::size_t i = 0; i < count; ++i) {
+    const ServiceShare& share = query.route.shares[(first + i) % count];
+    if (const auto choice = this->ChooseOf(share.service, query)) {
+      return choice;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<Choice> TargetChoice::ChooseOf(const std::string& service,
+                                             const ChoiceQuery& query) const {
+  std::vector<TargetIndex> local;
+  std::vector<TargetIndex> remote;
+  std::vector<TargetIndex> suspected;
+  for (const TargetIndex index : this->targets.Serving(service)) {
+    if (query.except == index || this->watch.Suspected(index, query.now)) {
+      suspected.push_back(index);
+    } else if (this->targets.At(index).published.domain == this->domain) {
+      local.push_back(index);
+    } else {
+      remote.push_back(index);
+    }
+  }
+  if (!local.empty()) {
+    return Choice{this->LeastUsed(local, query), SteeringReason::kLocal};
+  }
+  if (!remote.empty()) {
+    return Choice{this->LeastUsed(remote, query), SteeringReason::kSpilled};
+  }
+  if (!suspected.empty()) {
+    return Choice{this->LeastSuspected(suspected), SteeringReason::kSuspected};
+  }
+  return std::nullopt;
+}
+
+TargetIndex TargetChoice::LeastUsed(const std::vector<TargetIndex>& options,
+                                    const ChoiceQuery& query) const {
+  TargetIndex best = options.front();
+  double least = 0;
+  std::uint64_t least_hash = 0;
+  for (const TargetIndex index : options) {
+    const TargetEntry& target = this->targets.At(index);
+    const double warmth = target.warm_at > query.now ? kColdShare : 1.0;
+    const double capacity = warmth * target.published.slots;
+    const double used =
+        this->watch.RecentFlows(index, query.now) / std::max(capacity, 0.1);
+    // Equal ones are taken by the flow's hash: instances that start together
+    // would otherwise all begin with the same target.
+    const std::uint64_t hash = common::HashNumbers(
+        query.flow.value, target.published.number.value, kShareSalt);
+    const bool first = index == options.front();
+    if (first || used < least || (used == least && hash < least_hash)) {
+      best = index;
+      least = used;
+      least_hash = hash;
+    }
+  }
+  return best;
+}
+
+TargetIndex TargetChoice::LeastSuspected(
+    const std::vector<TargetIndex>& options) const {
+  // The one whose failure is longest ago is the likeliest to be back.
+  return *std::min_element(
+      options.begin(), options.end(), [this](TargetIndex a, TargetIndex b) {
+        return this->watch.LastMissed(a) < this->watch.LastMissed(b);
+      });
+}
+
+}  // namespace sassafrasdyke::core
--- /dev/null
+++ b/source/core/steering/target_choice.h
@@ -0,0 +1,57 @@
+/// Which target gets a new flow.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/ids.h"
+#include "core/steering/flow_packet.h"
+#include "core/steering/target_watch.h"
+#include "core/view/route_table.h"
+#include "core/view/target_table.h"
+
+namespace sassafrasdyke::core {
+
+/// A new flow that needs a target.
+struct ChoiceQuery {
+  const Route& route;
+  common::Fingerprint flow;
+  /// A target that has just left this flow's SYN unanswered.
+  std::optional<TargetIndex> except;
+  std::chrono::milliseconds now{0};
+};
+
+/// The chosen target, and why.
+struct Choice {
+  TargetIndex target;
+  SteeringReason reason{SteeringReason::kLocal};
+};
+
+/// Chooses the own failure domain's least used target, and looks further only
+/// when that domain has none that can serve.
+class TargetChoice {
+ public:
+  /// `domain` is the own failure domain. The tables must outlive this.
+  TargetChoice(std::string domain, const TargetTable& targets,
+               const TargetWatch& watch)
+      : domain(std::move(domain)), targets(targets), watch(watch) {}
+
+  /// Nothing when no target of the route's services takes new flows.
+  std::optional<Choice> Choose(const ChoiceQuery& query) const;
+
+ private:
+  std::optional<Choice> ChooseOf(const std::string& service,
+                                 const ChoiceQuery& query) const;
+  TargetIndex LeastUsed(const std::vector<TargetIndex>& options,
+                        const ChoiceQuery& query) const;
+  TargetIndex LeastSuspected(const std::vector<TargetIndex>& options) const;
+
+  const std::string domain;
+  const TargetTable& targets;
+  const TargetWatch& watch;
+};
+
+}  // namespace sassafrasdyke::core
--- /dev/null
+++ b/source/core/view/item_store.cc
@@ -0,0 +1,118 @@
+#include "core/view/item_store.h"
+
+#include <algorithm>
+#include <set>
+
+namespace sassafrasdyke::core {
+namespace {
+
+/// Marks of removed items that are kept for deltas: at 3,200 restarts a day
+/// about an hour of them, and 100 KB. Who is further behind takes a whole copy.
+constexpr std::size_t kMaxRemovals = 1024;
+
+}  // namespace
+
+bool ItemStore::Merge(const Item& item) {
+  const auto [place, added] = this->entries.try_emplace(item.key);
+  Entry& entry = place->second;
+  if (!added && entry.revision >= item.revision) {
+    return false;
+  }
+  const bool was_removed = !added && !entry.value;
+  entry = {item.revision, item.value};
+  this->removals += item.value ? 0 : 1;
+  this->removals -= was_removed ? 1 : 0;
+  this->ForgetOldRemovals();
+  return true;
+}
+
+std::vector<Item> ItemStore::Replace(const std::vector<Item>& items,
+                                     common::Revision at) {
+  std::vector<Item> changed;
+  std::set<std::string> listed;
+  for (const Item& item : items) {
+    listed.insert(item.key);
+    if (this->Merge(item)) {
+      changed.push_back(item);
+    }
+  }
+  std::vector<Item> removed;
+  for (const auto& [key, entry] : this->entries) {
+    // A listing that began before an item was written may lack it; the item's
+    // own revision is greater then, and it stays.
+    if (entry.value && entry.revision <= at && !listed.contains(key)) {
+      removed.push_back({key, at, std::nullopt});
+    }
+  }
+  for (const Item& item : removed) {
+    // An item written at exactly `at` and missing from the listing is gone,
+    // though its mark can't have a greater revision than the item.
+    this->entries[item.key].revision = {};
+    this->Merge(item);
+    changed.push_back(item);
+  }
+  this->CompleteTo(at);
+  return changed;
+}
+
+std::vector<Item> ItemStore::Apply(const ItemDelta& delta) {
+  if (delta.to <= this->complete) {
+    return {};
+  }
+  if (delta.whole) {
+    return this->Replace(delta.items, delta.to);
+  }
+  if (delta.from > this->complete) {
+    return {};
+  }
+  std::vector<Item> changed;
+  for (const Item& item : delta.items) {
+    if (this->Merge(item)) {
+      changed.push_back(item);
+    }
+  }
+  this->CompleteTo(delta.to);
+  return changed;
+}
+
+void ItemStore::CompleteTo(common::Revision revision) {
+  this->complete = std::max(this->complete, revision);
+}
+
+ItemDelta ItemStore::Since(common::Revision have) const {
+  ItemDelta delta{
+      have, this->complete, have < this->forgotten || have.value == 0, {}};
+  for (const auto& [key, entry] : this->entries) {
+    const bool wanted =
+        delta.whole ? entry.value.has_value() : entry.revision > have;
+    if (wanted) {
+      delta.items.push_back({key, entry.revision, entry.value});
+    }
+  }
+  return delta;
+}
+
+void ItemStore::ForgetOldRemovals() {
+  if (this->removals <= kMaxRemovals) {
+    return;
+  }
+  // The older half goes at once, so that this is rare.
+  std::vector<common::Revision> revisions;
+  for (const auto& [key, entry] : this->entries) {
+    if (!entry.value) {
+      revisions.push_back(entry.revision);
+    }
+  }
+  const auto middle =
+      revisions.begin() + static_cast<std::ptrdiff_t>(revisions.size() / 2);
+  std::nth_element(revisions.begin(), middle, revisions.end());
+  this->forgotten = std::max(this->forgotten, *middle);
+  std::erase_if(this->entries, [this](const auto& pair) {
+    return !pair.second.value && pair.second.revision <= this->forgotten;
+  });
+  this->removals = static_cast<std::size_t>(
+      std::count_if(this->entries.begin(), this->entries.end(),
+                    [](const auto& pair) { return !pair.second.value; }));
+}
+
+}  // namespace sassafrasdyke::core
--- /dev/null
+++ b/source/core/view/route_table.cc
@@ -0,0 +1,72 @@
+#include "core/view/route_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sassafrasdyke::core {
+namespace {
+
+bool Names(const std::vector<ServiceShare>& shares, std::string_view service) {
+  return std::ranges::any_of(shares, [service](const ServiceShare& share) {
+    return share.service == service;
+  });
+}
+
+/// Adds what `before` used and `after` doesn't.
+void KeepFormer(const Route& before, Route& after,
+                std::chrono::milliseconds now,
+                std::chrono::milliseconds flow_life) {
+  for (const auto& [service, until] : before.former) {
+    if (until > now && !Names(after.shares, service)) {
+      after.former.emplace_back(service, until);
+    }
+  }
+  for (const ServiceShare& share : before.shares) {
+    if (!Names(after.shares, share.service)) {
+      after.former.emplace_back(share.service, now + flow_life);
+    }
+  }
+}
+
+}  // namespace
+
+bool Route::MayUse(std::string_view service,
+                   std::chrono::milliseconds now) const {
+  if (Names(this->shares, service)) {
+    return true;
+  }
+  return std::ranges::any_of(this->former, [&](const auto& former) {
+    return former.first == service && former.second > now;
+  });
+}
+
+ConfigurationOutcome RouteTable::Replace(
+    const PublishedConfiguration& configuration,
+    std::chrono::milliseconds now) {
+  if (configuration.version <= this->version) {
+    return ConfigurationOutcome::kOlder;
+  }
+  std::unordered_map<common::Endpoint, Route, EndpointHash> next;
+  for (const PublishedRoute& published : configuration.routes) {
+    Route& route = next[published.address];
+    route.shares = published.shares;
+    route.total_weight = 0;
+    for (const ServiceShare& share : route.shares) {
+      route.total_weight += share.weight;
+    }
+    if (const Route* before = this->Find(published.address);
+        before != nullptr) {
+      KeepFormer(*before, route, now, this->flow_life);
+    }
+  }
+  this->routes = std::move(next);
+  this->version = configuration.version;
+  return ConfigurationOutcome::kInForce;
+}
+
+const Route* RouteTable::Find(const common::Endpoint& address) const {
+  const auto found = this->routes.find(address);
+  return found == this->routes.end() ? nullptr : &found->second;
+}
+
+}  // namespace sassafrasdyke::core
--- /dev/null
+++ b/source/core/view/store_contact.h
@@ -0,0 +1,49 @@
+/// What is known of the store's presence: how old the view is, and whether the
+/// store has just come back.
+#pragma once
+
+#include <chrono>
+#include <optional>
+
+namespace sassafrasdyke::core {
+
+/// How long after the store's return targets that lapsed meanwhile may take to
+/// register again. The platform says about two seconds; half a second more
+/// covers the lag of a watch.
+inline constexpr std::chrono::milliseconds kReturnSettle{2500};
+
+/// Times are monotonic, since process start.
+class StoreContact {
+ public:
+  /// The store answered, to this instance or to one whose view this one shares.
+  void OnConfirmed(std::chrono::milliseconds at);
+  /// This instance's own call was served.
+  void OnAnswer(std::chrono::milliseconds now);
+  /// This instance's own call was refused, lost or not answered.
+  void OnFailure();
+  /// Another instance saw the store return at `at`.
+  void OnReturn(std::chrono::milliseconds at);
+
+  /// Whether this instance's own last call was served.
+  bool Answers() const { return this->answers; }
+  /// How old the view may be; nothing before the first confirmation.
+  std::optional<std::chrono::milliseconds> Age(
+      std::chrono::milliseconds now) const;
+  /// Until when a removal may be a lapse that the store's absence caused.
+  std::chrono::milliseconds SettledAt() const;
+  /// When the store last came back; nothing if it was never seen away.
+  std::optional<std::chrono::milliseconds> ReturnedAt() const {
+    return this->returned_at;
+  }
+  /// Whether a removal seen at `now` may be such a lapse.
+  bool LapseLikely(std::chrono::milliseconds now) const;
+
+ private:
+  bool answers{false};
+  bool ever_answered{false};
+  bool away{false};
+  std::optional<std::chrono::milliseconds> confirmed_at;
+  std::optional<std::chrono::milliseconds> returned_at;
+};
+
+}  // namespace sassafrasdyke::core
--- /dev/null
+++ b/source/core/view/target_table.cc
@@ -0,0 +1,230 @@
+#include "core/view/target_table.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/hash.h"
+
+namespace sassafrasdyke::core {
+namespace {
+
+constexpr std::uint64_t kWordSalt = 0x776F7264ULL;
+
+}  // namespace
+
+TargetWord WordFor(TargetNumber number) {
+  // A short number is its own word, which keeps logs readable and can't
+  // collide with another short one. Longer ones are hashed.
+  if (number.value != 0 && number.value <= UINT32_MAX) {
+    return {static_cast<std::uint32_t>(number.value)};
+  }
+  const std::uint64_t hash = common::HashNumbers(number.value, 0, kWordSalt);
+  const auto word = static_cast<std::uint32_t>(hash);
+  return {word == 0 ? 1 : word};
+}
+
+std::string_view Word(TargetPhase phase) {
+  switch (phase) {
+    case TargetPhase::kServing:
+      return "serving";
+    case TargetPhase::kDraining:
+      return "draining";
+    case TargetPhase::kUnreadable:
+      return "unreadable";
+    case TargetPhase::kShadowed:
+      return "shadowed";
+    case TargetPhase::kGone:
+      return "gone";
+  }
+  return "unknown";
+}
+
+void TargetTable::Publish(const std::string& name,
+                          const PublishedTarget& target,
+                          std::chrono::milliseconds now) {
+  this->EndPredecessor(target, name, now);
+  const TargetIndex index = this->IndexFor(name, target);
+  TargetEntry& entry = this->entries.at(index);
+  if (entry.published.service != target.service) {
+    this->Unlist(index, entry);
+  }
+  entry.published = target;
+  entry.removal_due.reset();
+  entry.warm_at = now + target.warm_up_left;
+  this->by_address[target.address] = index;
+  this->SetPhase(index, entry, this->PhaseOf(index, entry));
+}
+
+TargetPhase TargetTable::PhaseOf(TargetIndex index, const TargetEntry& entry) {
+  // Of two targets with one word the one that was there first keeps it: flows
+  // that carry it are its flows, and a packet sent to the other would end them.
+  const auto [owner, added] = this->by_word.try_emplace(entry.word, index);
+  const bool ended = owner->second != index &&
+                     this->At(owner->second).phase == TargetPhase::kGone;
+  if (ended) {
+    owner->second = index;
+  }
+  if (owner->second != index) {
+    return TargetPhase::kShadowed;
+  }
+  return entry.published.draining ? TargetPhase::kDraining
+                                  : TargetPhase::kServing;
+}
+
+// An address is used again only after its target has ended. The entry of a
+// target that went without a word stays published for some heartbeats; its
+// flows would wait for nobody until then, though the newcomer proves the end.
+void TargetTable::EndPredecessor(const PublishedTarget& target,
+                                 const std::string& name,
+                                 std::chrono::milliseconds now) {
+  const auto found = this->by_address.find(target.address);
+  if (found == this->by_address.end()) {
+    return;
+  }
+  TargetEntry& entry = this->entries.at(found->second);
+  if (entry.name != name && entry.phase != TargetPhase::kGone) {
+    this->Retire(found->second, entry, now);
+  }
+}
+
+void TargetTable::MarkUnreadable(const std::string& name) {
+  if (const auto found = this->by_name.find(name);
+      found != this->by_name.end()) {
+    TargetEntry& entry = this->entries.at(found->second);
+    entry.removal_due.reset();
+    if (entry.phase != TargetPhase::kGone) {
+      this->SetPhase(found->second, entry, TargetPhase::kUnreadable);
+    }
+  }
+}
+
+void TargetTable::Remove(const std::string& name, std::chrono::milliseconds now,
+                         std::optional<std::chrono::milliseconds> due) {
+  const auto found = this->by_name.find(name);
+  if (found == this->by_name.end()) {
+    return;
+  }
+  TargetEntry& entry = this->entries.at(found->second);
+  if (entry.phase == TargetPhase::kGone) {
+    return;
+  }
+  if (due) {
+    entry.removal_due = due;
+    return;
+  }
+  this->Retire(found->second, entry, now);
+}
+
+void TargetTable::Retire(TargetIndex index, TargetEntry& entry,
+                         std::chrono::milliseconds now) {
+  entry.removal_due.reset();
+  entry.gone_at = now;
+  this->SetPhase(index, entry, TargetPhase::kGone);
+}
+
+void TargetTable::Expire(std::chrono::milliseconds now) {
+  std::vector<TargetIndex> old;
+  for (auto& [index, entry] : this->entries) {
+    if (entry.removal_due && *entry.removal_due <= now) {
+      this->Retire(index, entry, now);
+    }
+    if (entry.phase == TargetPhase::kGone &&
+        entry.gone_at + this->gone_kept < now) {
+      old.push_back(index);
+    }
+  }
+  for (const TargetIndex index : old) {
+    this->Forget(index);
+  }
+}
+
+const TargetEntry* TargetTable::Find(TargetWord word) const {
+  const auto found = this->by_word.find(word);
+  return found == this->by_word.end() ? nullptr
+                                      : &this->entries.at(found->second);
+}
+
+std::optional<TargetIndex> TargetTable::IndexOf(TargetWord word) const {
+  const auto found = this->by_word.find(word);
+  if (found == this->by_word.end()) {
+    return std::nullopt;
+  }
+  return found->second;
+}
+
+const std::vector<TargetIndex>& TargetTable::Serving(
+    const std::string& service) const {
+  static const std::vector<TargetIndex> none;
+  const auto found = this->serving.find(service);
+  return found == this->serving.end() ? none : found->second;
+}
+
+std::size_t TargetTable::ServingCount() const {
+  std::size_t count = 0;
+  for (const auto& [service, targets] : this->serving) {
+    count += targets.size();
+  }
+  return count;
+}
+
+std::vector<TargetChange> TargetTable::TakeChanges() {
+  return std::exchange(this->changes, {});
+}
+
+std::vector<TargetIndex> TargetTable::TakeForgotten() {
+  return std::exchange(this->forgotten, {});
+}
+
+TargetIndex TargetTable::IndexFor(const std::string& name,
+                                  const PublishedTarget& target) {
+  if (const auto known = this->by_name.find(name);
+      known != this->by_name.end()) {
+    return known->second;
+  }
+  const TargetIndex index{++this->last_index};
+  TargetEntry& entry = this->entries[index];
+  entry.name = name;
+  entry.published = target;
+  entry.word = WordFor(target.number);
+  entry.phase = TargetPhase::kGone;  // Until its first phase is set and told.
+  this->by_name[name] = index;
+  return index;
+}
+
+void TargetTable::SetPhase(TargetIndex index, TargetEntry& entry,
+                           TargetPhase phase) {
+  const bool same = entry.phase == phase;
+  entry.phase = phase;
+  this->Unlist(index, entry);
+  if (phase == TargetPhase::kServing) {
+    this->serving[entry.published.service].push_back(index);
+  }
+  if (!same) {
+    this->changes.push_back({entry.name, entry.published.service, phase});
+  }
+}
+
+void TargetTable::Unlist(TargetIndex index, const TargetEntry& entry) {
+  if (const auto found = this->serving.find(entry.published.service);
+      found != this->serving.end()) {
+    std::erase(found->second, index);
+  }
+}
+
+void TargetTable::Forget(TargetIndex index) {
+  const auto found = this->entries.find(index);
+  const TargetEntry& entry = found->second;
+  this->by_name.erase(entry.name);
+  if (const auto word = this->by_word.find(entry.word);
+      word != this->by_word.end() && word->second == index) {
+    this->by_word.erase(word);
+  }
+  if (const auto address = this->by_address.find(entry.published.address);
+      address != this->by_address.end() && address->second == index) {
+    this->by_address.erase(address);
+  }
+  this->entries.erase(found);
+  this->forgotten.push_back(index);
+}
+
+}  // namespace sassafrasdyke::core
--- /dev/null
+++ b/source/front/front_log.cc
@@ -0,0 +1,99 @@
+#include "front/front_log.h"
+
+#include <variant>
+
+namespace sassafrasdyke::front {
+namespace {
+
+template <typename... Functions>
+struct Overloaded : Functions... {
+  using Functions::operator()...;
+};
+template <typename... Functions>
+Overloaded(Functions...) -> Overloaded<Functions...>;
+
+std::string_view Word(core::ViewSource source) {
+  return source == core::ViewSource::kStore ? "store" : "peer";
+}
+
+/// The event of a view's line, and its own fields.
+struct ViewLine {
+  std::string_view event;
+  LineFields fields;
+};
+
+ViewLine LineOf(const core::ViewChange& change) {
+  return std::visit(
+      Overloaded{[](const core::ConfigurationInForce& in_force) {
+                   return ViewLine{"configuration-in-force",
+                                   {{"version", in_force.version},
+                                    {"routes", in_force.routes}}};
+                 },
+                 [](const core::ConfigurationRefused& refused) {
+                   return ViewLine{"configuration-older",
+                                   {{"version", refused.version},
+                                    {"in_force", refused.in_force}}};
+                 },
+                 [](const core::ItemUnreadable& unreadable) {
+                   return ViewLine{
+                       "item-unreadable",
+                       {{"key", unreadable.key}, {"why", unreadable.fault}}};
+                 },
+                 [](const core::TargetChange& target) {
+                   return ViewLine{"target",
+                                   {{"target", target.name},
+                                    {"service", target.service},
+                                    {"phase", core::Word(target.phase)}}};
+                 }},
+      change);
+}
+
+}  // namespace
+
+void FrontLog::OnDecision(const core::FlowPacket& packet,
+                          const core::SteeringAction& action,
+                          const core::TargetEntry* target,
+                          const DecisionInputs& inputs,
+                          std::chrono::milliseconds now) {
+  LineFields fields{{"flow", packet.flow.ToString()}};
+  std::string_view event;
+  if (const auto* sent = std::get_if<core::SendToTarget>(&action)) {
+    event = "placed";
+    fields["reason"] = Word(sent->reason);
+    fields["target"] = target->name;
+    fields["domain"] = target->published.domain;
+    fields["repeats"] = packet.repeats;
+  } else if (const auto* refused = std::get_if<core::Refuse>(&action)) {
+    event = "refused";
+    fields["reason"] = Word(refused->reason);
+    fields["opening"] = packet.flags.syn;
+    fields["word"] = packet.word.value;
+  } else {
+    event = "dropped";
+    fields["reason"] = Word(std::get<core::StaySilent>(action).reason);
+    fields["opening"] = packet.flags.syn;
+    fields["word"] = packet.word.value;
+  }
+  fields["configuration"] = inputs.configuration;
+  fields["revision"] = inputs.revision.value;
+  if (inputs.view_age) {
+    fields["view_age_ms"] = inputs.view_age->count();
+  }
+  this->lines.Write(LineKind::kFlow, event, fields, now);
+}
+
+void FrontLog::OnViewChange(const core::ViewChange& change,
+                            core::ViewSource source, common::Revision revision,
+                            std::chrono::milliseconds now) {
+  ViewLine line = LineOf(change);
+  line.fields["source"] = Word(source);
+  line.fields["revision"] = revision.value;
+  this->lines.Write(LineKind::kView, line.event, line.fields, now);
+}
+
+void FrontLog::OnNote(std::string_view event, const LineFields& fields,
+                      std::chrono::milliseconds now) {
+  this->lines.Write(LineKind::kProcess, event, fields, now);
+}
+
+}  // namespace sassafrasdyke::front
--- /dev/null
+++ b/source/front/front_log.h
@@ -0,0 +1,42 @@
+/// The decisions and beliefs of an instance, as log lines.
+#pragma once
+
+#include <chrono>
+#include <string>
+#include <string_view>
+
+#include "core/steering/flow_packet.h"
+#include "core/view/live_view.h"
+#include "front/line_log.h"
+
+namespace sassafrasdyke::front {
+
+/// What decided about a packet, for its line.
+struct DecisionInputs {
+  std::uint64_t configuration{0};  ///< Version in force.
+  common::Revision revision;       ///< Of the view.
+  std::optional<std::chrono::milliseconds> view_age;
+};
+
+/// Writes a line for each decision about a new or refused flow and for each
+/// change of the view. Packets of established flows write none.
+class FrontLog {
+ public:
+  explicit FrontLog(LineLog& lines) : lines(lines) {}
+
+  /// `target` is null unless the packet was sent to one.
+  void OnDecision(const core::FlowPacket& packet,
+                  const core::SteeringAction& action,
+                  const core::TargetEntry* target, const DecisionInputs& inputs,
+                  std::chrono::milliseconds now);
+  void OnViewChange(const core::ViewChange& change, core::ViewSource source,
+                    common::Revision revision, std::chrono::milliseconds now);
+  /// Anything of the process itself.
+  void OnNote(std::string_view event, const LineFields& fields,
+              std::chrono::milliseconds now);
+
+ private:
+  LineLog& lines;
+};
+
+}  // namespace sassafrasdyke::front
--- /dev/null
+++ b/source/front/front_process.cc
@@ -0,0 +1,308 @@
+#include "front/front_process.h"
+
+#include <ev++.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <csignal>
+#include <memory>
+#include <utility>
+
+#include "common/hash.h"
+#include "core/steering/flow_steering.h"
+#include "core/view/live_view.h"
+#include "front/front_log.h"
+#include "front/line_log.h"
+#include "front/packet_port.h"
+#include "front/stop_watch.h"
+#include "front/store_reader.h"
+#include "http/server.h"
+
+namespace sassafrasdyke::front {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// How often timers of the core run.
+constexpr milliseconds kTick{100};
+/// A tick this late means that the process stood still. Ordinary delays of a
+/// machine whose quota is used up stay under 100 ms.
+constexpr milliseconds kLongestGap{300};
+
+ev::tstamp Seconds(milliseconds time) {
+  return std::chrono::duration<double>(time).count();
+}
+
+/// Monotonic, and goes on while the machine is suspended.
+milliseconds BootTime() {
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  return std::chrono::duration_cast<milliseconds>(
+      std::chrono::seconds(time.tv_sec) +
+      std::chrono::nanoseconds(time.tv_nsec));
+}
+
+/// Answers the routers' checks.
+class ReadinessHandler final : public http::Handler {
+ public:
+  explicit ReadinessHandler(std::function<bool()> ready)
+      : ready(std::move(ready)) {}
+
+  http::Response Answer(const std::string& /*path*/) override {
+    return {this->ready() ? 200U : 503U, "text/plain", ""};
+  }
+
+ private:
+  std::function<bool()> ready;
+};
+
+/// The whole instance.
+class FrontProcess final : private StoreListener {
+ public:
+  FrontProcess(const config::FrontSettings& settings,
+               const FrontAdapter& adapter)
+      : settings(settings),
+        adapter(adapter),
+        started_at(BootTime()),
+        lines(this->loop, STDOUT_FILENO,
+              {{"instance", settings.instance}, {"domain", settings.domain}}),
+        log(this->lines),
+        view(adapter.publication, settings.times.flow_life),
+        steering(settings.domain, {this->view.Routes(), this->view.Targets(),
+                                   this->view.Contact()}),
+        stop(settings.times.grace),
+        reader(this->loop, settings.store, adapter.publication, StoreLimits{},
+               common::HashBytes(settings.instance.data(),
+                                 settings.instance.size(), 0),
+               *this),
+        readiness([this] { return this->Ready(); }),
+        packets_ready(this->loop),
+        tick(this->loop),
+        term(this->loop),
+        hup(this->loop) {}
+
+  tl::expected<void, std::string> Run();
+
+ private:
+  milliseconds Now() const { return BootTime() - this->started_at; }
+  bool Ready() const { return this->view.Usable() && !this->stop.Stopping(); }
+
+  tl::expected<void, std::string> Open();
+  void OnPackets(ev::io& watcher, int events);
+  void OnPacket(std::span<const std::uint8_t> bytes);
+  void Act(const core::FlowPacket& packet, const core::SteeringAction& action,
+           std::span<const std::uint8_t> bytes);
+  void LogDecision(const core::FlowPacket& packet,
+                   const core::SteeringAction& action);
+  void OnTick(ev::timer& watcher, int events);
+  void OnTerm(ev::sig& watcher, int signal);
+  void OnHup(ev::sig& watcher, int signal);
+  void LogViewChanges(core::ViewSource source);
+
+  void OnStoreListing(const std::vector<core::Item>& items,
+                      common::Revision at) override;
+  void OnStoreChanges(const core::ChangeBatch& batch) override;
+  void OnStoreFailure(std::string_view what) override;
+  void OnStoreAnswer();
+
+  const config::FrontSettings& settings;
+  const FrontAdapter& adapter;
+  const milliseconds started_at;
+  ev::default_loop loop;
+  LineLog lines;
+  FrontLog log;
+  core::LiveView view;
+  core::FlowSteering steering;
+  StopWatch stop;
+  StoreReader reader;
+  ReadinessHandler readiness;
+  std::unique_ptr<http::Server> readiness_server;
+  std::unique_ptr<PacketPort> port;
+  ev::io packets_ready;
+  ev::timer tick;
+  ev::sig term;
+  ev::sig hup;
+  milliseconds ticked_at{0};
+  bool was_usable{false};
+  bool store_answered{false};
+};
+
+tl::expected<void, std::string> FrontProcess::Open() {
+  auto opened = PacketPort::Open(this->settings.listen.packets);
+  if (!opened) {
+    return tl::unexpected(opened.error());
+  }
+  this->port = std::move(*opened);
+  auto server = http::Server::Open(this->loop, this->settings.listen.readiness,
+                                   this->readiness);
+  if (!server) {
+    return tl::unexpected(server.error());
+  }
+  this->readiness_server = std::move(*server);
+  return {};
+}
+
+tl::expected<void, std::string> FrontProcess::Run() {
+  if (const auto opened = this->Open(); !opened) {
+    return opened;
+  }
+  this->log.OnNote("started", {{"version", SASSAFRASDYKE_VERSION}},
+                   this->Now());
+  this->reader.Start();
+  this->packets_ready.set<FrontProcess, &FrontProcess::OnPackets>(this);
+  this->packets_ready.start(this->port->Descriptor(), ev::READ);
+  this->tick.set<FrontProcess, &FrontProcess::OnTick>(this);
+  this->tick.start(Seconds(kTick), Seconds(kTick));
+  this->term.set<FrontProcess, &FrontProcess::OnTerm>(this);
+  this->term.start(SIGTERM);
+  this->hup.set<FrontProcess, &FrontProcess::OnHup>(this);
+  this->hup.start(SIGHUP);
+  this->loop.run(0);
+  return {};
+}
+
+void FrontProcess::OnPackets(ev::io& /*watcher*/, int /*events*/) {
+  const auto take = [this](std::span<const std::uint8_t> bytes) {
+    this->OnPacket(bytes);
+  };
+  if (this->port->Receive(take) > 0) {
+    this->port->Flush();
+    this->stop.OnPacket(this->Now());
+  }
+}
+
+void FrontProcess::OnPacket(std::span<const std::uint8_t> bytes) {
+  const auto packet = this->adapter.packets.Read(bytes);
+  if (!packet) {
+    return;
+  }
+  const core::SteeringAction action =
+      this->steering.OnPacket(*packet, this->Now());
+  this->Act(*packet, action, bytes);
+  this->LogDecision(*packet, action);
+}
+
+void FrontProcess::Act(const core::FlowPacket& packet,
+                       const core::SteeringAction& action,
+                       std::span<const std::uint8_t> bytes) {
+  if (const auto* sent = std::get_if<core::SendToTarget>(&action)) {
+    const core::TargetEntry& target = this->view.Targets().At(sent->target);
+    const std::size_t size = this->adapter.packets.WriteForTarget(
+        bytes, target.published.number, target.word, this->port->NextBuffer());
+    this->port->Queue(size, target.published.address);
+  } else if (std::holds_alternative<core::Refuse>(action)) {
+    const std::size_t size =
+        this->adapter.packets.WriteReset(packet, this->port->NextBuffer());
+    // Clients take packets at the port where instances take theirs.
+    this->port->Queue(
+        size, {packet.flow.caller.address, this->settings.listen.packets.port});
+  }
+}
+
+void FrontProcess::LogDecision(const core::FlowPacket& packet,
+                               const core::SteeringAction& action) {
+  const auto* const sent = std::get_if<core::SendToTarget>(&action);
+  if (sent != nullptr && sent->reason == core::SteeringReason::kCarried) {
+    return;
+  }
+  const milliseconds now = this->Now();
+  const core::TargetEntry* const target =
+      sent == nullptr ? nullptr : &this->view.Targets().At(sent->target);
+  this->log.OnDecision(
+      packet, action, target,
+      {this->view.Routes().Version(), this->view.Items().Complete(),
+       this->view.Contact().Age(now)},
+      now);
+}
+
+void FrontProcess::OnTick(ev::timer& /*watcher*/, int /*events*/) {
+  const milliseconds now = this->Now();
+  if (now - this->ticked_at > kLongestGap) {
+    this->log.OnNote("paused", {{"for_ms", (now - this->ticked_at).count()}},
+                     now);
+    this->steering.OnPause(now);
+  }
+  this->ticked_at = now;
+  this->view.OnTick(now);
+  this->LogViewChanges(core::ViewSource::kStore);
+  for (const core::TargetIndex target : this->view.Targets().TakeForgotten()) {
+    this->steering.Forget(target);
+  }
+  this->steering.OnTick(now);
+  if (const auto end = this->stop.Ends(now)) {
+    this->log.OnNote("stopped", {{"why", Word(*end)}}, now);
+    this->loop.break_loop(ev::ALL);
+  }
+  this->lines.OnTick(now);
+}
+
+void FrontProcess::OnTerm(ev::sig& /*watcher*/, int /*signal*/) {
+  const milliseconds now = this->Now();
+  this->stop.OnStop(now);
+  this->log.OnNote("stopping", {}, now);
+}
+
+void FrontProcess::OnHup(ev::sig& /*watcher*/, int /*signal*/) {
+  const auto read = this->adapter.read_settings();
+  if (!read) {
+    this->log.OnNote("settings-refused",
+                     {{"path", read.error().front().path},
+                      {"why", read.error().front().what}},
+                     this->Now());
+    return;
+  }
+  this->reader.SetStore(read->store);
+  this->log.OnNote("settings-read", {{"store", read->store.ToString()}},
+                   this->Now());
+}
+
+void FrontProcess::OnStoreListing(const std::vector<core::Item>& items,
+                                  common::Revision at) {
+  this->OnStoreAnswer();
+  this->view.OnListing(items, at, this->Now());
+  this->LogViewChanges(core::ViewSource::kStore);
+}
+
+void FrontProcess::OnStoreChanges(const core::ChangeBatch& batch) {
+  this->OnStoreAnswer();
+  this->view.OnChanges(batch, this->Now());
+  this->LogViewChanges(core::ViewSource::kStore);
+}
+
+void FrontProcess::OnStoreAnswer() {
+  const milliseconds now = this->Now();
+  this->view.Contact().OnAnswer(now);
+  if (!std::exchange(this->store_answered, true)) {
+    this->log.OnNote("store-regained", {}, now);
+  }
+}
+
+void FrontProcess::OnStoreFailure(std::string_view what) {
+  this->view.Contact().OnFailure();
+  if (std::exchange(this->store_answered, false)) {
+    this->log.OnNote("store-lost", {{"why", what}}, this->Now());
+  }
+}
+
+void FrontProcess::LogViewChanges(core::ViewSource source) {
+  const milliseconds now = this->Now();
+  for (const core::ViewChange& change : this->view.TakeChanges()) {
+    this->log.OnViewChange(change, source, this->view.Items().Complete(), now);
+  }
+  if (this->view.Usable() && !std::exchange(this->was_usable, true)) {
+    this->log.OnNote("ready",
+                     {{"configuration", this->view.Routes().Version()},
+                      {"targets", this->view.Targets().ServingCount()}},
+                     now);
+  }
+}
+
+}  // namespace
+
+tl::expected<void, std::string> RunFront(const config::FrontSettings& settings,
+                                         const FrontAdapter& adapter) {
+  FrontProcess process(settings, adapter);
+  return process.Run();
+}
+
+}  // namespace sassafrasdyke::front
--- /dev/null
+++ b/source/front/store_reader.cc
@@ -0,0 +1,138 @@
+#include "front/store_reader.h"
+
+#include <algorithm>
+#include <iterator>
+
+namespace sassafrasdyke::front {
+namespace {
+
+constexpr double kMillisecondsPerSecond = 1000.0;
+
+}  // namespace
+
+StoreReader::StoreReader(ev::loop_ref loop, const common::Endpoint& store,
+                         const core::Publication& publication,
+                         const StoreLimits& limits, std::uint64_t seed,
+                         StoreListener& listener)
+    : store(store),
+      publication(publication),
+      limits(limits),
+      listener(listener),
+      jitter(seed),
+      backoff({limits.first_retry, limits.longest_retry}),
+      connection(loop, *this),
+      timer(loop) {
+  this->timer.set<StoreReader, &StoreReader::OnTimer>(this);
+}
+
+void StoreReader::SetStore(const common::Endpoint& store) {
+  if (store == this->store) {
+    return;
+  }
+  this->store = store;
+  this->connection.Cancel();
+  this->CallAfter(std::chrono::milliseconds{0});
+}
+
+void StoreReader::HasRevision(common::Revision revision) {
+  this->known = std::max(this->known, revision);
+}
+
+void StoreReader::CallAfter(std::chrono::milliseconds wait) {
+  this->timer.start(static_cast<double>(wait.count()) / kMillisecondsPerSecond);
+}
+
+void StoreReader::OnTimer(ev::timer& /*timer*/, int /*events*/) {
+  ++this->counts.calls;
+  const bool watches = this->known.value != 0 && this->listed_at.value == 0;
+  const std::string path =
+      watches ? this->publication.WatchPath(this->known, this->limits.wait)
+              : this->publication.ListPath(this->list_after);
+  const std::chrono::milliseconds deadline =
+      watches ? this->limits.wait + this->limits.slack : this->limits.slack;
+  this->connection.Get({this->store, path, deadline, this->limits.max_answer});
+}
+
+void StoreReader::OnGetOutcome(
+    const tl::expected<http::GetAnswer, http::GetFailure>& outcome) {
+  if (!outcome) {
+    this->OnFailure(Word(outcome.error()));
+    return;
+  }
+  switch (this->publication.StatusOf(outcome->status)) {
+    case core::StoreStatus::kServed:
+      this->OnServed(outcome->body);
+      return;
+    case core::StoreStatus::kHistoryGone:
+      this->ListAnew();
+      this->CallAfter(std::chrono::milliseconds{0});
+      return;
+    case core::StoreStatus::kRefused:
+      this->OnFailure("refused");
+      return;
+  }
+}
+
+void StoreReader::OnServed(const std::string& body) {
+  const bool watches = this->known.value != 0 && this->listed_at.value == 0;
+  if (watches) {
+    this->OnChanges(body);
+  } else {
+    this->OnPage(body);
+  }
+}
+
+void StoreReader::OnPage(const std::string& body) {
+  auto page = this->publication.ReadPage(body);
+  if (!page) {
+    this->OnFailure("unreadable");
+    return;
+  }
+  this->backoff.OnSuccess();
+  // Pages aren't a snapshot. What changed between them is told by the watch,
+  // if it starts where the first page was read.
+  if (this->listed_at.value == 0) {
+    this->listed_at = page->at;
+  }
+  std::ranges::move(page->items, std::back_inserter(this->listed));
+  if (page->more) {
+    this->list_after = page->last_key;
+    this->CallAfter(std::chrono::milliseconds{0});
+    return;
+  }
+  ++this->counts.listings;
+  this->known = this->listed_at;
+  this->listener.OnStoreListing(this->listed, this->listed_at);
+  this->listed.clear();
+  this->listed_at = {};
+  this->list_after.clear();
+  this->CallAfter(std::chrono::milliseconds{0});
+}
+
+void StoreReader::OnChanges(const std::string& body) {
+  const auto batch = this->publication.ReadChanges(body);
+  if (!batch) {
+    this->OnFailure("unreadable");
+    return;
+  }
+  this->backoff.OnSuccess();
+  this->known = std::max(this->known, batch->at);
+  this->listener.OnStoreChanges(*batch);
+  this->CallAfter(batch->changes.empty() ? std::chrono::milliseconds{0}
+                                         : this->limits.pace);
+}
+
+void StoreReader::OnFailure(std::string_view what) {
+  ++this->counts.failures;
+  this->listener.OnStoreFailure(what);
+  this->CallAfter(this->backoff.OnFailure(this->jitter));
+}
+
+void StoreReader::ListAnew() {
+  this->known = {};
+  this->listed.clear();
+  this->listed_at = {};
+  this->list_after.clear();
+}
+
+}  // namespace sassafrasdyke::front
--- /dev/null
+++ b/source/front/store_reader.h
@@ -0,0 +1,103 @@
+/// Reads the platform's store: lists what is published, then watches for
+/// changes, and lists anew when the history is gone.
+#pragma once
+
+#include <ev++.h>
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "common/address.h"
+#include "core/fleet/backoff.h"
+#include "core/fleet/jitter.h"
+#include "core/view/publication.h"
+#include "http/get_connection.h"
+
+namespace sassafrasdyke::front {
+
+/// Times and sizes of reading the store.
+struct StoreLimits {
+  /// How long the store may hold a watch when nothing is new. A connection may
+  /// fall silent for good; this and `slack` bound how long that goes unnoticed,
+  /// and both together must stay under the time in which a change must be in
+  /// force (3 s) less a second for listing anew.
+  std::chrono::milliseconds wait{1500};
+  /// How much longer an answer may take before the connection counts as lost.
+  std::chrono::milliseconds slack{500};
+  /// Bounds of the wait after a failure.
+  std::chrono::milliseconds first_retry{50};
+  std::chrono::milliseconds longest_retry{400};
+  /// Least time from one answer to the next watch. Changes come in groups (a
+  /// target that starts is published several times a second); the store keeps
+  /// them meanwhile, and one call brings them all.
+  std::chrono::milliseconds pace{150};
+  /// Greatest answer, in bytes: a page of 1 MB in base64, with its fields.
+  std::size_t max_answer{2U << 20U};
+};
+
+/// Takes what the store says.
+class StoreListener {
+ public:
+  virtual ~StoreListener() = default;
+
+  virtual void OnStoreListing(const std::vector<core::Item>& items,
+                              common::Revision at) = 0;
+  virtual void OnStoreChanges(const core::ChangeBatch& batch) = 0;
+  /// A call failed; `what` is the log's word for how.
+  virtual void OnStoreFailure(std::string_view what) = 0;
+};
+
+/// Counts since the process started.
+struct StoreCounts {
+  std::uint64_t calls{0};
+  std::uint64_t failures{0};
+  std::uint64_t listings{0};  ///< Complete ones.
+};
+
+/// One reader; runs from `Start` until it goes.
+class StoreReader final : private http::GetListener {
+ public:
+  /// References must outlive the reader; `seed` varies jitter only.
+  StoreReader(ev::loop_ref loop, const common::Endpoint& store,
+              const core::Publication& publication, const StoreLimits& limits,
+              std::uint64_t seed, StoreListener& listener);
+
+  void Start() { this->CallAfter(std::chrono::milliseconds{0}); }
+  /// Reads from another address from now on.
+  void SetStore(const common::Endpoint& store);
+  /// Everything up to `revision` is known from elsewhere; the next watch
+  /// starts there.
+  void HasRevision(common::Revision revision);
+  const StoreCounts& Counts() const { return this->counts; }
+
+ private:
+  void OnTimer(ev::timer& timer, int events);
+  void OnGetOutcome(
+      const tl::expected<http::GetAnswer, http::GetFailure>& outcome) override;
+  void OnServed(const std::string& body);
+  void OnPage(const std::string& body);
+  void OnChanges(const std::string& body);
+  void OnFailure(std::string_view what);
+  void ListAnew();
+  void CallAfter(std::chrono::milliseconds wait);
+
+  common::Endpoint store;
+  const core::Publication& publication;
+  const StoreLimits limits;
+  StoreListener& listener;
+  core::Jitter jitter;
+  core::Backoff backoff;
+  http::GetConnection connection;
+  ev::timer timer;
+  StoreCounts counts;
+  /// Where the next watch starts; 0: list first.
+  common::Revision known;
+  std::vector<core::Item> listed;  ///< Pages so far of the running listing.
+  common::Revision listed_at;      ///< Revision of the first page.
+  std::string list_after;
+};
+
+}  // namespace sassafrasdyke::front
--- a/tests/app/run.h
+++ b/tests/app/run.h
@@ -22,7 +22,7 @@
 inline Ran RunWith(const std::vector<std::string>& arguments) {
   std::ostringstream out;
   std::ostringstream err;
-  const ExitCode code = RunProgram(arguments, {out, err});
+  const ExitCode code = RunProgram(AllCommands(), arguments, {out, err});
   return {code, out.str(), err.str()};
 }
 
--- a/tests/platform/health_hysteresis_test.cc
+++ b/tests/clients/health_hysteresis_test.cc
@@ -1,5 +1,5 @@
 /// When readings of a target's health amount to a change.
-#include "platform/health_hysteresis.h"
+#include "clients/health_hysteresis.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -7,7 +7,7 @@
 #include <ostream>
 #include <string>
 
-namespace sassafrasdyke::platform {
+namespace sassafrasdyke::clients {
 namespace {
 
 /// h, s and f stand for readings and for the changes that they lead to; a dot
@@ -67,4 +67,4 @@
 }
 
 }  // namespace
-}  // namespace sassafrasdyke::platform
+}  // namespace sassafrasdyke::clients
--- a/tests/platform/http_stand_in.cc
+++ b/tests/clients/http_stand_in.cc
@@ -1,4 +1,4 @@
-#include "platform/http_stand_in.h"
+#include "clients/http_stand_in.h"
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -6,7 +6,7 @@
 #include <cstdlib>
 #include <utility>
 
-namespace sassafrasdyke::platform {
+namespace sassafrasdyke::clients {
 namespace {
 
 MHD_Result AppendQuery(void* text, MHD_ValueKind /*kind*/, const char* key,
@@ -106,4 +106,4 @@
   this->ended_changed.wait(lock, [this] { return this->ended; });
 }
 
-}  // namespace sassafrasdyke::platform
+}  // namespace sassafrasdyke::clients
--- a/tests/platform/http_stand_in.h
+++ b/tests/clients/http_stand_in.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace sassafrasdyke::platform {
+namespace sassafrasdyke::clients {
 
 /// Answers each request with the next answer of a script.
 class HttpStandIn {
@@ -55,4 +55,4 @@
   MHD_Daemon* daemon{nullptr};
 };
 
-}  // namespace sassafrasdyke::platform
+}  // namespace sassafrasdyke::clients
--- a/tests/platform/platform_reader_test.cc
+++ b/tests/clients/platform_reader_test.cc
@@ -1,5 +1,5 @@
 /// Reading the platform's documents over HTTP.
-#include "platform/platform_reader.h"
+#include "clients/platform_reader.h"
 
 #include <algorithm>
 #include <boost/test/data/monomorphic.hpp>
@@ -9,10 +9,10 @@
 #include <string>
 #include <vector>
 
-#include "platform/http_stand_in.h"
+#include "clients/http_stand_in.h"
 #include "support/run_loop.h"
 
-namespace sassafrasdyke::platform {
+namespace sassafrasdyke::clients {
 namespace {
 
 using namespace std::chrono_literals;
@@ -212,4 +212,4 @@
 }
 
 }  // namespace
-}  // namespace sassafrasdyke::platform
+}  // namespace sassafrasdyke::clients
--- a/tests/platform/target_prober_test.cc
+++ b/tests/clients/target_prober_test.cc
@@ -1,5 +1,5 @@
 /// Probing targets over HTTP.
-#include "platform/target_prober.h"
+#include "clients/target_prober.h"
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -10,10 +10,10 @@
 #include <utility>
 #include <vector>
 
-#include "platform/http_stand_in.h"
+#include "clients/http_stand_in.h"
 #include "support/run_loop.h"
 
-namespace sassafrasdyke::platform {
+namespace sassafrasdyke::clients {
 namespace {
 
 using namespace std::chrono_literals;
@@ -186,4 +186,4 @@
 }
 
 }  // namespace
-}  // namespace sassafrasdyke::platform
+}  // namespace sassafrasdyke::clients
