Take the view from peers when the store doesn't answer

And a watch for each instance costs calls in proportion to the fleet.

Ruled out: streams over nghttp2 (a second HTTP stack for a few small messages; digests fit into datagrams and whole copies are one GET); an election of readers (rendezvous hashing over the roster needs none).

Change: core/roster (members from the seeds, who reads, who is told), front/peer_codec and peer_exchange.

--- a/source/app/front_command.cc
+++ b/source/app/front_command.cc
@@ -1,5 +1,6 @@
 #include "app/front_command.h"
 
+#include "app/file_version.h"
 #include "app/text_file.h"
 #include "config/front_settings.h"
 #include "front/front_process.h"
@@ -41,8 +42,11 @@
   }
   const platform::StoreCodec publication;
   const platform::PacketCodec packets;
-  const auto ended = front::RunFront(
-      *settings, {publication, packets, [&] { return ReadSettings(*path); }});
+  FileVersion version(*path);
+  const auto ended =
+      front::RunFront(*settings, {publication, packets,
+                                  [&] { return ReadSettings(*path); },
+                                  [&] { return version.Changed(); }});
   if (!ended) {
     streams.err << ended.error() << "\n";
     return ExitCode::kFailure;
--- /dev/null
+++ b/source/core/roster/peer_sync.cc
@@ -0,0 +1,183 @@
+#include "core/roster/peer_sync.h"
+
+#include <algorithm>
+
+namespace sassafrasdyke::core {
+namespace {
+
+/// Members that a digest mentions: with two digests a second each, a domain of
+/// 116 hears of every member within some six seconds.
+constexpr std::size_t kMentions = 6;
+/// Changes that travel inside a digest, in bytes of keys and values, so that
+/// the datagram stays under the 1,400 bytes that every link carries whole.
+constexpr std::size_t kInlineBytes = 1000;
+
+std::size_t SizeOf(const ItemDelta& delta) {
+  constexpr std::size_t kOverhead = 16;
+  std::size_t size = 0;
+  for (const Item& item : delta.items) {
+    size += item.key.size() + (item.value ? item.value->size() : 0) + kOverhead;
+  }
+  return size;
+}
+
+/// The changes after `have`, if a datagram holds them.
+std::optional<ItemDelta> InlineSince(const ItemStore& items,
+                                     common::Revision have) {
+  if (have.value == 0 || have >= items.Complete()) {
+    return std::nullopt;
+  }
+  ItemDelta delta = items.Since(have);
+  if (delta.whole || SizeOf(delta) > kInlineBytes) {
+    return std::nullopt;
+  }
+  return delta;
+}
+
+}  // namespace
+
+ViewMark PeerSync::Mark(std::chrono::milliseconds now) const {
+  const StoreContact& contact = this->view.Contact();
+  ViewMark mark{this->view.Items().Complete(), contact.Age(now), std::nullopt};
+  if (const auto returned = contact.ReturnedAt()) {
+    mark.store_returned_ago = now - *returned;
+  }
+  return mark;
+}
+
+PeerDigest PeerSync::MakeDigest(std::chrono::milliseconds now) {
+  PeerDigest digest;
+  digest.sender = this->roster.Self().address;
+  digest.domain = this->roster.Self().domain;
+  digest.leaving = this->leaving;
+  digest.view = this->Mark(now);
+  digest.known = this->roster.Mention(kMentions, this->jitter, now);
+  return digest;
+}
+
+bool PeerSync::IsReader(std::chrono::milliseconds now) const {
+  return !this->leaving && this->roster.Rank(now) < this->limits.readers;
+}
+
+bool PeerSync::ShouldRead(std::chrono::milliseconds now) const {
+  const auto age = this->view.Contact().Age(now);
+  return !this->view.Usable() || !age || *age > this->limits.read_after ||
+         this->IsReader(now);
+}
+
+bool PeerSync::NeedsPeers(std::chrono::milliseconds now) const {
+  if (now < this->limits.patience) {
+    return false;
+  }
+  const auto age = this->view.Contact().Age(now);
+  const bool store_fails =
+      this->ShouldRead(now) && !this->view.Contact().Answers();
+  return !age || *age > this->limits.ask_after || store_fails;
+}
+
+SyncActions PeerSync::OnStart(std::chrono::milliseconds now) {
+  SyncActions actions;
+  for (const common::Endpoint& seed : this->roster.Seeds()) {
+    PeerDigest digest = this->MakeDigest(now);
+    digest.wants_answer = true;
+    actions.digests.push_back({seed, std::move(digest)});
+  }
+  return actions;
+}
+
+SyncActions PeerSync::OnTick(std::chrono::milliseconds now) {
+  this->roster.Expire(now);
+  const bool asks = this->NeedsPeers(now);
+  std::chrono::milliseconds& last = asks ? this->asked_at : this->greeted_at;
+  const std::chrono::milliseconds pause =
+      asks ? this->limits.ask_every : this->limits.greet_every;
+  if (now - last < pause) {
+    return {};
+  }
+  last = now;
+  SyncActions actions;
+  for (const common::Endpoint& peer : this->roster.Pick(this->jitter)) {
+    PeerDigest digest = this->MakeDigest(now);
+    digest.wants_answer = asks;
+    actions.digests.push_back({peer, std::move(digest)});
+  }
+  return actions;
+}
+
+void PeerSync::TakeMark(const ViewMark& mark, std::chrono::milliseconds now) {
+  StoreContact& contact = this->view.Contact();
+  // Before any change is taken: a removal that the store's absence caused must
+  // be known as one.
+  if (mark.store_returned_ago) {
+    contact.OnReturn(now - *mark.store_returned_ago);
+  }
+}
+
+SyncActions PeerSync::OnDigest(const PeerDigest& digest,
+                               std::chrono::milliseconds now) {
+  const bool is_new = this->roster.OnDigest(digest, now);
+  const common::Revision before = this->view.Items().Complete();
+  SyncActions actions;
+  this->TakeMark(digest.view, now);
+  if (digest.changes) {
+    this->view.OnPeerItems(*digest.changes, now);
+  }
+  const common::Revision have = this->view.Items().Complete();
+  if (have > before && this->IsReader(now)) {
+    actions = this->TellFollowers(before, now);
+  }
+  if (digest.view.age && digest.view.complete >= have &&
+      digest.view.complete.value != 0) {
+    if (digest.view.complete == have) {
+      this->view.Contact().OnConfirmed(now - *digest.view.age);
+    } else if (!this->pulling && !this->view.Contact().Answers()) {
+      this->pulling = true;
+      actions.pull = digest.sender;
+    }
+  }
+  // A newcomer is told at once: it may be new to everybody, and asks nobody
+  // else.
+  if (digest.wants_answer || is_new) {
+    PeerDigest answer = this->MakeDigest(now);
+    if (digest.wants_answer) {
+      answer.changes = InlineSince(this->view.Items(), digest.view.complete);
+    }
+    actions.digests.push_back({digest.sender, std::move(answer)});
+  }
+  return actions;
+}
+
+SyncActions PeerSync::OnStoreNews(common::Revision before,
+                                  std::chrono::milliseconds now) {
+  if (!this->IsReader(now)) {
+    return {};
+  }
+  return this->TellFollowers(before, now);
+}
+
+SyncActions PeerSync::TellFollowers(common::Revision before,
+                                    std::chrono::milliseconds now) {
+  SyncActions actions;
+  const auto changes = InlineSince(this->view.Items(), before);
+  for (const common::Endpoint& peer :
+       this->roster.Followers(this->limits.readers, now)) {
+    PeerDigest digest = this->MakeDigest(now);
+    digest.changes = changes;
+    actions.digests.push_back({peer, std::move(digest)});
+  }
+  return actions;
+}
+
+SyncActions PeerSync::OnPulled(const ItemDelta& delta, const ViewMark& mark,
+                               std::chrono::milliseconds now) {
+  this->pulling = false;
+  const common::Revision before = this->view.Items().Complete();
+  this->TakeMark(mark, now);
+  this->view.OnPeerItems(delta, now);
+  if (mark.age && mark.complete == this->view.Items().Complete()) {
+    this->view.Contact().OnConfirmed(now - *mark.age);
+  }
+  return this->IsReader(now) ? this->TellFollowers(before, now) : SyncActions{};
+}
+
+}  // namespace sassafrasdyke::core
--- /dev/null
+++ b/source/core/roster/roster.cc
@@ -0,0 +1,151 @@
+#include "core/roster/roster.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "common/hash.h"
+
+namespace sassafrasdyke::core {
+namespace {
+
+/// Silence after which a member no longer counts for who reads the store.
+/// Members speak every second, so this is five lost digests.
+constexpr std::chrono::milliseconds kCandidateFor{5000};
+/// Silence after which a member is forgotten. Longer than a restart takes, so
+/// that an instance that comes back is asked again.
+constexpr std::chrono::milliseconds kKeptFor{20'000};
+/// Members remembered at most: twice the fleet that is designed for.
+constexpr std::size_t kMostMembers = 2048;
+
+constexpr std::uint64_t kRankSalt = 0x72616E6BULL;
+
+std::uint64_t ScoreOf(const common::Endpoint& peer) {
+  return common::HashNumbers(EndpointHash{}(peer), 0, kRankSalt);
+}
+
+template <typename Value>
+const Value* OneOf(const std::vector<Value>& values, Jitter& jitter) {
+  return values.empty() ? nullptr : &values[jitter.Below(values.size())];
+}
+
+}  // namespace
+
+bool Roster::OnDigest(const PeerDigest& digest, std::chrono::milliseconds now) {
+  for (const PeerMention& mention : digest.known) {
+    this->Hear(mention.peer, mention.domain, now - mention.heard_ago);
+  }
+  const bool added = this->Hear(digest.sender, digest.domain, now);
+  if (const auto found = this->members.find(digest.sender);
+      found != this->members.end()) {
+    found->second.leaving = digest.leaving;
+  }
+  return added;
+}
+
+bool Roster::Hear(const common::Endpoint& peer, const std::string& domain,
+                  std::chrono::milliseconds at) {
+  const auto found = this->members.find(peer);
+  if (found != this->members.end()) {
+    found->second.heard_at = std::max(found->second.heard_at, at);
+    return false;
+  }
+  if (peer == this->self.address || this->members.size() >= kMostMembers) {
+    return false;
+  }
+  this->members.emplace(peer, Member{domain, at, false});
+  return true;
+}
+
+void Roster::Expire(std::chrono::milliseconds now) {
+  std::erase_if(this->members, [now](const auto& member) {
+    return now - member.second.heard_at > kKeptFor;
+  });
+}
+
+bool Roster::IsCandidate(const Member& member,
+                         std::chrono::milliseconds now) const {
+  return member.domain == this->self.domain && !member.leaving &&
+         now - member.heard_at <= kCandidateFor;
+}
+
+std::vector<common::Endpoint> Roster::Order(
+    std::chrono::milliseconds now) const {
+  std::vector<common::Endpoint> order{this->self.address};
+  for (const auto& [peer, member] : this->members) {
+    if (this->IsCandidate(member, now)) {
+      order.push_back(peer);
+    }
+  }
+  std::ranges::sort(order, std::ranges::greater{}, ScoreOf);
+  return order;
+}
+
+std::size_t Roster::Rank(std::chrono::milliseconds now) const {
+  const std::uint64_t own = ScoreOf(this->self.address);
+  return static_cast<std::size_t>(std::ranges::count_if(
+      this->members, [this, own, now](const auto& member) {
+        return this->IsCandidate(member.second, now) &&
+               ScoreOf(member.first) > own;
+      }));
+}
+
+std::vector<common::Endpoint> Roster::Neighbours() const {
+  std::vector<common::Endpoint> neighbours;
+  for (const auto& [peer, member] : this->members) {
+    if (member.domain == this->self.domain) {
+      neighbours.push_back(peer);
+    }
+  }
+  return neighbours;
+}
+
+std::vector<common::Endpoint> Roster::Followers(
+    std::size_t readers, std::chrono::milliseconds now) const {
+  std::vector<common::Endpoint> order = this->Order(now);
+  order.erase(order.begin(),
+              order.begin() + static_cast<std::ptrdiff_t>(
+                                  std::min(readers, order.size())));
+  std::erase(order, this->self.address);
+  return order;
+}
+
+std::vector<common::Endpoint> Roster::Seeds() const {
+  std::vector<common::Endpoint> others = this->seeds;
+  std::erase(others, this->self.address);
+  return others;
+}
+
+std::vector<common::Endpoint> Roster::Pick(Jitter& jitter) const {
+  std::vector<common::Endpoint> others = this->Seeds();
+  for (const auto& [peer, member] : this->members) {
+    others.push_back(peer);
+  }
+  std::vector<common::Endpoint> picked;
+  const std::vector<common::Endpoint> neighbours = this->Neighbours();
+  if (const auto* near = OneOf(neighbours, jitter); near != nullptr) {
+    picked.push_back(*near);
+  }
+  if (const auto* any = OneOf(others, jitter);
+      any != nullptr && (picked.empty() || picked.front() != *any)) {
+    picked.push_back(*any);
+  }
+  return picked;
+}
+
+std::vector<PeerMention> Roster::Mention(std::size_t most, Jitter& jitter,
+                                         std::chrono::milliseconds now) const {
+  std::vector<PeerMention> mentions;
+  for (const auto& [peer, member] : this->members) {
+    if (!member.leaving) {
+      mentions.push_back({peer, member.domain, now - member.heard_at});
+    }
+  }
+  const std::size_t count = std::min(most, mentions.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    std::swap(mentions[i], mentions[i + jitter.Below(mentions.size() - i)]);
+  }
+  mentions.resize(count);
+  return mentions;
+}
+
+}  // namespace sassafrasdyke::core
--- /dev/null
+++ b/source/core/roster/roster.h
@@ -0,0 +1,76 @@
+/// The instances that this one knows of. Nothing lists them: they are found
+/// through a few seeds, and tell each other. Being wrong about one costs a call
+/// or a second, never a flow.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "common/address.h"
+#include "core/fleet/jitter.h"
+#include "core/roster/peer_digest.h"
+#include "core/view/route_table.h"
+
+namespace sassafrasdyke::core {
+
+/// Who this instance is to its peers.
+struct RosterSelf {
+  common::Endpoint address;
+  std::string domain;
+};
+
+/// Members by address. Times are monotonic.
+class Roster {
+ public:
+  Roster(RosterSelf self, const std::vector<common::Endpoint>& seeds)
+      : self(std::move(self)), seeds(seeds) {}
+
+  void SetSeeds(const std::vector<common::Endpoint>& seeds) {
+    this->seeds = seeds;
+  }
+  /// Takes the sender and those it mentions; true if the sender is new.
+  bool OnDigest(const PeerDigest& digest, std::chrono::milliseconds now);
+  /// Forgets members that nobody has heard of for long.
+  void Expire(std::chrono::milliseconds now);
+
+  /// Position of this instance among its failure domain's readers-to-be: all
+  /// instances with the same members compute the same order.
+  std::size_t Rank(std::chrono::milliseconds now) const;
+  /// The other members of the own failure domain.
+  std::vector<common::Endpoint> Neighbours() const;
+  /// Members that should tell of news: those whose rank isn't below `readers`.
+  std::vector<common::Endpoint> Followers(std::size_t readers,
+                                          std::chrono::milliseconds now) const;
+  /// One member of the own failure domain and one of any, or seeds where none
+  /// is known; at random, never this instance.
+  std::vector<common::Endpoint> Pick(Jitter& jitter) const;
+  /// Some members, for a digest.
+  std::vector<PeerMention> Mention(std::size_t most, Jitter& jitter,
+                                   std::chrono::milliseconds now) const;
+  std::size_t Size() const { return this->members.size(); }
+  const RosterSelf& Self() const { return this->self; }
+  /// The seeds but this instance.
+  std::vector<common::Endpoint> Seeds() const;
+
+ private:
+  struct Member {
+    std::string domain;
+    std::chrono::milliseconds heard_at{0};
+    bool leaving{false};
+  };
+
+  bool Hear(const common::Endpoint& peer, const std::string& domain,
+            std::chrono::milliseconds at);
+  bool IsCandidate(const Member& member, std::chrono::milliseconds now) const;
+  /// Own domain's candidates and this instance, best first.
+  std::vector<common::Endpoint> Order(std::chrono::milliseconds now) const;
+
+  RosterSelf self;
+  std::vector<common::Endpoint> seeds;
+  std::unordered_map<common::Endpoint, Member, EndpointHash> members;
+};
+
+}  // namespace sassafrasdyke::core
--- a/source/core/view/live_view.h
+++ b/source/core/view/live_view.h
@@ -68,6 +68,7 @@
   const RouteTable& Routes() const { return this->routes; }
   TargetTable& Targets() { return this->targets; }
   StoreContact& Contact() { return this->contact; }
+  const StoreContact& Contact() const { return this->contact; }
   /// Takes the changes since the last call.
   std::vector<ViewChange> TakeChanges();
 
--- a/source/core/view/store_contact.cc
+++ b/source/core/view/store_contact.cc
@@ -9,7 +9,7 @@
 }
 
 void StoreContact::OnAnswer(std::chrono::milliseconds now) {
-  if (this->away) {
+  if (this->SeemsAbsent(now)) {
     this->OnReturn(now);
   }
   this->away = false;
@@ -43,7 +43,12 @@
 }
 
 bool StoreContact::LapseLikely(std::chrono::milliseconds now) const {
-  return this->away || now < this->SettledAt();
+  return this->SeemsAbsent(now) || now < this->SettledAt();
+}
+
+bool StoreContact::SeemsAbsent(std::chrono::milliseconds now) const {
+  return this->away && this->confirmed_at &&
+         now - *this->confirmed_at > kHarmlessAbsence;
 }
 
 }  // namespace sassafrasdyke::core
--- a/source/core/view/store_contact.h
+++ b/source/core/view/store_contact.h
@@ -11,6 +11,10 @@
 /// register again. The platform says about two seconds; half a second more
 /// covers the lag of a watch.
 inline constexpr std::chrono::milliseconds kReturnSettle{2500};
+/// An absence no longer than this lets no entry lapse: entries live for three
+/// heartbeats, at least 2 s. It is also longer than the longest pause between
+/// two answers to a reader, so a quiet store doesn't look absent.
+inline constexpr std::chrono::milliseconds kHarmlessAbsence{1800};
 
 /// Times are monotonic, since process start.
 class StoreContact {
@@ -21,6 +25,8 @@
   void OnAnswer(std::chrono::milliseconds now);
   /// This instance's own call was refused, lost or not answered.
   void OnFailure();
+  /// This instance reads no longer itself.
+  void OnIdle() { this->answers = false; }
   /// Another instance saw the store return at `at`.
   void OnReturn(std::chrono::milliseconds at);
 
@@ -39,6 +45,10 @@
   bool LapseLikely(std::chrono::milliseconds now) const;
 
  private:
+  /// Whether nobody has heard of the store for long enough to let entries
+  /// lapse. A store that refuses only this instance isn't away: peers confirm.
+  bool SeemsAbsent(std::chrono::milliseconds now) const;
+
   bool answers{false};
   bool ever_answered{false};
   bool away{false};
--- a/source/front/front_process.cc
+++ b/source/front/front_process.cc
@@ -9,11 +9,13 @@
 #include <utility>
 
 #include "common/hash.h"
+#include "core/roster/peer_sync.h"
 #include "core/steering/flow_steering.h"
 #include "core/view/live_view.h"
 #include "front/front_log.h"
 #include "front/line_log.h"
 #include "front/packet_port.h"
+#include "front/peer_exchange.h"
 #include "front/stop_watch.h"
 #include "front/store_reader.h"
 #include "http/server.h"
@@ -29,6 +31,9 @@
 /// machine whose quota is used up stay under 100 ms.
 constexpr milliseconds kLongestGap{300};
 
+/// How often the settings' file is looked at: one call each.
+constexpr milliseconds kSettingsCheck{2000};
+
 ev::tstamp Seconds(milliseconds time) {
   return std::chrono::duration<double>(time).count();
 }
@@ -42,6 +47,21 @@
       std::chrono::nanoseconds(time.tv_nsec));
 }
 
+/// Varies what instances would else do at the same moment.
+std::uint64_t SeedOf(const config::FrontSettings& settings) {
+  return common::HashBytes(settings.instance.data(), settings.instance.size(),
+                           static_cast<std::uint64_t>(BootTime().count()));
+}
+
+/// The seeds at the port where peers listen, which is the same everywhere.
+std::vector<common::Endpoint> PeersOf(const config::FrontSettings& settings) {
+  std::vector<common::Endpoint> peers;
+  for (const common::Endpoint& seed : settings.seeds) {
+    peers.push_back({seed.address, settings.listen.peers.port});
+  }
+  return peers;
+}
+
 /// Answers the routers' checks.
 class ReadinessHandler final : public http::Handler {
  public:
@@ -57,7 +77,9 @@
 };
 
 /// The whole instance.
-class FrontProcess final : private StoreListener {
+class FrontProcess final : private StoreListener,
+                           private ExchangeListener,
+                           private ProcessClock {
  public:
   FrontProcess(const config::FrontSettings& settings,
                const FrontAdapter& adapter)
@@ -71,10 +93,10 @@
         steering(settings.domain, {this->view.Routes(), this->view.Targets(),
                                    this->view.Contact()}),
         stop(settings.times.grace),
+        sync({settings.listen.peers, settings.domain}, PeersOf(settings),
+             this->view, core::SyncLimits{}, SeedOf(settings)),
         reader(this->loop, settings.store, adapter.publication, StoreLimits{},
-               common::HashBytes(settings.instance.data(),
-                                 settings.instance.size(), 0),
-               *this),
+               SeedOf(settings), *this),
         readiness([this] { return this->Ready(); }),
         packets_ready(this->loop),
         tick(this->loop),
@@ -84,7 +106,7 @@
   tl::expected<void, std::string> Run();
 
  private:
-  milliseconds Now() const { return BootTime() - this->started_at; }
+  milliseconds Now() const override { return BootTime() - this->started_at; }
   bool Ready() const { return this->view.Usable() && !this->stop.Stopping(); }
 
   tl::expected<void, std::string> Open();
@@ -97,7 +119,13 @@
   void OnTick(ev::timer& watcher, int events);
   void OnTerm(ev::sig& watcher, int signal);
   void OnHup(ev::sig& watcher, int signal);
+  void ReadSettingsAgain();
   void LogViewChanges(core::ViewSource source);
+  /// Starts or stops the own reading of the store, as the exchange decides.
+  void ChooseReading();
+
+  void OnPeerNews() override;
+  void OnPull(const common::Endpoint& peer, std::string_view what) override;
 
   void OnStoreListing(const std::vector<core::Item>& items,
                       common::Revision at) override;
@@ -114,7 +142,9 @@
   core::LiveView view;
   core::FlowSteering steering;
   StopWatch stop;
+  core::PeerSync sync;
   StoreReader reader;
+  std::unique_ptr<PeerExchange> exchange;
   ReadinessHandler readiness;
   std::unique_ptr<http::Server> readiness_server;
   std::unique_ptr<PacketPort> port;
@@ -123,8 +153,10 @@
   ev::sig term;
   ev::sig hup;
   milliseconds ticked_at{0};
+  milliseconds settings_checked_at{0};
   bool was_usable{false};
   bool store_answered{false};
+  bool reading{false};
 };
 
 tl::expected<void, std::string> FrontProcess::Open() {
@@ -139,6 +171,13 @@
     return tl::unexpected(server.error());
   }
   this->readiness_server = std::move(*server);
+  auto exchange =
+      PeerExchange::Open(this->loop, this->settings.listen.peers, this->sync,
+                         this->view, *this, *this);
+  if (!exchange) {
+    return tl::unexpected(exchange.error());
+  }
+  this->exchange = std::move(*exchange);
   return {};
 }
 
@@ -148,7 +187,8 @@
   }
   this->log.OnNote("started", {{"version", SASSAFRASDYKE_VERSION}},
                    this->Now());
-  this->reader.Start();
+  this->ChooseReading();
+  this->exchange->Act(this->sync.OnStart(this->Now()));
   this->packets_ready.set<FrontProcess, &FrontProcess::OnPackets>(this);
   this->packets_ready.start(this->port->Descriptor(), ev::READ);
   this->tick.set<FrontProcess, &FrontProcess::OnTick>(this);
@@ -229,6 +269,15 @@
     this->steering.Forget(target);
   }
   this->steering.OnTick(now);
+  this->exchange->Act(this->sync.OnTick(now));
+  // The platform may write the file anew without a signal.
+  if (now - this->settings_checked_at >= kSettingsCheck) {
+    this->settings_checked_at = now;
+    if (this->adapter.settings_changed()) {
+      this->ReadSettingsAgain();
+    }
+  }
+  this->ChooseReading();
   if (const auto end = this->stop.Ends(now)) {
     this->log.OnNote("stopped", {{"why", Word(*end)}}, now);
     this->loop.break_loop(ev::ALL);
@@ -239,10 +288,15 @@
 void FrontProcess::OnTerm(ev::sig& /*watcher*/, int /*signal*/) {
   const milliseconds now = this->Now();
   this->stop.OnStop(now);
+  this->sync.OnLeave();
   this->log.OnNote("stopping", {}, now);
 }
 
 void FrontProcess::OnHup(ev::sig& /*watcher*/, int /*signal*/) {
+  this->ReadSettingsAgain();
+}
+
+void FrontProcess::ReadSettingsAgain() {
   const auto read = this->adapter.read_settings();
   if (!read) {
     this->log.OnNote("settings-refused",
@@ -252,6 +306,7 @@
     return;
   }
   this->reader.SetStore(read->store);
+  this->sync.SetSeeds(PeersOf(*read));
   this->log.OnNote("settings-read", {{"store", read->store.ToString()}},
                    this->Now());
 }
@@ -259,31 +314,70 @@
 void FrontProcess::OnStoreListing(const std::vector<core::Item>& items,
                                   common::Revision at) {
   this->OnStoreAnswer();
+  const common::Revision before = this->view.Items().Complete();
   this->view.OnListing(items, at, this->Now());
   this->LogViewChanges(core::ViewSource::kStore);
+  this->exchange->Act(this->sync.OnStoreNews(before, this->Now()));
 }
 
 void FrontProcess::OnStoreChanges(const core::ChangeBatch& batch) {
   this->OnStoreAnswer();
+  const common::Revision before = this->view.Items().Complete();
   this->view.OnChanges(batch, this->Now());
   this->LogViewChanges(core::ViewSource::kStore);
+  this->exchange->Act(this->sync.OnStoreNews(before, this->Now()));
 }
 
 void FrontProcess::OnStoreAnswer() {
   const milliseconds now = this->Now();
   this->view.Contact().OnAnswer(now);
+  if (!this->reading) {
+    this->view.Contact().OnIdle();  // The last call of a reading that ended.
+  }
   if (!std::exchange(this->store_answered, true)) {
     this->log.OnNote("store-regained", {}, now);
   }
 }
 
 void FrontProcess::OnStoreFailure(std::string_view what) {
+  if (!this->reading) {
+    return;  // The last call of a reading that ended says nothing new.
+  }
   this->view.Contact().OnFailure();
   if (std::exchange(this->store_answered, false)) {
     this->log.OnNote("store-lost", {{"why", what}}, this->Now());
   }
 }
 
+void FrontProcess::ChooseReading() {
+  const bool reads = this->sync.ShouldRead(this->Now());
+  if (reads == this->reading) {
+    return;
+  }
+  this->reading = reads;
+  if (reads) {
+    this->reader.HasRevision(this->view.Items().Complete());
+  } else {
+    this->view.Contact().OnIdle();
+  }
+  this->reader.SetActive(reads);
+  this->log.OnNote(reads ? "reads-store" : "follows-readers",
+                   {{"members", this->sync.Members().Size()}}, this->Now());
+}
+
+void FrontProcess::OnPeerNews() {
+  this->LogViewChanges(core::ViewSource::kPeer);
+}
+
+void FrontProcess::OnPull(const common::Endpoint& peer,
+                          std::string_view what) {
+  this->lines.Write(LineKind::kPeer, "copy",
+                    {{"peer", peer.ToString()},
+                     {"outcome", what},
+                     {"revision", this->view.Items().Complete().value}},
+                    this->Now());
+}
+
 void FrontProcess::LogViewChanges(core::ViewSource source) {
   const milliseconds now = this->Now();
   for (const core::ViewChange& change : this->view.TakeChanges()) {
--- a/source/front/front_process.h
+++ b/source/front/front_process.h
@@ -19,6 +19,8 @@
   /// Reads the settings again.
   std::function<tl::expected<config::FrontSettings, core::DocumentFaults>()>
       read_settings;
+  /// Whether the settings' file was written since this was last asked.
+  std::function<bool()> settings_changed;
 };
 
 /// Runs until told to stop. The error is a sentence for a person.
--- /dev/null
+++ b/source/front/peer_codec.cc
@@ -0,0 +1,221 @@
+#include "front/peer_codec.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace sassafrasdyke::front {
+namespace {
+
+using Json = nlohmann::json;
+
+/// Instances of different releases run side by side while a fleet is replaced;
+/// what another version says is left out, and such an instance reads the store.
+constexpr std::uint64_t kDigestVersion = 1;
+constexpr std::uint64_t kCopyVersion = 1;
+/// Longest times that are believed, so that sums can't overflow.
+constexpr std::uint64_t kLongestMs = 86'400'000;
+constexpr std::size_t kMostMentions = 64;
+
+/// Reads the elements of an array in order. After the first wrong one nothing
+/// more is read, and `Good` is false.
+class ArrayReader {
+ public:
+  ArrayReader(const Json& json, std::size_t size) : json(json) {
+    this->good = json.is_array() && json.size() == size;
+  }
+
+  bool Good() const { return this->good; }
+  const Json& Next() {
+    static const Json null;
+    if (!this->good || this->at >= this->json.size()) {
+      this->good = false;
+      return null;
+    }
+    return this->json[this->at++];
+  }
+  std::uint64_t Number() {
+    const Json& value = this->Next();
+    this->good = this->good && value.is_number_unsigned();
+    return this->good ? value.get<std::uint64_t>() : 0;
+  }
+  bool Flag() {
+    const Json& value = this->Next();
+    this->good = this->good && value.is_boolean();
+    return this->good && value.get<bool>();
+  }
+  std::string Text() {
+    const Json& value = this->Next();
+    this->good = this->good && value.is_string();
+    return this->good ? value.get<std::string>() : std::string();
+  }
+  std::chrono::milliseconds Time() {
+    const std::uint64_t ms = this->Number();
+    this->good = this->good && ms <= kLongestMs;
+    return std::chrono::milliseconds(ms);
+  }
+  std::optional<std::chrono::milliseconds> OptionalTime() {
+    if (this->good && this->at < this->json.size() &&
+        this->json[this->at].is_null()) {
+      ++this->at;
+      return std::nullopt;
+    }
+    return this->Time();
+  }
+  common::Endpoint Address() {
+    const auto endpoint = common::Endpoint::Parse(this->Text());
+    this->good = this->good && endpoint.has_value();
+    return endpoint.value_or(common::Endpoint{});
+  }
+
+ private:
+  const Json& json;
+  std::size_t at{0};
+  bool good{false};
+};
+
+std::uint64_t Millis(std::chrono::milliseconds time) {
+  const auto count = std::max<std::int64_t>(time.count(), 0);
+  return std::min(static_cast<std::uint64_t>(count), kLongestMs);
+}
+
+Json Optional(const std::optional<std::chrono::milliseconds>& time) {
+  return time ? Json(Millis(*time)) : Json(nullptr);
+}
+
+Json Write(const core::ViewMark& mark) {
+  return Json::array({mark.complete.value, Optional(mark.age),
+                      Optional(mark.store_returned_ago)});
+}
+
+bool Read(const Json& json, core::ViewMark& mark) {
+  ArrayReader reader(json, 3);
+  mark.complete = {reader.Number()};
+  mark.age = reader.OptionalTime();
+  mark.store_returned_ago = reader.OptionalTime();
+  return reader.Good();
+}
+
+Json Write(const core::ItemDelta& delta) {
+  Json items = Json::array();
+  for (const core::Item& item : delta.items) {
+    items.push_back(Json::array({item.key, item.revision.value,
+                                 item.value ? Json(*item.value) : Json()}));
+  }
+  return Json::array(
+      {delta.from.value, delta.to.value, delta.whole, std::move(items)});
+}
+
+bool Read(const Json& json, core::Item& item) {
+  ArrayReader reader(json, 3);
+  item.key = reader.Text();
+  item.revision = {reader.Number()};
+  const Json& value = reader.Next();
+  if (value.is_string()) {
+    item.value = value.get<std::string>();
+  }
+  return reader.Good() && (value.is_string() || value.is_null());
+}
+
+bool Read(const Json& json, core::ItemDelta& delta) {
+  ArrayReader reader(json, 4);
+  delta.from = {reader.Number()};
+  delta.to = {reader.Number()};
+  delta.whole = reader.Flag();
+  const Json& items = reader.Next();
+  if (!reader.Good() || !items.is_array()) {
+    return false;
+  }
+  delta.items.resize(items.size());
+  for (std::size_t i = 0; i < items.size(); ++i) {
+    if (!Read(items[i], delta.items[i])) {
+      return false;
+    }
+  }
+  return true;
+}
+
+Json Write(const std::vector<core::PeerMention>& mentions) {
+  Json list = Json::array();
+  for (const core::PeerMention& mention : mentions) {
+    list.push_back(Json::array({mention.peer.ToString(), mention.domain,
+                                Millis(mention.heard_ago)}));
+  }
+  return list;
+}
+
+bool Read(const Json& json, std::vector<core::PeerMention>& mentions) {
+  if (!json.is_array() || json.size() > kMostMentions) {
+    return false;
+  }
+  for (const Json& element : json) {
+    ArrayReader reader(element, 3);
+    core::PeerMention mention;
+    mention.peer = reader.Address();
+    mention.domain = reader.Text();
+    mention.heard_ago = reader.Time();
+    if (!reader.Good()) {
+      return false;
+    }
+    mentions.push_back(std::move(mention));
+  }
+  return true;
+}
+
+}  // namespace
+
+std::vector<std::uint8_t> EncodeDigest(const core::PeerDigest& digest) {
+  const Json json = Json::array(
+      {kDigestVersion, digest.sender.ToString(), digest.domain, digest.leaving,
+       digest.wants_answer, Write(digest.view),
+       digest.changes ? Write(*digest.changes) : Json(), Write(digest.known)});
+  return Json::to_msgpack(json);
+}
+
+std::optional<core::PeerDigest> DecodeDigest(
+    std::span<const std::uint8_t> bytes) {
+  const Json json =
+      Json::from_msgpack(bytes.begin(), bytes.end(), true, false);
+  ArrayReader reader(json, 8);
+  if (reader.Number() != kDigestVersion) {
+    return std::nullopt;
+  }
+  core::PeerDigest digest;
+  digest.sender = reader.Address();
+  digest.domain = reader.Text();
+  digest.leaving = reader.Flag();
+  digest.wants_answer = reader.Flag();
+  const bool view_good = Read(reader.Next(), digest.view);
+  const Json& changes = reader.Next();
+  if (!changes.is_null() && !Read(changes, digest.changes.emplace())) {
+    return std::nullopt;
+  }
+  const bool known_good = Read(reader.Next(), digest.known);
+  if (!reader.Good() || !view_good || !known_good) {
+    return std::nullopt;
+  }
+  return digest;
+}
+
+std::string EncodeCopy(const ViewCopy& copy) {
+  const Json json =
+      Json::array({kCopyVersion, Write(copy.mark), Write(copy.delta)});
+  std::string bytes;
+  Json::to_msgpack(json, bytes);
+  return bytes;
+}
+
+std::optional<ViewCopy> DecodeCopy(const std::string& bytes) {
+  const Json json = Json::from_msgpack(bytes, true, false);
+  ArrayReader reader(json, 3);
+  if (reader.Number() != kCopyVersion) {
+    return std::nullopt;
+  }
+  ViewCopy copy;
+  if (!Read(reader.Next(), copy.mark) || !Read(reader.Next(), copy.delta)) {
+    return std::nullopt;
+  }
+  return copy;
+}
+
+}  // namespace sassafrasdyke::front
--- /dev/null
+++ b/source/front/peer_exchange.h
@@ -0,0 +1,85 @@
+/// The sockets of the exchange between instances: digests as datagrams, whole
+/// copies over HTTP.
+#pragma once
+
+#include <ev++.h>
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <tl/expected.hpp>
+
+#include "core/roster/peer_sync.h"
+#include "front/packet_port.h"
+#include "front/peer_codec.h"
+#include "http/get_connection.h"
+#include "http/server.h"
+
+namespace sassafrasdyke::front {
+
+/// Tells the time since process start; monotonic.
+class ProcessClock {
+ public:
+  virtual ~ProcessClock() = default;
+  virtual std::chrono::milliseconds Now() const = 0;
+};
+
+/// Takes what the exchange did to the view.
+class ExchangeListener {
+ public:
+  virtual ~ExchangeListener() = default;
+  /// Items may have come from a peer.
+  virtual void OnPeerNews() = 0;
+  /// A whole copy was asked for, and how that ended; `what` is the log's word.
+  virtual void OnPull(const common::Endpoint& peer, std::string_view what) = 0;
+};
+
+/// Counts since the process started.
+struct ExchangeCounts {
+  std::uint64_t digests_sent{0};
+  std::uint64_t digests_taken{0};
+  std::uint64_t unreadable{0};
+  std::uint64_t too_long{0};  ///< Digests that no datagram holds.
+  std::uint64_t pulls{0};
+  std::uint64_t pull_failures{0};
+  std::uint64_t copies_given{0};
+};
+
+/// Carries out what `PeerSync` decides.
+class PeerExchange final : private http::GetListener, private http::Handler {
+ public:
+  /// Opens both sockets at `listen`. All references must outlive the exchange.
+  static tl::expected<std::unique_ptr<PeerExchange>, std::string> Open(
+      ev::loop_ref loop, const common::Endpoint& listen, core::PeerSync& sync,
+      const core::LiveView& view, const ProcessClock& clock,
+      ExchangeListener& listener);
+
+  /// Sends digests and starts a pull.
+  void Act(const core::SyncActions& actions);
+  const ExchangeCounts& Counts() const { return this->counts; }
+
+ private:
+  PeerExchange(ev::loop_ref loop, std::unique_ptr<PacketPort> port,
+               core::PeerSync& sync, const core::LiveView& view,
+               const ProcessClock& clock, ExchangeListener& listener);
+
+  void OnDatagrams(ev::io& watcher, int events);
+  void OnDatagram(std::span<const std::uint8_t> bytes);
+  void OnGetOutcome(
+      const tl::expected<http::GetAnswer, http::GetFailure>& outcome) override;
+  http::Response Answer(const std::string& path) override;
+
+  core::PeerSync& sync;
+  const core::LiveView& view;
+  const ProcessClock& clock;
+  ExchangeListener& listener;
+  std::unique_ptr<PacketPort> port;
+  std::unique_ptr<http::Server> server;
+  http::GetConnection connection;
+  common::Endpoint pulled_from;
+  ev::io readable;
+  ExchangeCounts counts;
+};
+
+}  // namespace sassafrasdyke::front
--- a/source/front/store_reader.cc
+++ b/source/front/store_reader.cc
@@ -25,6 +25,16 @@
   this->timer.set<StoreReader, &StoreReader::OnTimer>(this);
 }
 
+void StoreReader::SetActive(bool active) {
+  if (this->active == active) {
+    return;
+  }
+  this->active = active;
+  if (active && !this->connection.Busy()) {
+    this->CallAfter(std::chrono::milliseconds{0});
+  }
+}
+
 void StoreReader::SetStore(const common::Endpoint& store) {
   if (store == this->store) {
     return;
@@ -43,6 +53,9 @@
 }
 
 void StoreReader::OnTimer(ev::timer& /*timer*/, int /*events*/) {
+  if (!this->active) {
+    return;
+  }
   ++this->counts.calls;
   const bool watches = this->known.value != 0 && this->listed_at.value == 0;
   const std::string path =
--- a/source/front/store_reader.h
+++ b/source/front/store_reader.h
@@ -57,7 +57,7 @@
   std::uint64_t listings{0};  ///< Complete ones.
 };
 
-/// One reader; runs from `Start` until it goes.
+/// One reader.
 class StoreReader final : private http::GetListener {
  public:
   /// References must outlive the reader; `seed` varies jitter only.
@@ -65,7 +65,9 @@
               const core::Publication& publication, const StoreLimits& limits,
               std::uint64_t seed, StoreListener& listener);
 
-  void Start() { this->CallAfter(std::chrono::milliseconds{0}); }
+  /// Reads, or lets a call that runs end and makes no more. The same value
+  /// twice changes nothing.
+  void SetActive(bool active);
   /// Reads from another address from now on.
   void SetStore(const common::Endpoint& store);
   /// Everything up to `revision` is known from elsewhere; the next watch
@@ -93,6 +95,7 @@
   http::GetConnection connection;
   ev::timer timer;
   StoreCounts counts;
+  bool active{false};
   /// Where the next watch starts; 0: list first.
   common::Revision known;
   std::vector<core::Item> listed;  ///< Pages so far of the running listing.
