Find targets that died without a word, and tell their clients

Ruled out: resets on unanswered packets alone (a slow target would lose its flows), health checks over HTTP (they take a slot, and wait when it is full).

Change: unanswered packets raise a suspicion, two failed trial connections confirm it, and then the clients of all flows remembered for the target are reset (core/steering/target_watch, flow_memory; front/connect_probe).

--- a/source/app/front_command.cc
+++ b/source/app/front_command.cc
@@ -43,10 +43,9 @@
   const platform::StoreCodec publication;
   const platform::PacketCodec packets;
   FileVersion version(*path);
-  const auto ended =
-      front::RunFront(*settings, {publication, packets,
-                                  [&] { return ReadSettings(*path); },
-                                  [&] { return version.Changed(); }});
+  const auto ended = front::RunFront(
+      *settings, {publication, packets, [&] { return ReadSettings(*path); },
+                  [&] { return version.Changed(); }});
   if (!ended) {
     streams.err << ended.error() << "\n";
     return ExitCode::kFailure;
--- a/source/core/roster/roster.cc
+++ b/source/core/roster/roster.cc
@@ -103,8 +103,8 @@
     std::size_t readers, std::chrono::milliseconds now) const {
   std::vector<common::Endpoint> order = this->Order(now);
   order.erase(order.begin(),
-              order.begin() + static_cast<std::ptrdiff_t>(
-                                  std::min(readers, order.size())));
+              order.begin() +
+                  static_cast<std::ptrdiff_t>(std::min(readers, order.size())));
   std::erase(order, this->self.address);
   return order;
 }
--- /dev/null
+++ b/source/core/steering/flow_memory.h
@@ -0,0 +1,58 @@
+/// Which flows were lately carried to which target, so that their clients can
+/// be told when the target ends.
+///
+/// A client that isn't told finds out with its next request. One that may not
+/// run twice can't be repeated then, though it never ran: the booking is lost.
+/// Told in time, the client opens another flow first. The memory decides
+/// nothing else: what it lacks is found out by the client's next packet.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+#include "common/flow_key.h"
+#include "core/steering/flow_packet.h"
+#include "core/view/target_table.h"
+
+namespace sassafrasdyke::core {
+
+/// Hashes flows for tables that never leave the process.
+struct FlowHash {
+  std::size_t operator()(const common::FlowKey& flow) const {
+    return static_cast<std::size_t>(common::FingerprintOf(flow, 0).value);
+  }
+};
+
+/// Bounded in number: beyond the bound new flows aren't remembered.
+class FlowMemory {
+ public:
+  /// `flow_life`: the longest that a flow stays open.
+  explicit FlowMemory(std::chrono::milliseconds flow_life)
+      : flow_life(flow_life) {}
+
+  /// A packet of the client's was carried to `target`.
+  void OnCarried(const FlowPacket& packet, TargetIndex target,
+                 std::chrono::milliseconds now);
+  /// Takes the flows at `target`, each as the last packet that its client sent
+  /// as far as a reset needs it.
+  std::vector<FlowPacket> Take(TargetIndex target);
+  /// Forgets flows that must have ended. Looks at all of them now and then.
+  void Expire(std::chrono::milliseconds now);
+  std::size_t Size() const { return this->flows.size(); }
+
+ private:
+  struct Memory {
+    TargetIndex target;
+    std::uint32_t acknowledgement{0};
+    std::chrono::milliseconds seen_at{0};
+  };
+
+  std::chrono::milliseconds flow_life;
+  std::unordered_map<common::FlowKey, Memory, FlowHash> flows;
+  std::chrono::milliseconds expired_at{0};
+};
+
+}  // namespace sassafrasdyke::core
--- a/source/core/steering/flow_packet.cc
+++ b/source/core/steering/flow_packet.cc
@@ -28,6 +28,8 @@
       return "no-target";
     case RefusalReason::kTargetGone:
       return "target-gone";
+    case RefusalReason::kTargetSilent:
+      return "target-silent";
   }
   return "unknown";
 }
--- a/source/core/steering/flow_packet.h
+++ b/source/core/steering/flow_packet.h
@@ -36,9 +36,10 @@
 
 /// Why a client is sent a reset.
 enum class RefusalReason : std::uint8_t {
-  kNoRoute,     ///< Nothing is published at this address.
-  kNoTarget,    ///< No target of the route's services takes new flows.
-  kTargetGone,  ///< The flow's target has ended.
+  kNoRoute,       ///< Nothing is published at this address.
+  kNoTarget,      ///< No target of the route's services takes new flows.
+  kTargetGone,    ///< The flow's target has ended.
+  kTargetSilent,  ///< The flow's target answers nothing and nobody.
 };
 
 /// Why a packet is dropped without a word.
--- a/source/core/steering/flow_steering.cc
+++ b/source/core/steering/flow_steering.cc
@@ -72,6 +72,7 @@
     return Refuse{RefusalReason::kNoTarget};
   }
   this->watch.OnPlaced(chosen->target, now);
+  this->watch.OnSent(chosen->target, now);
   this->openings.Add(packet.flow, {chosen->target, now, false});
   return SendToTarget{chosen->target, chosen->reason};
 }
@@ -123,13 +124,21 @@
   if (target.phase == TargetPhase::kGone) {
     return this->OnGoneTarget(packet, *index, target, now);
   }
+  if (packet.payload_bytes > 0) {
+    if (this->watch.Silent(*index)) {
+      return Refuse{RefusalReason::kTargetSilent};
+    }
+    this->watch.OnSent(*index, now);
+  }
+  this->memory.OnCarried(packet, *index, now);
   return SendToTarget{*index, SteeringReason::kCarried};
 }
 
 // The target of an established flow has ended, and nobody will ever answer it.
 // A client that isn't told waits until its own deadline; a reset lets it come
 // back at once. A target that only lost its registration still answers: its
-// clients' acknowledgements show that, and it keeps its flows.
+// clients' acknowledgements or a trial connection show that, and it keeps its
+// flows.
 SteeringAction FlowSteering::OnGoneTarget(const FlowPacket& packet,
                                           TargetIndex index,
                                           const TargetEntry& target,
@@ -172,6 +181,7 @@
 
 void FlowSteering::OnTick(std::chrono::milliseconds now) {
   this->openings.Expire(now);
+  this->memory.Expire(now);
   std::erase_if(this->unknown, [&](const auto& entry) {
     return this->view.targets.Find(entry.first) != nullptr ||
            now - entry.second > this->view.routes.FlowLife();
--- a/source/core/steering/flow_steering.h
+++ b/source/core/steering/flow_steering.h
@@ -7,7 +7,9 @@
 #include <cstddef>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
+#include "core/steering/flow_memory.h"
 #include "core/steering/flow_packet.h"
 #include "core/steering/opening_table.h"
 #include "core/steering/target_choice.h"
@@ -29,18 +31,29 @@
 class FlowSteering {
  public:
   FlowSteering(const std::string& domain, SteeringView view)
-      : view(view), choice(domain, view.targets, this->watch) {}
+      : view(view),
+        choice(domain, view.targets, this->watch),
+        memory(view.routes.FlowLife()) {}
 
   SteeringAction OnPacket(const FlowPacket& packet,
                           std::chrono::milliseconds now);
   /// The process stood still until now.
-  void OnPause(std::chrono::milliseconds now) { this->openings.OnPause(now); }
+  void OnPause(std::chrono::milliseconds now) {
+    this->openings.OnPause(now);
+    this->watch.OnPause(now);
+  }
   /// A target can't come back.
   void Forget(TargetIndex target) { this->watch.Forget(target); }
   /// Bounded periodic work.
   void OnTick(std::chrono::milliseconds now);
 
-  const TargetWatch& Watch() const { return this->watch; }
+  /// The target's end is certain: takes the flows whose clients are to be
+  /// told.
+  std::vector<FlowPacket> TakeFlowsOf(TargetIndex target) {
+    return this->memory.Take(target);
+  }
+  std::size_t RememberedFlows() const { return this->memory.Size(); }
+  TargetWatch& Watch() { return this->watch; }
   std::size_t Openings() const { return this->openings.Size(); }
 
  private:
@@ -62,6 +75,7 @@
   TargetWatch watch;
   TargetChoice choice;
   OpeningTable openings;
+  FlowMemory memory;
   /// Words that name no known target, and since when they have been met.
   std::unordered_map<TargetWord, std::chrono::milliseconds> unknown;
 };
--- a/source/core/steering/opening_table.h
+++ b/source/core/steering/opening_table.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 
 #include "common/flow_key.h"
+#include "core/steering/flow_memory.h"
 #include "core/view/target_table.h"
 
 namespace sassafrasdyke::core {
@@ -34,11 +35,6 @@
   std::size_t Size() const { return this->openings.size(); }
 
  private:
-  struct FlowHash {
-    std::size_t operator()(const common::FlowKey& flow) const {
-      return static_cast<std::size_t>(common::FingerprintOf(flow, 0).value);
-    }
-  };
   struct Due {
     std::chrono::milliseconds at;
     common::FlowKey flow;
--- a/source/core/steering/target_watch.cc
+++ b/source/core/steering/target_watch.cc
@@ -19,6 +19,21 @@
 /// of taking every new flow for a minute.
 constexpr double kHalfLifeMs = 10'000.0;
 
+/// A client repeats a packet after 200 ms. One that has been repeated, with no
+/// sign of life from any of the target's flows between, is worth a look.
+constexpr unsigned kUnansweredPackets = 2;
+constexpr std::chrono::milliseconds kUnansweredFor{180};
+/// Least time between trial connections to one target that isn't known to be
+/// silent. Each costs the target's machine a handshake.
+constexpr std::chrono::milliseconds kProbePause{300};
+/// Failed trial connections in a row after which a target is silent. Two: one
+/// lost packet can fail one, and at a loss of 3% both of them once in 300 times
+/// that there is a suspicion at all.
+constexpr unsigned kFailuresToSilent = 2;
+/// A silent target is tried again this often, so that one behind a cut takes
+/// flows again soon after the cut heals.
+constexpr std::chrono::milliseconds kSilentProbePause{1000};
+
 double Decay(std::chrono::milliseconds age) {
   return std::exp2(-static_cast<double>(age.count()) / kHalfLifeMs);
 }
@@ -37,6 +52,93 @@
   state.misses = 0;
   state.suspected_until = std::chrono::milliseconds{0};
   state.last_answered = now;
+  ShowLife(state, now);
+}
+
+void TargetWatch::ShowLife(State& state, std::chrono::milliseconds now) {
+  state.unanswered = 0;
+  state.unanswered_since = now;
+  state.failed_probes = 0;
+  state.wants_probe = false;
+  state.silent = false;
+}
+
+void TargetWatch::OnSent(TargetIndex target, std::chrono::milliseconds now) {
+  State& state = this->states[target];
+  if (state.unanswered == 0) {
+    state.unanswered_since = now;
+  }
+  ++state.unanswered;
+  const bool repeated = state.unanswered >= kUnansweredPackets &&
+                        now - state.unanswered_since >= kUnansweredFor;
+  state.wants_probe = state.wants_probe || repeated;
+}
+
+std::vector<TargetIndex> TargetWatch::TakeProbes(
+    std::chrono::milliseconds now) {
+  std::vector<TargetIndex> probes;
+  for (auto& [target, state] : this->states) {
+    if (!(state.wants_probe || state.silent) || state.next_probe > now) {
+      continue;
+    }
+    state.wants_probe = false;
+    state.next_probe = now + (state.silent ? kSilentProbePause : kProbePause);
+    probes.push_back(target);
+  }
+  return probes;
+}
+
+bool TargetWatch::OnProbed(TargetIndex target, ProbeOutcome outcome,
+                           std::chrono::milliseconds started,
+                           std::chrono::milliseconds now) {
+  const auto found = this->states.find(target);
+  if (found == this->states.end()) {
+    return false;
+  }
+  State& state = found->second;
+  if (outcome == ProbeOutcome::kAnswered) {
+    ShowLife(state, now);
+    // Alive, but perhaps slow: it isn't asked again at once.
+    state.next_probe = now + kSilentProbePause;
+    return false;
+  }
+  if (state.last_answered >= started) {
+    return false;  // It has shown life meanwhile.
+  }
+  ++state.failed_probes;
+  const bool certain = outcome == ProbeOutcome::kRefused ||
+                       state.failed_probes >= kFailuresToSilent;
+  const bool newly = certain && !state.silent;
+  state.silent = certain;
+  state.wants_probe = !certain;
+  state.next_probe = newly ? now + kSilentProbePause : state.next_probe;
+  return newly;
+}
+
+void TargetWatch::OnPause(std::chrono::milliseconds now) {
+  for (auto& [target, state] : this->states) {
+    state.unanswered = 0;
+    state.unanswered_since = now;
+    state.failed_probes = 0;
+    state.wants_probe = false;
+  }
+}
+
+bool TargetWatch::Silent(TargetIndex target) const {
+  const State* const state = this->Find(target);
+  return state != nullptr && state->silent;
+}
+
+std::string_view Word(ProbeOutcome outcome) {
+  switch (outcome) {
+    case ProbeOutcome::kAnswered:
+      return "answered";
+    case ProbeOutcome::kRefused:
+      return "refused";
+    case ProbeOutcome::kSilent:
+      return "silent";
+  }
+  return "unknown";
 }
 
 void TargetWatch::OnMissed(TargetIndex target, std::chrono::milliseconds now) {
@@ -47,12 +149,13 @@
   const std::chrono::milliseconds wait =
       std::min(kFirstSuspicion * (1U << doublings), kLongestSuspicion);
   state.suspected_until = now + wait;
+  state.wants_probe = true;
 }
 
 bool TargetWatch::Suspected(TargetIndex target,
                             std::chrono::milliseconds now) const {
   const State* const state = this->Find(target);
-  return state != nullptr && state->suspected_until > now;
+  return state != nullptr && (state->silent || state->suspected_until > now);
 }
 
 std::chrono::milliseconds TargetWatch::LastMissed(TargetIndex target) const {
--- a/source/core/steering/target_watch.h
+++ b/source/core/steering/target_watch.h
@@ -1,17 +1,56 @@
 /// What an instance learns of targets from the packets it forwards: who answers
-/// SYNs, who swallows them, and how many new flows each has been given.
+/// SYNs, who swallows them, who has fallen silent, and how many new flows each
+/// has been given.
+///
+/// A target that dies without a word stays published until its entry lapses,
+/// two to four seconds later. Its clients' requests would wait for nobody until
+/// then, past their deadlines. Packets that stay without an answer raise a
+/// suspicion; connections that the target's machine doesn't take either confirm
+/// it, and clients are told to come back. A slow target still takes
+/// connections, so it is never taken for a silent one.
 #pragma once
 
 #include <chrono>
+#include <cstdint>
+#include <string_view>
 #include <unordered_map>
+#include <vector>
 
 #include "core/view/target_table.h"
 
 namespace sassafrasdyke::core {
 
+/// How a trial connection to a target ended.
+enum class ProbeOutcome : std::uint8_t {
+  kAnswered,  ///< The target's machine took it.
+  kRefused,   ///< Nobody listens there.
+  kSilent,    ///< No answer in time.
+};
+
+/// The log's word for an outcome.
+std::string_view Word(ProbeOutcome outcome);
+
 /// Passive health and load, by target. Times are monotonic.
 class TargetWatch {
  public:
+  /// A packet that a living target answers was sent.
+  void OnSent(TargetIndex target, std::chrono::milliseconds now);
+  /// The target is no longer published; it may have ended.
+  void OnUnpublished(TargetIndex target) {
+    this->states[target].wants_probe = true;
+  }
+  /// A trial connection ended that was started at `started`; true if the
+  /// target is silent since now.
+  bool OnProbed(TargetIndex target, ProbeOutcome outcome,
+                std::chrono::milliseconds started,
+                std::chrono::milliseconds now);
+  /// Takes the targets to which a trial connection shall be made.
+  std::vector<TargetIndex> TakeProbes(std::chrono::milliseconds now);
+  /// The process stood still: what it has not seen meanwhile says nothing.
+  void OnPause(std::chrono::milliseconds now);
+  /// Whether the target surely doesn't answer now.
+  bool Silent(TargetIndex target) const;
+
   /// A new flow was sent to the target.
   void OnPlaced(TargetIndex target, std::chrono::milliseconds now);
   /// A client shows that the target answered.
@@ -39,8 +78,17 @@
     std::chrono::milliseconds suspected_until{0};
     double flows{0};
     std::chrono::milliseconds flows_at{0};
+    /// Packets sent since the target last showed life, and since when.
+    unsigned unanswered{0};
+    std::chrono::milliseconds unanswered_since{0};
+    /// Trial connections in a row that failed, with no sign of life between.
+    unsigned failed_probes{0};
+    std::chrono::milliseconds next_probe{0};
+    bool wants_probe{false};
+    bool silent{false};
   };
   const State* Find(TargetIndex target) const;
+  static void ShowLife(State& state, std::chrono::milliseconds now);
 
   std::unordered_map<TargetIndex, State> states;
 };
--- a/source/core/view/target_table.cc
+++ b/source/core/view/target_table.cc
@@ -50,6 +50,7 @@
   }
   entry.published = target;
   entry.removal_due.reset();
+  entry.replaced = false;
   entry.warm_at = now + target.warm_up_left;
   this->by_address[target.address] = index;
   this->SetPhase(index, entry, this->PhaseOf(index, entry));
@@ -83,6 +84,7 @@
   }
   TargetEntry& entry = this->entries.at(found->second);
   if (entry.name != name && entry.phase != TargetPhase::kGone) {
+    entry.replaced = true;
     this->Retire(found->second, entry, now);
   }
 }
@@ -200,7 +202,8 @@
     this->serving[entry.published.service].push_back(index);
   }
   if (!same) {
-    this->changes.push_back({entry.name, entry.published.service, phase});
+    this->changes.push_back(
+        {index, entry.name, entry.published.service, phase, entry.replaced});
   }
 }
 
--- a/source/core/view/target_table.h
+++ b/source/core/view/target_table.h
@@ -42,6 +42,8 @@
   /// When a removal that may be a lapse is to be believed; nothing otherwise.
   std::optional<std::chrono::milliseconds> removal_due;
   std::chrono::milliseconds gone_at{0};
+  /// Gone for certain: another target has its address.
+  bool replaced{false};
   std::chrono::milliseconds warm_at{0};  ///< When it is no longer slow.
 };
 
@@ -50,9 +52,11 @@
 
 /// A change that an operator may want to see.
 struct TargetChange {
+  TargetIndex target;
   std::string name;
   std::string service;
   TargetPhase phase{TargetPhase::kServing};
+  bool replaced{false};  ///< Gone for certain: another has its address.
 };
 
 /// Targets by name and by word.
@@ -79,6 +83,7 @@
   const TargetEntry& At(TargetIndex index) const {
     return this->entries.at(index);
   }
+  bool Has(TargetIndex index) const { return this->entries.contains(index); }
   std::optional<TargetIndex> IndexOf(TargetWord word) const;
   /// Targets of the service that take new flows.
   const std::vector<TargetIndex>& Serving(const std::string& service) const;
--- a/source/front/front_log.cc
+++ b/source/front/front_log.cc
@@ -91,6 +91,15 @@
   this->lines.Write(LineKind::kView, line.event, line.fields, now);
 }
 
+void FrontLog::OnProbe(const std::string& target, core::ProbeOutcome outcome,
+                       bool silent_now, std::chrono::milliseconds now) {
+  this->lines.Write(LineKind::kView, "probe",
+                    {{"target", target},
+                     {"outcome", Word(outcome)},
+                     {"silent_now", silent_now}},
+                    now);
+}
+
 void FrontLog::OnNote(std::string_view event, const LineFields& fields,
                       std::chrono::milliseconds now) {
   this->lines.Write(LineKind::kProcess, event, fields, now);
--- a/source/front/front_log.h
+++ b/source/front/front_log.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "core/steering/flow_packet.h"
+#include "core/steering/target_watch.h"
 #include "core/view/live_view.h"
 #include "front/line_log.h"
 
@@ -31,6 +32,9 @@
                   std::chrono::milliseconds now);
   void OnViewChange(const core::ViewChange& change, core::ViewSource source,
                     common::Revision revision, std::chrono::milliseconds now);
+  /// A trial connection that didn't find the target alive.
+  void OnProbe(const std::string& target, core::ProbeOutcome outcome,
+               bool silent_now, std::chrono::milliseconds now);
   /// Anything of the process itself.
   void OnNote(std::string_view event, const LineFields& fields,
               std::chrono::milliseconds now);
--- a/source/front/front_process.cc
+++ b/source/front/front_process.cc
@@ -12,6 +12,7 @@
 #include "core/roster/peer_sync.h"
 #include "core/steering/flow_steering.h"
 #include "core/view/live_view.h"
+#include "front/connect_probe.h"
 #include "front/front_log.h"
 #include "front/line_log.h"
 #include "front/packet_port.h"
@@ -79,6 +80,7 @@
 /// The whole instance.
 class FrontProcess final : private StoreListener,
                            private ExchangeListener,
+                           private ProbeListener,
                            private ProcessClock {
  public:
   FrontProcess(const config::FrontSettings& settings,
@@ -97,6 +99,7 @@
              this->view, core::SyncLimits{}, SeedOf(settings)),
         reader(this->loop, settings.store, adapter.publication, StoreLimits{},
                SeedOf(settings), *this),
+        prober(this->loop, *this),
         readiness([this] { return this->Ready(); }),
         packets_ready(this->loop),
         tick(this->loop),
@@ -124,6 +127,11 @@
   /// Starts or stops the own reading of the store, as the exchange decides.
   void ChooseReading();
 
+  void StartProbes();
+  void OnTargetChange(const core::TargetChange& change);
+  /// Tells the clients whose flows are at a target that has ended.
+  void ResetFlowsOf(core::TargetIndex target, core::RefusalReason reason);
+  void OnProbeEnded(const ProbeResult& result) override;
   void OnPeerNews() override;
   void OnPull(const common::Endpoint& peer, std::string_view what) override;
 
@@ -145,6 +153,7 @@
   core::PeerSync sync;
   StoreReader reader;
   std::unique_ptr<PeerExchange> exchange;
+  ConnectProber prober;
   ReadinessHandler readiness;
   std::unique_ptr<http::Server> readiness_server;
   std::unique_ptr<PacketPort> port;
@@ -171,9 +180,8 @@
     return tl::unexpected(server.error());
   }
   this->readiness_server = std::move(*server);
-  auto exchange =
-      PeerExchange::Open(this->loop, this->settings.listen.peers, this->sync,
-                         this->view, *this, *this);
+  auto exchange = PeerExchange::Open(this->loop, this->settings.listen.peers,
+                                     this->sync, this->view, *this, *this);
   if (!exchange) {
     return tl::unexpected(exchange.error());
   }
@@ -207,6 +215,7 @@
   };
   if (this->port->Receive(take) > 0) {
     this->port->Flush();
+    this->StartProbes();
     this->stop.OnPacket(this->Now());
   }
 }
@@ -269,6 +278,7 @@
     this->steering.Forget(target);
   }
   this->steering.OnTick(now);
+  this->StartProbes();
   this->exchange->Act(this->sync.OnTick(now));
   // The platform may write the file anew without a signal.
   if (now - this->settings_checked_at >= kSettingsCheck) {
@@ -365,12 +375,62 @@
                    {{"members", this->sync.Members().Size()}}, this->Now());
 }
 
+void FrontProcess::StartProbes() {
+  const milliseconds now = this->Now();
+  for (const core::TargetIndex target :
+       this->steering.Watch().TakeProbes(now)) {
+    if (!this->view.Targets().Has(target)) {
+      continue;
+    }
+    const core::TargetEntry& entry = this->view.Targets().At(target);
+    const bool ended = entry.phase == core::TargetPhase::kGone &&
+                       this->steering.Watch().Silent(target);
+    if (!ended) {
+      this->prober.Start(target, entry.published.address, now);
+    }
+  }
+}
+
+void FrontProcess::OnTargetChange(const core::TargetChange& change) {
+  if (change.phase != core::TargetPhase::kGone) {
+    return;
+  }
+  if (change.replaced) {
+    this->ResetFlowsOf(change.target, core::RefusalReason::kTargetGone);
+  } else {
+    this->steering.Watch().OnUnpublished(change.target);
+  }
+}
+
+void FrontProcess::ResetFlowsOf(core::TargetIndex target,
+                                core::RefusalReason reason) {
+  const core::SteeringAction action = core::Refuse{reason};
+  for (const core::FlowPacket& packet : this->steering.TakeFlowsOf(target)) {
+    this->Act(packet, action, {});
+    this->LogDecision(packet, action);
+  }
+  this->port->Flush();
+}
+
+void FrontProcess::OnProbeEnded(const ProbeResult& result) {
+  const milliseconds now = this->Now();
+  const bool silent_now = this->steering.Watch().OnProbed(
+      result.target, result.outcome, result.started_at, now);
+  if (silent_now) {
+    this->ResetFlowsOf(result.target, core::RefusalReason::kTargetSilent);
+  }
+  if (result.outcome != core::ProbeOutcome::kAnswered &&
+      this->view.Targets().Has(result.target)) {
+    this->log.OnProbe(this->view.Targets().At(result.target).name,
+                      result.outcome, silent_now, now);
+  }
+}
+
 void FrontProcess::OnPeerNews() {
   this->LogViewChanges(core::ViewSource::kPeer);
 }
 
-void FrontProcess::OnPull(const common::Endpoint& peer,
-                          std::string_view what) {
+void FrontProcess::OnPull(const common::Endpoint& peer, std::string_view what) {
   this->lines.Write(LineKind::kPeer, "copy",
                     {{"peer", peer.ToString()},
                      {"outcome", what},
@@ -382,6 +442,9 @@
   const milliseconds now = this->Now();
   for (const core::ViewChange& change : this->view.TakeChanges()) {
     this->log.OnViewChange(change, source, this->view.Items().Complete(), now);
+    if (const auto* target = std::get_if<core::TargetChange>(&change)) {
+      this->OnTargetChange(*target);
+    }
   }
   if (this->view.Usable() && !std::exchange(this->was_usable, true)) {
     this->log.OnNote("ready",
--- a/source/front/peer_codec.cc
+++ b/source/front/peer_codec.cc
@@ -138,8 +138,8 @@
 Json Write(const std::vector<core::PeerMention>& mentions) {
   Json list = Json::array();
   for (const core::PeerMention& mention : mentions) {
-    list.push_back(Json::array({mention.peer.ToString(), mention.domain,
-                                Millis(mention.heard_ago)}));
+    list.push_back(Json::array(
+        {mention.peer.ToString(), mention.domain, Millis(mention.heard_ago)}));
   }
   return list;
 }
@@ -174,8 +174,7 @@
 
 std::optional<core::PeerDigest> DecodeDigest(
     std::span<const std::uint8_t> bytes) {
-  const Json json =
-      Json::from_msgpack(bytes.begin(), bytes.end(), true, false);
+  const Json json = Json::from_msgpack(bytes.begin(), bytes.end(), true, false);
   ArrayReader reader(json, 8);
   if (reader.Number() != kDigestVersion) {
     return std::nullopt;
--- a/source/front/peer_exchange.cc
+++ b/source/front/peer_exchange.cc
@@ -24,8 +24,8 @@
   if (!port) {
     return tl::unexpected(port.error());
   }
-  std::unique_ptr<PeerExchange> exchange(new PeerExchange(
-      loop, std::move(*port), sync, view, clock, listener));
+  std::unique_ptr<PeerExchange> exchange(
+      new PeerExchange(loop, std::move(*port), sync, view, clock, listener));
   auto server = http::Server::Open(loop, listen, *exchange);
   if (!server) {
     return tl::unexpected(server.error());
@@ -73,9 +73,8 @@
 }
 
 void PeerExchange::OnDatagrams(ev::io& /*watcher*/, int /*events*/) {
-  this->port->Receive([this](std::span<const std::uint8_t> bytes) {
-    this->OnDatagram(bytes);
-  });
+  this->port->Receive(
+      [this](std::span<const std::uint8_t> bytes) { this->OnDatagram(bytes); });
 }
 
 void PeerExchange::OnDatagram(std::span<const std::uint8_t> bytes) {
