Keep packets that come before the view

Cause: after a common restart the routers send to instances at once, 50 ms before they have a view; each dropped packet costs its client 200 ms.

--- /dev/null
+++ b/source/front/early_packets.h
@@ -0,0 +1,35 @@
+/// Packets that arrive before the instance knows anything.
+///
+/// After a common restart the routers send to every instance at once, some 50
+/// ms before its view is there. Dropping the packets would cost each client its
+/// repeat after 200 ms, which is later than most requests may be served.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace sassafrasdyke::front {
+
+/// Keeps a few packets for a short while.
+class EarlyPackets {
+ public:
+  using Bytes = std::vector<std::uint8_t>;
+
+  /// Keeps a copy, or drops the packet when there is no room.
+  void Keep(std::span<const std::uint8_t> bytes, std::chrono::milliseconds now);
+  /// Takes those that are young enough, in the order of their arrival.
+  std::vector<Bytes> Take(std::chrono::milliseconds now);
+  std::size_t Size() const { return this->packets.size(); }
+
+ private:
+  struct Kept {
+    std::chrono::milliseconds at{0};
+    Bytes bytes;
+  };
+  std::vector<Kept> packets;
+};
+
+}  // namespace sassafrasdyke::front
--- a/source/front/front_process.cc
+++ b/source/front/front_process.cc
@@ -13,6 +13,7 @@
 #include "core/steering/flow_steering.h"
 #include "core/view/live_view.h"
 #include "front/connect_probe.h"
+#include "front/early_packets.h"
 #include "front/front_log.h"
 #include "front/line_log.h"
 #include "front/packet_port.h"
@@ -115,6 +116,7 @@
   tl::expected<void, std::string> Open();
   void OnPackets(ev::io& watcher, int events);
   void OnPacket(std::span<const std::uint8_t> bytes);
+  void TakeEarlyPackets();
   void Act(const core::FlowPacket& packet, const core::SteeringAction& action,
            std::span<const std::uint8_t> bytes);
   void LogDecision(const core::FlowPacket& packet,
@@ -150,6 +152,7 @@
   core::LiveView view;
   core::FlowSteering steering;
   StopWatch stop;
+  EarlyPackets early;
   core::PeerSync sync;
   StoreReader reader;
   std::unique_ptr<PeerExchange> exchange;
@@ -221,6 +224,10 @@
 }
 
 void FrontProcess::OnPacket(std::span<const std::uint8_t> bytes) {
+  if (!this->view.Usable()) {
+    this->early.Keep(bytes, this->Now());
+    return;
+  }
   const auto packet = this->adapter.packets.Read(bytes);
   if (!packet) {
     return;
@@ -231,6 +238,13 @@
   this->LogDecision(*packet, action);
 }
 
+void FrontProcess::TakeEarlyPackets() {
+  for (const EarlyPackets::Bytes& bytes : this->early.Take(this->Now())) {
+    this->OnPacket(bytes);
+  }
+  this->port->Flush();
+}
+
 void FrontProcess::Act(const core::FlowPacket& packet,
                        const core::SteeringAction& action,
                        std::span<const std::uint8_t> bytes) {
@@ -449,8 +463,10 @@
   if (this->view.Usable() && !std::exchange(this->was_usable, true)) {
     this->log.OnNote("ready",
                      {{"configuration", this->view.Routes().Version()},
-                      {"targets", this->view.Targets().ServingCount()}},
+                      {"targets", this->view.Targets().ServingCount()},
+                      {"early_packets", this->early.Size()}},
                      now);
+    this->TakeEarlyPackets();
   }
 }
 
