Test the platform's codecs, HTTP and the front's parts

An answer that breaks off counts as a lost connection, not as a malformed one, and a log without identity fields doesn't end the process: both were found by the tests that come with this change.

--- a/source/front/line_log.cc
+++ b/source/front/line_log.cc
@@ -44,7 +44,8 @@
 
 LineLog::LineLog(ev::loop_ref loop, int descriptor, LineFields identity)
     : descriptor(descriptor),
-      identity(std::move(identity)),
+      identity(identity.is_object() ? std::move(identity)
+                                    : LineFields::object()),
       budgets{Budget{common::TokenBucket(kProcessLines)},
               Budget{common::TokenBucket(kViewLines)},
               Budget{common::TokenBucket(kPeerLines)},
--- a/source/http/get_connection.cc
+++ b/source/http/get_connection.cc
@@ -196,13 +196,13 @@
     this->Finish(tl::unexpected(GetFailure::kTooLarge));
     return;
   }
+  if (size == 0) {
+    this->OnLost();
+    return;
+  }
   if (HTTP_PARSER_ERRNO(&this->parser) != HPE_OK) {
     this->Close();
     this->Finish(tl::unexpected(GetFailure::kMalformed));
-    return;
-  }
-  if (size == 0) {
-    this->OnLost();
   }
 }
 
--- /dev/null
+++ b/tests/front/main.cc
@@ -0,0 +1,3 @@
+/// The test program of source/front.
+#define BOOST_TEST_MODULE front
+#include <boost/test/unit_test.hpp>
--- /dev/null
+++ b/tests/front/store_reader_test.cc
@@ -0,0 +1,150 @@
+/// Reading a store that answers, refuses, forgets, falls silent and returns.
+#include "front/store_reader.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "core/view/sample_publication.h"
+#include "http/scripted_server.h"
+#include "support/run_loop.h"
+
+namespace sassafrasdyke::front {
+namespace {
+
+using namespace std::chrono_literals;
+
+class Recorder final : public StoreListener {
+ public:
+  void OnStoreListing(const std::vector<core::Item>& items,
+                      common::Revision at) override {
+    this->listings.push_back({at.value, items.size()});
+  }
+  void OnStoreChanges(const core::ChangeBatch& batch) override {
+    this->revisions.push_back(batch.at.value);
+  }
+  void OnStoreFailure(std::string_view what) override {
+    this->failures.emplace_back(what);
+  }
+
+  struct Listing {
+    std::uint64_t at;
+    std::size_t items;
+  };
+  std::vector<Listing> listings;
+  std::vector<std::uint64_t> revisions;
+  std::vector<std::string> failures;
+};
+
+/// Short waits, so that tests are quick; none of them decides a verdict.
+StoreLimits QuickLimits() {
+  StoreLimits limits;
+  limits.wait = 20ms;
+  limits.slack = 100ms;
+  limits.first_retry = 1ms;
+  limits.longest_retry = 5ms;
+  limits.pace = 1ms;
+  return limits;
+}
+
+struct Scene {
+  Scene()
+      : server(loop),
+        reader(loop, server.Address(), publication, QuickLimits(), 1,
+               recorder) {}
+
+  void Answer(unsigned status, const std::string& body) {
+    this->server.Script({"HTTP/1.1 " + std::to_string(status) +
+                             " X\r\nContent-Length: " +
+                             std::to_string(body.size()) + "\r\n\r\n" + body,
+                         false});
+  }
+  template <typename Done>
+  void RunUntil(Done done) {
+    this->reader.SetActive(true);
+    BOOST_REQUIRE(tests::RunUntil(this->loop, done));
+  }
+
+  ev::dynamic_loop loop;
+  http::ScriptedServer server;
+  core::SamplePublication publication;
+  Recorder recorder;
+  StoreReader reader;
+};
+
+// The pages of a listing are read one after the other while things change. What
+// changed after the first page must be told by the watch, so the watch starts
+// where the first page was read.
+BOOST_AUTO_TEST_CASE(a_watch_starts_at_the_first_page_of_the_listing) {
+  Scene scene;
+  scene.Answer(200, "5 more\na 1 x\n");
+  scene.Answer(200, "8\nb 7 y\n");
+  scene.Answer(200, "9\na 6 z\n");
+
+  scene.RunUntil([&] { return !scene.recorder.revisions.empty(); });
+
+  BOOST_REQUIRE(scene.recorder.listings.size() == 1U);
+  BOOST_TEST(scene.recorder.listings[0].at == 5U);
+  BOOST_TEST(scene.recorder.listings[0].items == 2U);
+  BOOST_TEST(scene.recorder.revisions[0] == 9U);
+}
+
+// The store has dropped its history. Going on with the next event would miss
+// what was in the gap: a target that drains, or a configuration.
+BOOST_AUTO_TEST_CASE(a_lost_history_is_listed_anew) {
+  Scene scene;
+  scene.Answer(200, "5\na 1 x\n");
+  scene.Answer(410, "");
+  scene.Answer(200, "90\na 1 x\n");
+
+  scene.RunUntil([&] { return scene.recorder.listings.size() == 2; });
+
+  BOOST_TEST(scene.recorder.listings[1].at == 90U);
+  BOOST_TEST(scene.recorder.failures.empty());
+}
+
+struct Trouble {
+  unsigned status;
+  std::string body;
+  std::string word;
+};
+
+std::ostream& operator<<(std::ostream& out, const Trouble& row) {
+  return out << row.word << " " << row.status;
+}
+
+const Trouble kTroubles[] = {
+    {503, "", "refused"}, {429, "", "refused"}, {200, "noise", "unreadable"}};
+
+// Whatever the store answers, the reader says so once and asks again.
+BOOST_DATA_TEST_CASE(a_failed_call_is_repeated, kTroubles, row) {
+  Scene scene;
+  scene.Answer(row.status, row.body);
+  scene.Answer(200, "5\na 1 x\n");
+
+  scene.RunUntil([&] { return !scene.recorder.listings.empty(); });
+
+  BOOST_REQUIRE(scene.recorder.failures.size() == 1U);
+  BOOST_TEST(scene.recorder.failures[0] == row.word);
+}
+
+// The connection falls silent for good, without a reset. The reader finds out
+// by its own time-out and goes on over a new one, from where it was.
+BOOST_AUTO_TEST_CASE(a_silent_connection_is_replaced) {
+  Scene scene;
+  scene.Answer(200, "5\na 1 x\n");
+  scene.server.Script({"", false});
+  scene.Answer(200, "6\na 6 y\n");
+
+  scene.RunUntil([&] { return !scene.recorder.revisions.empty(); });
+
+  BOOST_TEST(scene.recorder.failures.size() == 1U);
+  BOOST_TEST(scene.recorder.listings.size() == 1U);
+  BOOST_TEST(scene.server.Accepted() == 2);
+}
+
+}  // namespace
+}  // namespace sassafrasdyke::front
--- /dev/null
+++ b/tests/http/main.cc
@@ -0,0 +1,3 @@
+/// The test program of this folder.
+#define BOOST_TEST_MODULE http
+#include <boost/test/unit_test.hpp>
--- /dev/null
+++ b/tests/platform/main.cc
@@ -0,0 +1,3 @@
+/// The test program of this folder.
+#define BOOST_TEST_MODULE platform
+#include <boost/test/unit_test.hpp>
