Soak the real program, drop SYNs from before a pause, serve metrics

The second target's answer carries its word, and draws the client's later packets there.

Ruled out: kernel time stamps of datagrams (the pause is noticed by the loop's own gap, without a system call more a packet).

Change: after a gap of 0.3 s no SYN is taken until the socket has been empty. soak/ plays clients, targets, routers and the store, with faults from a seed. Counters and histograms by prometheus-cpp, written only when asked for.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""The randomized soak; soak/run.py tells how it works."""
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,272 @@
+"""Clients, routers and targets: what the system under test stands between."""
+
+import asyncio
+import dataclasses
+import random
+import zlib
+
+from soak import wire
+
+PACKET_PORT = 18172
+REPEATS = (0.2, 0.4, 0.8, 1.6)  # Seconds between copies of a packet.
+DEADLINE = 2.0
+
+
+def now():
+    return asyncio.get_running_loop().time()
+
+
+class Datagrams(asyncio.DatagramProtocol):
+    """Hands datagrams to a function."""
+
+    def __init__(self, take):
+        self.take = take
+
+    def datagram_received(self, data, addr):
+        self.take(data)
+
+
+async def open_datagrams(address, take):
+    loop = asyncio.get_running_loop()
+    transport, _ = await loop.create_datagram_endpoint(
+        lambda: Datagrams(take), local_addr=address)
+    return transport
+
+
+class Target:
+    """One upstream target: answers SYNs, runs requests, ends."""
+
+    def __init__(self, world, name, service, domain, address):
+        self.world, self.name, self.service = world, name, service
+        self.domain, self.address = domain, address
+        self.number = int("".join(c for c in name if c in "0123456789abcdef"),
+                          16)
+        self.flows = {}  # (client, port) -> the word last received
+        self.seq = random.Random(name).randint(1, 1 << 31)
+        self.alive, self.draining = False, False
+        self.left_at = None  # When its leaving was published.
+        self.ended_at = None
+        self.sequence = 0
+        self.hidden_until = 0.0  # The store doesn't hear it.
+
+    async def start(self):
+        host, port = self.address.split(":")
+        self.udp = await open_datagrams((host, int(port)), self.on_datagram)
+        self.tcp = await asyncio.start_server(
+            lambda reader, writer: writer.close(), host, int(port))
+        self.alive = True
+        self.publish()
+
+    def publish(self):
+        self.sequence += 1
+        self.world.store.put("servers/" + self.name, {
+            "service": self.service, "address": self.address,
+            "zone": self.domain, "version": "v1", "max-concurrency": 2,
+            "state": "draining" if self.draining else "ready",
+            "warmup-left-ms": 0, "sequence": self.sequence})
+
+    def end(self):
+        """The process ends: nobody answers at the address any more."""
+        self.alive = False
+        self.ended_at = now()
+        self.flows.clear()
+        self.udp.close()
+        self.tcp.close()
+
+    def on_datagram(self, data):
+        if not self.alive:
+            return
+        intended = int.from_bytes(data[:8], "big")
+        decoded = wire.decode(data[8:])
+        if intended not in (0, self.number) or decoded is None:
+            return
+        packet, genuine, is_reset = decoded
+        if not genuine or is_reset:
+            self.world.broken("unasked", f"{self.name} got a changed packet "
+                              f"of {packet.src}:{packet.sport}")
+            return
+        flow = (packet.src, packet.sport)
+        if packet.flags & wire.SYN:
+            self.world.check_opening(self, packet)
+            self.flows.setdefault(flow, packet.echo)
+            self.flows[flow] = packet.echo
+            self.reply(packet, wire.SYN | wire.ACK, b"")
+        elif flow not in self.flows or packet.ack != self.seq + 1:
+            # No such flow, or it was opened at another target.
+            self.reply(packet, wire.RST, b"")
+        elif packet.flags & wire.FIN:
+            self.flows.pop(flow)
+        else:
+            self.flows[flow] = packet.echo
+            if packet.data:
+                self.run(packet)
+
+    def run(self, packet):
+        request = packet.data.decode()
+        # A repeated packet is answered again, and not run again.
+        self.world.note_run(request, self)
+        work = random.Random(request).uniform(0.002, 0.03)
+        asyncio.get_running_loop().call_later(
+            work, self.reply, packet, wire.ACK, f"{request} {self.name}".encode())
+
+    def reply(self, packet, flags, data):
+        if not self.alive:
+            return
+        echo = self.flows.get((packet.src, packet.sport), packet.echo)
+        answer = wire.Packet(flags, packet.dst, packet.dport, packet.src,
+                             packet.sport, echo, self.seq, packet.seq + 1, data)
+        self.udp.sendto(answer.encode(), (packet.src, PACKET_PORT))
+
+
+@dataclasses.dataclass
+class Flow:
+    """A client's flow, with what has come back on it."""
+
+    port: int
+    route: tuple
+    echo: int = 0
+    seq: int = 1
+    peer_seq: int = 0  # Of the target that the flow is open at.
+    target: str = ""  # The name of the target that the flow is open at.
+    opened_at: float = 0.0
+    waiting: asyncio.Future = None
+
+
+class Client:
+    """Keeps flows open, sends requests on them, opens others when they end."""
+
+    def __init__(self, world, address, domain):
+        self.world, self.address, self.domain = world, address, domain
+        self.flows = {}
+        self.last_port = 1024
+
+    async def start(self):
+        self.udp = await open_datagrams((self.address, PACKET_PORT),
+                                        self.on_datagram)
+
+    def on_datagram(self, data):
+        decoded = wire.decode(data)
+        if decoded is None:
+            return
+        packet, genuine, is_reset = decoded
+        flow = self.flows.get(packet.dport)
+        if not genuine and not is_reset:
+            self.world.broken("mixed", f"{self.address} got a changed packet")
+            return
+        if flow is None:
+            return
+        if packet.flags & wire.RST:
+            if is_reset and flow.target:
+                self.world.check_reset(self, flow)
+            elif flow.target:
+                self.world.check_stray(self, flow, packet)
+            self.flows.pop(flow.port, None)
+            self.finish(flow, None)
+            return
+        flow.echo = packet.echo
+        if packet.flags & wire.SYN:
+            if flow.peer_seq:
+                return  # A second target's answer, or a repeated one.
+            flow.peer_seq = packet.seq
+        self.finish(flow, packet)
+
+    @staticmethod
+    def finish(flow, packet):
+        if flow.waiting is not None and not flow.waiting.done():
+            flow.waiting.set_result(packet)
+
+    async def exchange(self, flow, packet):
+        """Sends a packet until an answer comes; None for none or a reset."""
+        flow.waiting = asyncio.get_running_loop().create_future()
+        end = now() + DEADLINE
+        for pause in (*REPEATS, DEADLINE):
+            packet.echo = 0 if packet.flags & wire.SYN else flow.echo
+            self.world.route_packet(self, packet)
+            left = min(pause, end - now())
+            if left <= 0:
+                return None
+            done, _ = await asyncio.wait([flow.waiting], timeout=left)
+            if done:
+                return flow.waiting.result()
+            if packet.flags & wire.SYN:
+                packet.ack += 1
+        return None
+
+    def packet(self, flow, flags, data=b""):
+        return wire.Packet(flags, self.address, flow.port, *flow.route,
+                           flow.echo, flow.seq,
+                           flow.peer_seq + 1 if flow.peer_seq else 0, data)
+
+    async def open(self, route):
+        self.last_port = self.last_port % 60000 + 1
+        flow = Flow(self.last_port, route)
+        self.flows[flow.port] = flow
+        answer = await self.exchange(flow, self.packet(flow, wire.SYN))
+        if answer is None:
+            self.flows.pop(flow.port, None)
+            return None
+        flow.opened_at = now()
+        return flow
+
+    async def request(self, flow, name):
+        """Returns True if the whole answer to this very request came."""
+        flow.seq += 1
+        answer = await self.exchange(
+            flow, self.packet(flow, wire.ACK, name.encode()))
+        if answer is None:
+            self.flows.pop(flow.port, None)
+            return False
+        while answer is not None and not answer.data:
+            flow.waiting = asyncio.get_running_loop().create_future()
+            done, _ = await asyncio.wait([flow.waiting], timeout=DEADLINE)
+            answer = flow.waiting.result() if done else None
+        if answer is None:
+            self.flows.pop(flow.port, None)
+            return False
+        got, _, target = answer.data.decode().partition(" ")
+        if got != name:
+            return await self.request_again(flow, name)
+        if flow.target and flow.target != target:
+            self.world.broken("flow", f"{self.address}:{flow.port} moved from "
+                              f"{flow.target} to {target}")
+        flow.target = target
+        # Shows every instance on the way that the target lives.
+        self.world.route_packet(self, self.packet(flow, wire.ACK))
+        return True
+
+    async def request_again(self, flow, name):
+        """The answer to an earlier copy came first; wait for the own one."""
+        flow.waiting = asyncio.get_running_loop().create_future()
+        done, _ = await asyncio.wait([flow.waiting], timeout=DEADLINE)
+        answer = flow.waiting.result() if done else None
+        good = answer is not None and answer.data.decode().startswith(name)
+        if not good:
+            self.flows.pop(flow.port, None)
+        return good
+
+    async def run(self, seed):
+        """Requests on long flows, until cancelled."""
+        choose = random.Random(seed)
+        flow, count = None, 0
+        while True:
+            await asyncio.sleep(choose.uniform(0.02, 0.12))
+            if flow is None or flow.port not in self.flows:
+                flow = await self.open(choose.choice(self.world.routes()))
+                if flow is None:
+                    self.world.note_outcome(self, False)
+                    continue
+            count += 1
+            good = await self.request(flow, f"{self.address}/{count}")
+            self.world.note_outcome(self, good)
+            if good and choose.random() < 0.05:
+                self.world.route_packet(self, self.packet(flow, wire.FIN))
+                self.flows.pop(flow.port, None)
+
+
+def pick(nodes, client, packet):
+    """The router's steady hash over the nodes in rotation."""
+    key = f"{packet.src}:{packet.sport}>{packet.dst}:{packet.dport}"
+    return max(nodes, key=lambda node: zlib.crc32(f"{node}{key}".encode()),
+               default=None)
+
+
--- a/source/core/steering/flow_packet.cc
+++ b/source/core/steering/flow_packet.cc
@@ -46,6 +46,8 @@
       return "stale-view";
     case SilenceReason::kUnknownTarget:
       return "unknown-target";
+    case SilenceReason::kOutdated:
+      return "outdated";
     case SilenceReason::kOtherService:
       return "other-service";
   }
--- a/source/core/steering/flow_packet.h
+++ b/source/core/steering/flow_packet.h
@@ -49,6 +49,7 @@
   kNoView,         ///< Nothing is known yet.
   kStaleView,      ///< The view may lack the route; the client will repeat.
   kUnknownTarget,  ///< The view may lack the target; the client will repeat.
+  kOutdated,       ///< A SYN from before the process stood still.
   kOtherService,   ///< The word names a target that the route never used.
 };
 
--- a/source/core/view/live_view.h
+++ b/source/core/view/live_view.h
@@ -67,6 +67,7 @@
   const ItemStore& Items() const { return this->items; }
   const RouteTable& Routes() const { return this->routes; }
   TargetTable& Targets() { return this->targets; }
+  const TargetTable& Targets() const { return this->targets; }
   StoreContact& Contact() { return this->contact; }
   const StoreContact& Contact() const { return this->contact; }
   /// Takes the changes since the last call.
--- /dev/null
+++ b/source/front/front_metrics.h
@@ -0,0 +1,73 @@
+/// What an instance counts and measures, in Prometheus' text format. Counters
+/// are kept where they arise, and written only when somebody asks.
+#pragma once
+
+#include <prometheus/histogram.h>
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/steering/flow_packet.h"
+#include "core/steering/target_watch.h"
+#include "front/packet_port.h"
+#include "front/peer_exchange.h"
+#include "front/store_reader.h"
+
+namespace sassafrasdyke::front {
+
+/// What the parts of the process know at the moment of a scrape.
+struct FrontState {
+  PortCounts port;
+  StoreCounts store;
+  ExchangeCounts exchange;
+  std::uint64_t lines_written{0};
+  std::uint64_t lines_left_out{0};
+  std::uint64_t configuration{0};
+  std::uint64_t revision{0};
+  std::optional<std::chrono::milliseconds> view_age;
+  std::size_t targets_serving{0};
+  std::size_t routes{0};
+  std::size_t members{0};
+  std::size_t openings{0};
+  std::size_t remembered_flows{0};
+  bool reads_store{false};
+  bool ready{false};
+};
+
+/// Counts of decisions, and histograms of times.
+class FrontMetrics {
+ public:
+  FrontMetrics();
+
+  void OnDecision(const core::SteeringAction& action);
+  void OnProbe(core::ProbeOutcome outcome);
+  void OnPause() { ++this->pauses; }
+  /// A batch of packets was taken, decided and sent.
+  void OnBatch(std::chrono::nanoseconds took);
+  /// An answer of the store was put into force.
+  void OnApplied(std::chrono::nanoseconds took);
+  /// The age of the view when a new flow was placed or refused.
+  void OnViewUsed(std::chrono::milliseconds age);
+
+  std::string Text(const FrontState& state) const;
+
+ private:
+  /// By the log's word for the reason.
+  using CountByWord = std::map<std::string_view, std::uint64_t>;
+
+  CountByWord sent;
+  CountByWord refused;
+  CountByWord dropped;
+  CountByWord probes;
+  std::uint64_t pauses{0};
+  prometheus::Histogram batch;
+  prometheus::Histogram applied;
+  prometheus::Histogram view_age;
+};
+
+}  // namespace sassafrasdyke::front
--- a/source/front/front_process.cc
+++ b/source/front/front_process.cc
@@ -15,6 +15,7 @@
 #include "front/connect_probe.h"
 #include "front/early_packets.h"
 #include "front/front_log.h"
+#include "front/front_metrics.h"
 #include "front/line_log.h"
 #include "front/packet_port.h"
 #include "front/peer_exchange.h"
@@ -29,8 +30,9 @@
 
 /// How often timers of the core run.
 constexpr milliseconds kTick{100};
-/// A tick this late means that the process stood still. Ordinary delays of a
-/// machine whose quota is used up stay under 100 ms.
+/// The loop wakes at every tick; a gap this long means that the process stood
+/// still. Ordinary delays of a machine whose quota is used up stay under 100
+/// ms.
 constexpr milliseconds kLongestGap{300};
 
 /// How often the settings' file is looked at: one call each.
@@ -78,6 +80,23 @@
   std::function<bool()> ready;
 };
 
+/// Answers scrapers.
+class MetricsHandler final : public http::Handler {
+ public:
+  explicit MetricsHandler(std::function<std::string()> text)
+      : text(std::move(text)) {}
+
+  http::Response Answer(const std::string& path) override {
+    if (path != "/metrics") {
+      return {404, "text/plain", "only /metrics is here\n"};
+    }
+    return {200, "text/plain; version=0.0.4", this->text()};
+  }
+
+ private:
+  std::function<std::string()> text;
+};
+
 /// The whole instance.
 class FrontProcess final : private StoreListener,
                            private ExchangeListener,
@@ -102,6 +121,7 @@
                SeedOf(settings), *this),
         prober(this->loop, *this),
         readiness([this] { return this->Ready(); }),
+        metrics_handler([this] { return this->metrics.Text(this->State()); }),
         packets_ready(this->loop),
         tick(this->loop),
         term(this->loop),
@@ -113,7 +133,9 @@
   milliseconds Now() const override { return BootTime() - this->started_at; }
   bool Ready() const { return this->view.Usable() && !this->stop.Stopping(); }
 
+  FrontState State() const;
   tl::expected<void, std::string> Open();
+  void NotePause();
   void OnPackets(ev::io& watcher, int events);
   void OnPacket(std::span<const std::uint8_t> bytes);
   void TakeEarlyPackets();
@@ -159,18 +181,42 @@
   ConnectProber prober;
   ReadinessHandler readiness;
   std::unique_ptr<http::Server> readiness_server;
+  FrontMetrics metrics;
+  MetricsHandler metrics_handler;
+  std::unique_ptr<http::Server> metrics_server;
   std::unique_ptr<PacketPort> port;
   ev::io packets_ready;
   ev::timer tick;
   ev::sig term;
   ev::sig hup;
-  milliseconds ticked_at{0};
+  milliseconds awake_at{0};  ///< When the loop last did anything.
+  bool old_packets{false};   ///< The socket holds packets from before a pause.
   milliseconds settings_checked_at{0};
   bool was_usable{false};
   bool store_answered{false};
   bool reading{false};
 };
 
+FrontState FrontProcess::State() const {
+  FrontState state;
+  state.port = this->port->Counts();
+  state.store = this->reader.Counts();
+  state.exchange = this->exchange->Counts();
+  state.lines_written = this->lines.Written();
+  state.lines_left_out = this->lines.LeftOut();
+  state.configuration = this->view.Routes().Version();
+  state.revision = this->view.Items().Complete().value;
+  state.view_age = this->view.Contact().Age(this->Now());
+  state.targets_serving = this->view.Targets().ServingCount();
+  state.routes = this->view.Routes().Size();
+  state.members = this->sync.Members().Size();
+  state.openings = this->steering.Openings();
+  state.remembered_flows = this->steering.RememberedFlows();
+  state.reads_store = this->reading;
+  state.ready = this->Ready();
+  return state;
+}
+
 tl::expected<void, std::string> FrontProcess::Open() {
   auto opened = PacketPort::Open(this->settings.listen.packets);
   if (!opened) {
@@ -183,6 +229,12 @@
     return tl::unexpected(server.error());
   }
   this->readiness_server = std::move(*server);
+  auto scraped = http::Server::Open(this->loop, this->settings.listen.metrics,
+                                    this->metrics_handler);
+  if (!scraped) {
+    return tl::unexpected(scraped.error());
+  }
+  this->metrics_server = std::move(*scraped);
   auto exchange = PeerExchange::Open(this->loop, this->settings.listen.peers,
                                      this->sync, this->view, *this, *this);
   if (!exchange) {
@@ -193,7 +245,7 @@
 }
 
 tl::expected<void, std::string> FrontProcess::Run() {
-  if (const auto opened = this->Open(); !opened) {
+  if (auto opened = this->Open(); !opened) {
     return opened;
   }
   this->log.OnNote("started", {{"version", SASSAFRASDYKE_VERSION}},
@@ -212,12 +264,36 @@
   return {};
 }
 
+// A process that stood still finds packets in its socket that their clients
+// have long repeated through other instances. An old SYN among them would be
+// placed a second time, at another target, whose answer draws the client's
+// later packets away from where its flow is open. So after a pause no SYN is
+// taken until the socket has been empty; packets of open flows name their
+// target and do no harm.
+void FrontProcess::NotePause() {
+  const milliseconds now = this->Now();
+  const milliseconds gap = now - this->awake_at;
+  this->awake_at = now;
+  if (gap <= kLongestGap) {
+    return;
+  }
+  this->old_packets = true;
+  this->metrics.OnPause();
+  this->steering.OnPause(now);
+  this->log.OnNote("paused", {{"for_ms", gap.count()}}, now);
+}
+
 void FrontProcess::OnPackets(ev::io& /*watcher*/, int /*events*/) {
+  this->NotePause();
+  const auto started = std::chrono::steady_clock::now();
   const auto take = [this](std::span<const std::uint8_t> bytes) {
     this->OnPacket(bytes);
   };
-  if (this->port->Receive(take) > 0) {
+  const std::size_t taken = this->port->Receive(take);
+  this->old_packets = this->old_packets && taken == PacketPort::kBatch;
+  if (taken > 0) {
     this->port->Flush();
+    this->metrics.OnBatch(std::chrono::steady_clock::now() - started);
     this->StartProbes();
     this->stop.OnPacket(this->Now());
   }
@@ -232,8 +308,10 @@
   if (!packet) {
     return;
   }
+  const bool outdated = this->old_packets && packet->flags.syn;
   const core::SteeringAction action =
-      this->steering.OnPacket(*packet, this->Now());
+      outdated ? core::StaySilent{core::SilenceReason::kOutdated}
+               : this->steering.OnPacket(*packet, this->Now());
   this->Act(*packet, action, bytes);
   this->LogDecision(*packet, action);
 }
@@ -264,11 +342,15 @@
 
 void FrontProcess::LogDecision(const core::FlowPacket& packet,
                                const core::SteeringAction& action) {
+  this->metrics.OnDecision(action);
   const auto* const sent = std::get_if<core::SendToTarget>(&action);
   if (sent != nullptr && sent->reason == core::SteeringReason::kCarried) {
     return;
   }
   const milliseconds now = this->Now();
+  if (const auto age = this->view.Contact().Age(now)) {
+    this->metrics.OnViewUsed(*age);
+  }
   const core::TargetEntry* const target =
       sent == nullptr ? nullptr : &this->view.Targets().At(sent->target);
   this->log.OnDecision(
@@ -279,13 +361,8 @@
 }
 
 void FrontProcess::OnTick(ev::timer& /*watcher*/, int /*events*/) {
+  this->NotePause();
   const milliseconds now = this->Now();
-  if (now - this->ticked_at > kLongestGap) {
-    this->log.OnNote("paused", {{"for_ms", (now - this->ticked_at).count()}},
-                     now);
-    this->steering.OnPause(now);
-  }
-  this->ticked_at = now;
   this->view.OnTick(now);
   this->LogViewChanges(core::ViewSource::kStore);
   for (const core::TargetIndex target : this->view.Targets().TakeForgotten()) {
@@ -339,7 +416,9 @@
                                   common::Revision at) {
   this->OnStoreAnswer();
   const common::Revision before = this->view.Items().Complete();
+  const auto started = std::chrono::steady_clock::now();
   this->view.OnListing(items, at, this->Now());
+  this->metrics.OnApplied(std::chrono::steady_clock::now() - started);
   this->LogViewChanges(core::ViewSource::kStore);
   this->exchange->Act(this->sync.OnStoreNews(before, this->Now()));
 }
@@ -347,7 +426,9 @@
 void FrontProcess::OnStoreChanges(const core::ChangeBatch& batch) {
   this->OnStoreAnswer();
   const common::Revision before = this->view.Items().Complete();
+  const auto started = std::chrono::steady_clock::now();
   this->view.OnChanges(batch, this->Now());
+  this->metrics.OnApplied(std::chrono::steady_clock::now() - started);
   this->LogViewChanges(core::ViewSource::kStore);
   this->exchange->Act(this->sync.OnStoreNews(before, this->Now()));
 }
@@ -428,6 +509,7 @@
 
 void FrontProcess::OnProbeEnded(const ProbeResult& result) {
   const milliseconds now = this->Now();
+  this->metrics.OnProbe(result.outcome);
   const bool silent_now = this->steering.Watch().OnProbed(
       result.target, result.outcome, result.started_at, now);
   if (silent_now) {
--- a/source/front/packet_port.h
+++ b/source/front/packet_port.h
@@ -27,6 +27,10 @@
 /// Reads and writes datagrams without blocking.
 class PacketPort {
  public:
+  /// Datagrams taken by one call: a busy instance's share of a few
+  /// milliseconds, so that timers still run on time.
+  static constexpr std::size_t kBatch = 32;
+
   /// The error is a sentence for a person.
   static tl::expected<std::unique_ptr<PacketPort>, std::string> Open(
       const common::Endpoint& listen);
@@ -51,9 +55,6 @@
   void Flush();
 
  private:
-  /// Datagrams taken by one call: a busy instance's share of a few
-  /// milliseconds, so that timers still run on time.
-  static constexpr std::size_t kBatch = 32;
   static constexpr std::size_t kBytes =
       core::kLargestPacket + core::kTargetOverhead;
   using Buffer = std::array<std::uint8_t, kBytes>;
