--- /dev/null
+++ b/source/front/flow_port.cc
@@ -0,0 +1,208 @@
+#include "front/flow_port.h"
+
+#include <utility>
+#include <variant>
+
+namespace sassafrasdyke::front {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// The loop wakes at every tick; a gap this long means that the process stood
+/// still. Ordinary delays of a machine whose quota is used up stay under 100
+/// ms.
+constexpr milliseconds kLongestGap{300};
+
+}  // namespace
+
+tl::expected<std::unique_ptr<FlowPort>, std::string> FlowPort::Open(
+    ev::loop_ref loop, const common::Endpoint& listen,
+    const std::string& domain, const FlowContext& context) {
+  auto port = PacketPort::Open(listen);
+  if (!port) {
+    return tl::unexpected(port.error());
+  }
+  return std::unique_ptr<FlowPort>(
+      new FlowPort(loop, listen, domain, context, std::move(*port)));
+}
+
+FlowPort::FlowPort(ev::loop_ref loop, const common::Endpoint& listen,
+                   const std::string& domain, const FlowContext& context,
+                   std::unique_ptr<PacketPort> port)
+    : context(context),
+      listen(listen),
+      port(std::move(port)),
+      steering(domain, {context.view.Routes(), context.view.Targets(),
+                        context.view.Contact()}),
+      prober(loop, *this),
+      readable(loop),
+      awake_at(context.clock.Now()) {
+  this->readable.set<FlowPort, &FlowPort::OnPackets>(this);
+  this->readable.start(this->port->Descriptor(), ev::READ);
+}
+
+void FlowPort::OnTick() {
+  this->NotePause();
+  const milliseconds now = this->context.clock.Now();
+  for (const core::TargetIndex target :
+       this->context.view.Targets().TakeForgotten()) {
+    this->steering.Forget(target);
+  }
+  this->steering.OnTick(now);
+  this->StartProbes();
+}
+
+// A process that stood still finds packets in its socket that their clients
+// have long repeated through other instances. An old SYN among them would be
+// placed a second time, at another target, whose answer draws the client's
+// later packets away from where its flow is open. So after a pause no SYN is
+// taken until the socket has been empty; packets of open flows name their
+// target and do no harm.
+void FlowPort::NotePause() {
+  const milliseconds now = this->context.clock.Now();
+  const milliseconds gap = now - this->awake_at;
+  this->awake_at = now;
+  if (gap <= kLongestGap) {
+    return;
+  }
+  this->old_packets = true;
+  this->context.metrics.OnPause();
+  this->steering.OnPause(now);
+  this->context.log.OnNote("paused", {{"for_ms", gap.count()}}, now);
+}
+
+void FlowPort::OnPackets(ev::io& /*watcher*/, int /*events*/) {
+  this->NotePause();
+  const auto started = std::chrono::steady_clock::now();
+  const auto take = [this](std::span<const std::uint8_t> bytes) {
+    this->OnPacket(bytes);
+  };
+  const std::size_t taken = this->port->Receive(take);
+  this->old_packets = this->old_packets && taken == PacketPort::kBatch;
+  if (taken > 0) {
+    this->port->Flush();
+    this->context.metrics.OnBatch(std::chrono::steady_clock::now() - started);
+    this->StartProbes();
+    this->last_packet = this->context.clock.Now();
+  }
+}
+
+void FlowPort::OnPacket(std::span<const std::uint8_t> bytes) {
+  if (!this->context.view.Usable()) {
+    this->early.Keep(bytes, this->context.clock.Now());
+    return;
+  }
+  const auto packet = this->context.format.Read(bytes);
+  if (!packet) {
+    this->context.metrics.OnDecision(
+        core::StaySilent{core::SilenceReason::kMalformed});
+    return;
+  }
+  const bool outdated = this->old_packets && packet->flags.syn;
+  const core::SteeringAction action =
+      outdated ? core::StaySilent{core::SilenceReason::kOutdated}
+               : this->steering.OnPacket(*packet, this->context.clock.Now());
+  this->Act(*packet, action, bytes);
+  this->LogDecision(*packet, action);
+}
+
+void FlowPort::TakeEarlyPackets() {
+  for (const EarlyPackets::Bytes& bytes :
+       this->early.Take(this->context.clock.Now())) {
+    this->OnPacket(bytes);
+  }
+  this->port->Flush();
+}
+
+void FlowPort::Act(const core::FlowPacket& packet,
+                   const core::SteeringAction& action,
+                   std::span<const std::uint8_t> bytes) {
+  if (const auto* sent = std::get_if<core::SendToTarget>(&action)) {
+    const core::TargetEntry& target =
+        this->context.view.Targets().At(sent->target);
+    const std::size_t size = this->context.format.WriteForTarget(
+        bytes, target.published.number, target.word, this->port->NextBuffer());
+    this->port->Queue(size, target.published.address);
+  } else if (std::holds_alternative<core::Refuse>(action)) {
+    const std::size_t size =
+        this->context.format.WriteReset(packet, this->port->NextBuffer());
+    // Clients take packets at the port where instances take theirs.
+    this->port->Queue(size, {packet.flow.caller.address, this->listen.port});
+  }
+}
+
+void FlowPort::LogDecision(const core::FlowPacket& packet,
+                           const core::SteeringAction& action) {
+  this->context.metrics.OnDecision(action);
+  const auto* const sent = std::get_if<core::SendToTarget>(&action);
+  if (sent != nullptr && sent->reason == core::SteeringReason::kCarried) {
+    return;
+  }
+  const milliseconds now = this->context.clock.Now();
+  if (const auto age = this->context.view.Contact().Age(now)) {
+    this->context.metrics.OnViewUsed(*age);
+  }
+  const core::TargetEntry* const target =
+      sent == nullptr ? nullptr
+                      : &this->context.view.Targets().At(sent->target);
+  this->context.log.OnDecision(packet, action, target,
+                               {this->context.view.Routes().Version(),
+                                this->context.view.Items().Complete(),
+                                this->context.view.Contact().Age(now)},
+                               now);
+}
+
+void FlowPort::StartProbes() {
+  const milliseconds now = this->context.clock.Now();
+  for (const core::TargetIndex target :
+       this->steering.Watch().TakeProbes(now)) {
+    if (!this->context.view.Targets().Has(target)) {
+      continue;
+    }
+    const core::TargetEntry& entry = this->context.view.Targets().At(target);
+    const bool ended = entry.phase == core::TargetPhase::kGone &&
+                       this->steering.Watch().Silent(target);
+    if (!ended) {
+      this->prober.Start(target, entry.published.address, now);
+    }
+  }
+}
+
+void FlowPort::OnTargetChange(const core::TargetChange& change) {
+  if (change.phase != core::TargetPhase::kGone) {
+    return;
+  }
+  if (change.replaced) {
+    this->ResetFlowsOf(change.target, core::RefusalReason::kTargetGone);
+  } else {
+    this->steering.Watch().OnUnpublished(change.target);
+  }
+}
+
+void FlowPort::ResetFlowsOf(core::TargetIndex target,
+                            core::RefusalReason reason) {
+  const core::SteeringAction action = core::Refuse{reason};
+  for (const core::FlowPacket& packet : this->steering.TakeFlowsOf(target)) {
+    this->Act(packet, action, {});
+    this->LogDecision(packet, action);
+  }
+  this->port->Flush();
+}
+
+void FlowPort::OnProbeEnded(const ProbeResult& result) {
+  const milliseconds now = this->context.clock.Now();
+  this->context.metrics.OnProbe(result.outcome);
+  const bool silent_now = this->steering.Watch().OnProbed(
+      result.target, result.outcome, result.started_at, now);
+  if (silent_now) {
+    this->ResetFlowsOf(result.target, core::RefusalReason::kTargetSilent);
+  }
+  if (result.outcome != core::ProbeOutcome::kAnswered &&
+      this->context.view.Targets().Has(result.target)) {
+    this->context.log.OnProbe(
+        this->context.view.Targets().At(result.target).name, result.outcome,
+        silent_now, now);
+  }
+}
+
+}  // namespace sassafrasdyke::front
--- /dev/null
+++ b/source/front/flow_port.h
@@ -0,0 +1,88 @@
+/// Clients' packets in and out: takes them, has them decided, sends them on,
+/// and writes down what was decided.
+#pragma once
+
+#include <ev++.h>
+
+#include <chrono>
+#include <memory>
+#include <span>
+#include <string>
+#include <tl/expected.hpp>
+
+#include "common/address.h"
+#include "core/steering/flow_steering.h"
+#include "core/steering/packet_format.h"
+#include "core/view/live_view.h"
+#include "front/connect_probe.h"
+#include "front/early_packets.h"
+#include "front/front_log.h"
+#include "front/front_metrics.h"
+#include "front/packet_port.h"
+#include "front/process_clock.h"
+
+namespace sassafrasdyke::front {
+
+/// What the port needs of the process; outlives it.
+struct FlowContext {
+  const core::PacketFormat& format;
+  core::LiveView& view;
+  const ProcessClock& clock;
+  FrontLog& log;
+  FrontMetrics& metrics;
+};
+
+/// One UDP address for clients' packets.
+class FlowPort final : private ProbeListener {
+ public:
+  /// Opens the socket; the error is a sentence for a person. `domain` is the
+  /// own failure domain.
+  static tl::expected<std::unique_ptr<FlowPort>, std::string> Open(
+      ev::loop_ref loop, const common::Endpoint& listen,
+      const std::string& domain, const FlowContext& context);
+
+  FlowPort(const FlowPort&) = delete;
+  FlowPort& operator=(const FlowPort&) = delete;
+
+  /// Bounded periodic work.
+  void OnTick();
+  /// The view has become usable: packets that came before are taken now.
+  void TakeEarlyPackets();
+  void OnTargetChange(const core::TargetChange& change);
+
+  const PortCounts& Counts() const { return this->port->Counts(); }
+  const core::FlowSteering& Steering() const { return this->steering; }
+  std::size_t EarlyPacketCount() const { return this->early.Size(); }
+  std::chrono::milliseconds LastPacket() const { return this->last_packet; }
+
+ private:
+  FlowPort(ev::loop_ref loop, const common::Endpoint& listen,
+           const std::string& domain, const FlowContext& context,
+           std::unique_ptr<PacketPort> port);
+
+  /// Notices that the process stood still; called before anything else.
+  void NotePause();
+  void OnPackets(ev::io& watcher, int events);
+  void OnPacket(std::span<const std::uint8_t> bytes);
+  void Act(const core::FlowPacket& packet, const core::SteeringAction& action,
+           std::span<const std::uint8_t> bytes);
+  void LogDecision(const core::FlowPacket& packet,
+                   const core::SteeringAction& action);
+  void StartProbes();
+  void OnProbeEnded(const ProbeResult& result) override;
+  /// Tells the clients whose flows are at a target that has ended.
+  void ResetFlowsOf(core::TargetIndex target, core::RefusalReason reason);
+
+  const FlowContext context;
+  const common::Endpoint listen;
+  std::unique_ptr<PacketPort> port;
+  core::FlowSteering steering;
+  EarlyPackets early;
+  ConnectProber prober;
+  ev::io readable;
+  std::chrono::milliseconds awake_at;  ///< When the loop last did anything.
+  std::chrono::milliseconds last_packet{0};
+  bool old_packets{false};  ///< The socket holds packets from before a pause.
+};
+
+}  // namespace sassafrasdyke::front
--- a/source/front/front_process.cc
+++ b/source/front/front_process.cc
@@ -10,15 +10,13 @@
 
 #include "common/hash.h"
 #include "core/roster/peer_sync.h"
-#include "core/steering/flow_steering.h"
 #include "core/view/live_view.h"
-#include "front/connect_probe.h"
-#include "front/early_packets.h"
+#include "front/flow_port.h"
 #include "front/front_log.h"
 #include "front/front_metrics.h"
 #include "front/line_log.h"
-#include "front/packet_port.h"
 #include "front/peer_exchange.h"
+#include "front/status_handlers.h"
 #include "front/stop_watch.h"
 #include "front/store_reader.h"
 #include "http/server.h"
@@ -30,10 +28,6 @@
 
 /// How often timers of the core run.
 constexpr milliseconds kTick{100};
-/// The loop wakes at every tick; a gap this long means that the process stood
-/// still. Ordinary delays of a machine whose quota is used up stay under 100
-/// ms.
-constexpr milliseconds kLongestGap{300};
 
 /// How often the settings' file is looked at: one call each.
 constexpr milliseconds kSettingsCheck{2000};
@@ -66,41 +60,9 @@
   return peers;
 }
 
-/// Answers the routers' checks.
-class ReadinessHandler final : public http::Handler {
- public:
-  explicit ReadinessHandler(std::function<bool()> ready)
-      : ready(std::move(ready)) {}
-
-  http::Response Answer(const std::string& /*path*/) override {
-    return {this->ready() ? 200U : 503U, "text/plain", ""};
-  }
-
- private:
-  std::function<bool()> ready;
-};
-
-/// Answers scrapers.
-class MetricsHandler final : public http::Handler {
- public:
-  explicit MetricsHandler(std::function<std::string()> text)
-      : text(std::move(text)) {}
-
-  http::Response Answer(const std::string& path) override {
-    if (path != "/metrics") {
-      return {404, "text/plain", "only /metrics is here\n"};
-    }
-    return {200, "text/plain; version=0.0.4", this->text()};
-  }
-
- private:
-  std::function<std::string()> text;
-};
-
 /// The whole instance.
 class FrontProcess final : private StoreListener,
                            private ExchangeListener,
-                           private ProbeListener,
                            private ProcessClock {
  public:
   FrontProcess(const config::FrontSettings& settings,
@@ -112,17 +74,13 @@
               {{"instance", settings.instance}, {"domain", settings.domain}}),
         log(this->lines),
         view(adapter.publication, settings.times.flow_life),
-        steering(settings.domain, {this->view.Routes(), this->view.Targets(),
-                                   this->view.Contact()}),
         stop(settings.times.grace),
         sync({settings.listen.peers, settings.domain}, PeersOf(settings),
              this->view, core::SyncLimits{}, SeedOf(settings)),
         reader(this->loop, settings.store, adapter.publication, StoreLimits{},
                SeedOf(settings), *this),
-        prober(this->loop, *this),
         readiness([this] { return this->Ready(); }),
         metrics_handler([this] { return this->metrics.Text(this->State()); }),
-        packets_ready(this->loop),
         tick(this->loop),
         term(this->loop),
         hup(this->loop) {}
@@ -135,14 +93,6 @@
 
   FrontState State() const;
   tl::expected<void, std::string> Open();
-  void NotePause();
-  void OnPackets(ev::io& watcher, int events);
-  void OnPacket(std::span<const std::uint8_t> bytes);
-  void TakeEarlyPackets();
-  void Act(const core::FlowPacket& packet, const core::SteeringAction& action,
-           std::span<const std::uint8_t> bytes);
-  void LogDecision(const core::FlowPacket& packet,
-                   const core::SteeringAction& action);
   void OnTick(ev::timer& watcher, int events);
   void OnTerm(ev::sig& watcher, int signal);
   void OnHup(ev::sig& watcher, int signal);
@@ -151,11 +101,6 @@
   /// Starts or stops the own reading of the store, as the exchange decides.
   void ChooseReading();
 
-  void StartProbes();
-  void OnTargetChange(const core::TargetChange& change);
-  /// Tells the clients whose flows are at a target that has ended.
-  void ResetFlowsOf(core::TargetIndex target, core::RefusalReason reason);
-  void OnProbeEnded(const ProbeResult& result) override;
   void OnPeerNews() override;
   void OnPull(const common::Endpoint& peer, std::string_view what) override;
 
@@ -172,25 +117,19 @@
   LineLog lines;
   FrontLog log;
   core::LiveView view;
-  core::FlowSteering steering;
   StopWatch stop;
-  EarlyPackets early;
   core::PeerSync sync;
   StoreReader reader;
   std::unique_ptr<PeerExchange> exchange;
-  ConnectProber prober;
   ReadinessHandler readiness;
   std::unique_ptr<http::Server> readiness_server;
   FrontMetrics metrics;
   MetricsHandler metrics_handler;
   std::unique_ptr<http::Server> metrics_server;
-  std::unique_ptr<PacketPort> port;
-  ev::io packets_ready;
+  std::unique_ptr<FlowPort> flows;
   ev::timer tick;
   ev::sig term;
   ev::sig hup;
-  milliseconds awake_at{0};  ///< When the loop last did anything.
-  bool old_packets{false};   ///< The socket holds packets from before a pause.
   milliseconds settings_checked_at{0};
   bool was_usable{false};
   bool store_answered{false};
@@ -199,7 +138,7 @@
 
 FrontState FrontProcess::State() const {
   FrontState state;
-  state.port = this->port->Counts();
+  state.port = this->flows->Counts();
   state.store = this->reader.Counts();
   state.exchange = this->exchange->Counts();
   state.lines_written = this->lines.Written();
@@ -210,19 +149,21 @@
   state.targets_serving = this->view.Targets().ServingCount();
   state.routes = this->view.Routes().Size();
   state.members = this->sync.Members().Size();
-  state.openings = this->steering.Openings();
-  state.remembered_flows = this->steering.RememberedFlows();
+  state.openings = this->flows->Steering().Openings();
+  state.remembered_flows = this->flows->Steering().RememberedFlows();
   state.reads_store = this->reading;
   state.ready = this->Ready();
   return state;
 }
 
 tl::expected<void, std::string> FrontProcess::Open() {
-  auto opened = PacketPort::Open(this->settings.listen.packets);
-  if (!opened) {
-    return tl::unexpected(opened.error());
+  auto flows = FlowPort::Open(
+      this->loop, this->settings.listen.packets, this->settings.domain,
+      {this->adapter.packets, this->view, *this, this->log, this->metrics});
+  if (!flows) {
+    return tl::unexpected(flows.error());
   }
-  this->port = std::move(*opened);
+  this->flows = std::move(*flows);
   auto server = http::Server::Open(this->loop, this->settings.listen.readiness,
                                    this->readiness);
   if (!server) {
@@ -252,8 +193,6 @@
                    this->Now());
   this->ChooseReading();
   this->exchange->Act(this->sync.OnStart(this->Now()));
-  this->packets_ready.set<FrontProcess, &FrontProcess::OnPackets>(this);
-  this->packets_ready.start(this->port->Descriptor(), ev::READ);
   this->tick.set<FrontProcess, &FrontProcess::OnTick>(this);
   this->tick.start(Seconds(kTick), Seconds(kTick));
   this->term.set<FrontProcess, &FrontProcess::OnTerm>(this);
@@ -264,112 +203,12 @@
   return {};
 }
 
-// A process that stood still finds packets in its socket that their clients
-// have long repeated through other instances. An old SYN among them would be
-// placed a second time, at another target, whose answer draws the client's
-// later packets away from where its flow is open. So after a pause no SYN is
-// taken until the socket has been empty; packets of open flows name their
-// target and do no harm.
-void FrontProcess::NotePause() {
-  const milliseconds now = this->Now();
-  const milliseconds gap = now - this->awake_at;
-  this->awake_at = now;
-  if (gap <= kLongestGap) {
-    return;
-  }
-  this->old_packets = true;
-  this->metrics.OnPause();
-  this->steering.OnPause(now);
-  this->log.OnNote("paused", {{"for_ms", gap.count()}}, now);
-}
-
-void FrontProcess::OnPackets(ev::io& /*watcher*/, int /*events*/) {
-  this->NotePause();
-  const auto started = std::chrono::steady_clock::now();
-  const auto take = [this](std::span<const std::uint8_t> bytes) {
-    this->OnPacket(bytes);
-  };
-  const std::size_t taken = this->port->Receive(take);
-  this->old_packets = this->old_packets && taken == PacketPort::kBatch;
-  if (taken > 0) {
-    this->port->Flush();
-    this->metrics.OnBatch(std::chrono::steady_clock::now() - started);
-    this->StartProbes();
-    this->stop.OnPacket(this->Now());
-  }
-}
-
-void FrontProcess::OnPacket(std::span<const std::uint8_t> bytes) {
-  if (!this->view.Usable()) {
-    this->early.Keep(bytes, this->Now());
-    return;
-  }
-  const auto packet = this->adapter.packets.Read(bytes);
-  if (!packet) {
-    return;
-  }
-  const bool outdated = this->old_packets && packet->flags.syn;
-  const core::SteeringAction action =
-      outdated ? core::StaySilent{core::SilenceReason::kOutdated}
-               : this->steering.OnPacket(*packet, this->Now());
-  this->Act(*packet, action, bytes);
-  this->LogDecision(*packet, action);
-}
-
-void FrontProcess::TakeEarlyPackets() {
-  for (const EarlyPackets::Bytes& bytes : this->early.Take(this->Now())) {
-    this->OnPacket(bytes);
-  }
-  this->port->Flush();
-}
-
-void FrontProcess::Act(const core::FlowPacket& packet,
-                       const core::SteeringAction& action,
-                       std::span<const std::uint8_t> bytes) {
-  if (const auto* sent = std::get_if<core::SendToTarget>(&action)) {
-    const core::TargetEntry& target = this->view.Targets().At(sent->target);
-    const std::size_t size = this->adapter.packets.WriteForTarget(
-        bytes, target.published.number, target.word, this->port->NextBuffer());
-    this->port->Queue(size, target.published.address);
-  } else if (std::holds_alternative<core::Refuse>(action)) {
-    const std::size_t size =
-        this->adapter.packets.WriteReset(packet, this->port->NextBuffer());
-    // Clients take packets at the port where instances take theirs.
-    this->port->Queue(
-        size, {packet.flow.caller.address, this->settings.listen.packets.port});
-  }
-}
-
-void FrontProcess::LogDecision(const core::FlowPacket& packet,
-                               const core::SteeringAction& action) {
-  this->metrics.OnDecision(action);
-  const auto* const sent = std::get_if<core::SendToTarget>(&action);
-  if (sent != nullptr && sent->reason == core::SteeringReason::kCarried) {
-    return;
-  }
-  const milliseconds now = this->Now();
-  if (const auto age = this->view.Contact().Age(now)) {
-    this->metrics.OnViewUsed(*age);
-  }
-  const core::TargetEntry* const target =
-      sent == nullptr ? nullptr : &this->view.Targets().At(sent->target);
-  this->log.OnDecision(
-      packet, action, target,
-      {this->view.Routes().Version(), this->view.Items().Complete(),
-       this->view.Contact().Age(now)},
-      now);
-}
-
 void FrontProcess::OnTick(ev::timer& /*watcher*/, int /*events*/) {
-  this->NotePause();
   const milliseconds now = this->Now();
   this->view.OnTick(now);
   this->LogViewChanges(core::ViewSource::kStore);
-  for (const core::TargetIndex target : this->view.Targets().TakeForgotten()) {
-    this->steering.Forget(target);
-  }
-  this->steering.OnTick(now);
-  this->StartProbes();
+  this->flows->OnTick();
+  this->stop.OnPacket(this->flows->LastPacket());
   this->exchange->Act(this->sync.OnTick(now));
   // The platform may write the file anew without a signal.
   if (now - this->settings_checked_at >= kSettingsCheck) {
@@ -470,58 +309,6 @@
                    {{"members", this->sync.Members().Size()}}, this->Now());
 }
 
-void FrontProcess::StartProbes() {
-  const milliseconds now = this->Now();
-  for (const core::TargetIndex target :
-       this->steering.Watch().TakeProbes(now)) {
-    if (!this->view.Targets().Has(target)) {
-      continue;
-    }
-    const core::TargetEntry& entry = this->view.Targets().At(target);
-    const bool ended = entry.phase == core::TargetPhase::kGone &&
-                       this->steering.Watch().Silent(target);
-    if (!ended) {
-      this->prober.Start(target, entry.published.address, now);
-    }
-  }
-}
-
-void FrontProcess::OnTargetChange(const core::TargetChange& change) {
-  if (change.phase != core::TargetPhase::kGone) {
-    return;
-  }
-  if (change.replaced) {
-    this->ResetFlowsOf(change.target, core::RefusalReason::kTargetGone);
-  } else {
-    this->steering.Watch().OnUnpublished(change.target);
-  }
-}
-
-void FrontProcess::ResetFlowsOf(core::TargetIndex target,
-                                core::RefusalReason reason) {
-  const core::SteeringAction action = core::Refuse{reason};
-  for (const core::FlowPacket& packet : this->steering.TakeFlowsOf(target)) {
-    this->Act(packet, action, {});
-    this->LogDecision(packet, action);
-  }
-  this->port->Flush();
-}
-
-void FrontProcess::OnProbeEnded(const ProbeResult& result) {
-  const milliseconds now = this->Now();
-  this->metrics.OnProbe(result.outcome);
-  const bool silent_now = this->steering.Watch().OnProbed(
-      result.target, result.outcome, result.started_at, now);
-  if (silent_now) {
-    this->ResetFlowsOf(result.target, core::RefusalReason::kTargetSilent);
-  }
-  if (result.outcome != core::ProbeOutcome::kAnswered &&
-      this->view.Targets().Has(result.target)) {
-    this->log.OnProbe(this->view.Targets().At(result.target).name,
-                      result.outcome, silent_now, now);
-  }
-}
-
 void FrontProcess::OnPeerNews() {
   this->LogViewChanges(core::ViewSource::kPeer);
 }
@@ -539,16 +326,16 @@
   for (const core::ViewChange& change : this->view.TakeChanges()) {
     this->log.OnViewChange(change, source, this->view.Items().Complete(), now);
     if (const auto* target = std::get_if<core::TargetChange>(&change)) {
-      this->OnTargetChange(*target);
+      this->flows->OnTargetChange(*target);
     }
   }
   if (this->view.Usable() && !std::exchange(this->was_usable, true)) {
     this->log.OnNote("ready",
                      {{"configuration", this->view.Routes().Version()},
                       {"targets", this->view.Targets().ServingCount()},
-                      {"early_packets", this->early.Size()}},
+                      {"early_packets", this->flows->EarlyPacketCount()}},
                      now);
-    this->TakeEarlyPackets();
+    this->flows->TakeEarlyPackets();
   }
 }
 
--- a/source/front/peer_exchange.h
+++ b/source/front/peer_exchange.h
@@ -13,18 +13,12 @@
 #include "core/roster/peer_sync.h"
 #include "front/packet_port.h"
 #include "front/peer_codec.h"
+#include "front/process_clock.h"
 #include "http/get_connection.h"
 #include "http/server.h"
 
 namespace sassafrasdyke::front {
 
-/// Tells the time since process start; monotonic.
-class ProcessClock {
- public:
-  virtual ~ProcessClock() = default;
-  virtual std::chrono::milliseconds Now() const = 0;
-};
-
 /// Takes what the exchange did to the view.
 class ExchangeListener {
  public:
