Let a soak keep the program that it started with

A build during a run replaced the program, and faults that could not start an instance were swallowed as unretrieved exceptions. The run now copies the program, and a fault that can't be carried out breaks the run.

--- a/soak/run.py
+++ b/soak/run.py
@@ -25,6 +25,7 @@
 import collections
 import pathlib
 import random
+import shutil
 import signal
 import sys
 import tempfile
@@ -357,9 +358,15 @@
             task = asyncio.create_task(getattr(self, kind)())
             running.add(task)
             task.add_done_callback(running.discard)
+            task.add_done_callback(self.note_end)
         if running:
             await asyncio.wait(running)
 
+    def note_end(self, task):
+        """A fault that could not be carried out makes the run worthless."""
+        if task.exception() is not None:
+            self.broken("soak", repr(task.exception()))
+
     async def run(self):
         server = await self.start()
         watch = asyncio.create_task(self.watch())
@@ -411,6 +418,8 @@
     with tempfile.TemporaryDirectory() as temporary:
         folder = pathlib.Path(options.folder or temporary)
         folder.mkdir(parents=True, exist_ok=True)
+        # A copy, so that a build meanwhile doesn't change the run.
+        options.program = shutil.copy(options.program, folder / "program")
         scene = World(options, folder)
         try:
             asyncio.run(scene.run())
