--- a/source/core/steering/flow_memory.cc
+++ b/source/core/steering/flow_memory.cc
@@ -35,6 +35,12 @@
   return false;
 }
 
+bool FlowMemory::HasFlowsOf(TargetIndex target) const {
+  return std::ranges::any_of(this->flows, [target](const auto& flow) {
+    return flow.second.target == target;
+  });
+}
+
 std::vector<FlowPacket> FlowMemory::Take(TargetIndex target) {
   std::vector<FlowPacket> taken;
   std::erase_if(this->flows, [&](const auto& flow) {
--- a/source/core/steering/flow_memory.h
+++ b/source/core/steering/flow_memory.h
@@ -37,6 +37,7 @@
   /// more than the one before, so the target has answered since.
   bool OnCarried(const FlowPacket& packet, TargetIndex target,
                  std::chrono::milliseconds now);
+  bool HasFlowsOf(TargetIndex target) const;
   /// Takes the flows at `target`, each as the last packet that its client sent
   /// as far as a reset needs it.
   std::vector<FlowPacket> Take(TargetIndex target);
--- a/source/core/steering/flow_steering.h
+++ b/source/core/steering/flow_steering.h
@@ -52,6 +52,9 @@
   std::vector<FlowPacket> TakeFlowsOf(TargetIndex target) {
     return this->memory.Take(target);
   }
+  bool HasFlowsOf(TargetIndex target) const {
+    return this->memory.HasFlowsOf(target);
+  }
   std::size_t RememberedFlows() const { return this->memory.Size(); }
   TargetWatch& Watch() { return this->watch; }
   const TargetWatch& Watch() const { return this->watch; }
--- a/source/core/steering/target_watch.cc
+++ b/source/core/steering/target_watch.cc
@@ -107,7 +107,9 @@
   }
   if (outcome == ProbeOutcome::kUnclear) {
     state.failed_probes = 0;
-    state.wants_probe = true;
+    // Packets that stay unanswered ask again; an unpublished target has none.
+    state.wants_probe = state.unpublished;
+    state.next_probe = now + kSilentProbePause;
     return false;
   }
   ++state.failed_probes;
--- a/source/core/steering/target_watch.h
+++ b/source/core/steering/target_watch.h
@@ -39,7 +39,9 @@
   void OnSent(TargetIndex target, std::chrono::milliseconds now);
   /// The target is no longer published; it may have ended.
   void OnUnpublished(TargetIndex target) {
-    this->states[target].wants_probe = true;
+    State& state = this->states[target];
+    state.unpublished = true;
+    state.wants_probe = true;
   }
   /// A trial connection ended that was started at `started`; true if the
   /// target is silent since now.
@@ -90,6 +92,7 @@
     unsigned failed_probes{0};
     std::chrono::milliseconds next_probe{0};
     bool wants_probe{false};
+    bool unpublished{false};
     bool silent{false};
   };
   const State* Find(TargetIndex target) const;
--- a/tests/core/steering/target_watch_test.cc
+++ b/tests/core/steering/target_watch_test.cc
@@ -104,6 +104,21 @@
   BOOST_TEST(trials <= 10U);
 }
 
+// Targets leave all day. Each is tried once a second until it is clear that it
+// has ended, and not more often.
+BOOST_AUTO_TEST_CASE(an_unpublished_target_is_tried_once_a_second) {
+  TargetWatch watch;
+  watch.OnUnpublished(kTarget);
+  std::size_t trials = 0;
+  for (auto now = 0ms; now < 10s; now += 100ms) {
+    for (const TargetIndex target : watch.TakeProbes(now)) {
+      ++trials;
+      watch.OnProbed(target, ProbeOutcome::kUnclear, now, now);
+    }
+  }
+  BOOST_TEST(trials == 10U);
+}
+
 struct Miss {
   unsigned misses;
   std::chrono::milliseconds until;
