--- a/soak/run.py
+++ b/soak/run.py
@@ -23,6 +23,7 @@
 import argparse
 import asyncio
 import collections
+import json
 import pathlib
 import random
 import shutil
@@ -54,6 +55,7 @@
         self.faults = collections.Counter()
         self.found = []
         self.outcomes = []  # (time, served)
+        self.store_busy = asyncio.Lock()
         self.runs = {}
         self.came_through = {}
         self.hiccups = 0
@@ -76,6 +78,11 @@
 
     # Configuration -------------------------------------------------------
 
+    async def store_up(self):
+        """Whoever writes to a store that is away tries until it is back."""
+        while self.store.down:
+            await asyncio.sleep(0.05)
+
     def configure(self, routes):
         self.version += self.random.randint(1, 4)
         self.configurations.append((self.now(), routes))
@@ -159,13 +166,20 @@
             self.broken("twice", f"{request} at {before} and {target.name}")
         return before == target.name
 
-    def note_outcome(self, client, served):
-        del client
+    def note_outcome(self, flow, request, served):
+        """Failed requests go to failed.jsonl, as a client would report them."""
         self.outcomes.append((self.now(), served))
+        if not served:
+            line = json.dumps({"second": round(self.now() - self.started, 2),
+                               "request": request, "flow": flow})
+            with open(self.folder / "failed.jsonl", "a",
+                      encoding="utf-8") as file:
+                file.write(line + "\n")
 
     # Targets -------------------------------------------------------------
 
     async def add_target(self, service, domain, address=None):
+        await self.store_up()
         self.last_target += 1
         name = f"i-{0xA000 + self.last_target:08x}"
         if address is None:
@@ -228,17 +242,21 @@
             one.disturb()
 
     async def fault_store_down(self):
+        # One at a time: the second would end the first one's absence early.
+        async with self.store_busy:
+            await self.store_away()
+
+    async def store_away(self):
         self.store.down = self.random.choice(["busy", "silent"])
-        for one in self.instances:
-            one.proxy.reset_all()
+        self.reset_proxies()
         pause = self.random.uniform(1, 6)
         lapses = pause > 3 and self.random.random() < 0.6
         await asyncio.sleep(pause)
         if lapses:
             self.lapse()
         self.store.down = ""
+        self.reset_proxies()
         for one in self.instances:
-            one.proxy.reset_all()
             one.disturb()
         await asyncio.sleep(1.5)
         for one in self.live():
@@ -246,6 +264,10 @@
                 one.hidden_until = self.now()
                 one.publish()
 
+    def reset_proxies(self):
+        for one in self.instances:
+            one.proxy.reset_all()
+
     def lapse(self):
         for one in self.live():
             one.hidden_until = self.now() + 2
@@ -264,10 +286,12 @@
         if one is None:
             return
         await self.add_target(one.service, one.domain)
+        await self.store_up()
         one.draining, one.left_at = True, self.now()
         one.publish()
         await asyncio.sleep(self.random.uniform(3.5, 6))
         one.end()
+        await self.store_up()
         self.store.remove("servers/" + one.name)
 
     async def fault_crash(self):
@@ -284,6 +308,7 @@
         else:
             await self.add_target(one.service, one.domain)
         await asyncio.sleep(lapse)
+        await self.store_up()
         one.left_at = self.now()
         self.store.remove("servers/" + one.name)
 
@@ -298,6 +323,7 @@
             moved = ("198.18.0.1", 8080)
             routes[moved] = self.random.choice(
                 [["diary"], ["handover"], ["diary", "handover"]])
+            await self.store_up()
             self.configure(dict(routes))
             await asyncio.sleep(self.random.uniform(0.05, 0.5))
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -192,6 +192,10 @@
                 packet.ack += 1
         return None
 
+    def name_of(self, port, route):
+        """A flow, as the instances' logs write it."""
+        return f"{self.address}:{port}->{route[0]}:{route[1]}"
+
     def packet(self, flow, flags, data=b""):
         return wire.Packet(flags, self.address, flow.port, *flow.route,
                            flow.echo, flow.seq,
@@ -251,13 +255,17 @@
         while True:
             await asyncio.sleep(choose.uniform(0.02, 0.12))
             if flow is None or flow.port not in self.flows:
-                flow = await self.open(choose.choice(self.world.routes()))
+                route = choose.choice(self.world.routes())
+                flow = await self.open(route)
                 if flow is None:
-                    self.world.note_outcome(self, False)
+                    name = self.name_of(self.last_port, route)
+                    self.world.note_outcome(name, None, False)
                     continue
             count += 1
-            good = await self.request(flow, f"{self.address}/{count}")
-            self.world.note_outcome(self, good)
+            request = f"{self.address}/{count}"
+            good = await self.request(flow, request)
+            name = self.name_of(flow.port, flow.route)
+            self.world.note_outcome(name, request, good)
             if good and choose.random() < 0.05:
                 self.world.route_packet(self, self.packet(flow, wire.FIN))
                 self.flows.pop(flow.port, None)
--- a/source/config/reference_page.cc
+++ b/source/config/reference_page.cc
@@ -3,6 +3,7 @@
 #include <string_view>
 #include <vector>
 
+#include "config/front_settings.h"
 #include "config/published_keys.h"
 #include "config/settings.h"
 
@@ -62,6 +63,8 @@
 std::string ReferencePage() {
   std::string page(kIntroduction);
   page += Section("Settings of one process", SettingsReference());
+  page +=
+      Section("Settings of one process of `front`", FrontSettingsReference());
   page += Section("Published configuration", ConfigurationReference());
   page += Section("Published instance list", InstancesReference());
   return page;
--- a/source/core/steering/flow_steering.cc
+++ b/source/core/steering/flow_steering.cc
@@ -70,7 +70,7 @@
   const auto chosen = this->choice.Choose(
       {*route, common::FingerprintOf(packet.flow, 0), std::nullopt, now});
   if (!chosen) {
-    return Refuse{RefusalReason::kNoTarget};
+    return this->OnNoTarget(now);
   }
   this->watch.OnPlaced(chosen->target, now);
   this->watch.OnSent(chosen->target, now);
@@ -78,6 +78,15 @@
   return SendToTarget{chosen->target, chosen->reason};
 }
 
+// An instance that started while entries were lapsed has never seen the targets
+// that will register again in a moment. It can't know that nobody serves.
+SteeringAction FlowSteering::OnNoTarget(std::chrono::milliseconds now) const {
+  if (this->view.contact.LapseLikely(now)) {
+    return StaySilent{SilenceReason::kStaleView};
+  }
+  return Refuse{RefusalReason::kNoTarget};
+}
+
 // A target that died without a word swallows SYNs until its entry lapses, two
 // to four seconds later. Sending the copies there as well would fail each
 // attempt after 1.4 s; another target opens the flow 200 ms after the first
@@ -98,7 +107,7 @@
   const auto chosen = this->choice.Choose(
       {route, common::FingerprintOf(packet.flow, 0), opening.target, now});
   if (!chosen) {
-    return Refuse{RefusalReason::kNoTarget};
+    return this->OnNoTarget(now);
   }
   this->watch.OnPlaced(chosen->target, now);
   opening = {chosen->target, now, true};
--- a/source/core/steering/flow_steering.h
+++ b/source/core/steering/flow_steering.h
@@ -72,6 +72,7 @@
                               std::chrono::milliseconds now);
   SteeringAction OnUnknownWord(const FlowPacket& packet,
                                std::chrono::milliseconds now);
+  SteeringAction OnNoTarget(std::chrono::milliseconds now) const;
   SteeringAction OnUnknownRoute(std::chrono::milliseconds now) const;
   bool ViewIsFresh(std::chrono::milliseconds now) const;
 
--- a/source/front/front_process.cc
+++ b/source/front/front_process.cc
@@ -89,7 +89,7 @@
 
  private:
   milliseconds Now() const override { return BootTime() - this->started_at; }
-  bool Ready() const { return this->view.Usable() && !this->stop.Stopping(); }
+  bool Ready() const { return this->was_ready && !this->stop.Stopping(); }
 
   FrontState State() const;
   tl::expected<void, std::string> Open();
@@ -133,6 +133,7 @@
   ev::sig hup;
   milliseconds settings_checked_at{0};
   bool was_usable{false};
+  bool was_ready{false};
   bool store_answered{false};
   bool reading{false};
 };
@@ -335,6 +336,11 @@
       this->flows->OnTargetChange(*target);
     }
   }
+  // Seen from an instance that starts just after the store's return, targets
+  // are missing that will register again; the routers shall prefer those that
+  // have known them all along.
+  this->was_ready = this->was_ready || (this->view.Usable() &&
+                                        !this->view.Contact().LapseLikely(now));
   if (this->view.Usable() && !std::exchange(this->was_usable, true)) {
     this->log.OnNote("ready",
                      {{"configuration", this->view.Routes().Version()},
--- a/tests/core/steering/flow_steering_test.cc
+++ b/tests/core/steering/flow_steering_test.cc
@@ -87,6 +87,22 @@
              "no-target");
 }
 
+// An instance starts just after the store has come back. All entries have
+// lapsed meanwhile, and the targets that serve will register within two
+// seconds; peers have told of the store's return. A reset would fail attempts
+// that another instance, or this one a moment later, can serve.
+BOOST_AUTO_TEST_CASE(nobody_is_refused_while_targets_register_again) {
+  SteeringScene scene;
+  scene.Configure("1 198.18.0.1:443=diary", 0ms);
+  scene.view.Contact().OnReturn(0ms);
+
+  BOOST_TEST(WordOf(scene.steering.OnPacket(SteeringScene::Syn(1000), 20ms)) ==
+             "stale-view");
+  scene.view.Contact().OnAnswer(3000ms);
+  BOOST_TEST(WordOf(scene.steering.OnPacket(SteeringScene::Syn(1001),
+                                            3000ms)) == "no-target");
+}
+
 struct Unknown {
   std::chrono::milliseconds age;
   std::string outcome;
