Send a part of a weakened domain's new flows to others

Change: below 0.6 of its fair share of the usable targets a domain keeps only that part of its new flows.

--- a/source/core/steering/target_choice.cc
+++ b/source/core/steering/target_choice.cc
@@ -1,6 +1,8 @@
 #include "core/steering/target_choice.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 #include "common/hash.h"
 
@@ -13,6 +15,22 @@
 /// short as the others'.
 constexpr double kColdShare = 0.6;
 
+/// A failure domain with less than this part of its fair share of a service's
+/// usable targets sends some new flows elsewhere. With the uneven numbers of a
+/// small service (two, one and one) a domain has three quarters of its share,
+/// and keeps its flows.
+constexpr double kFewLocal = 0.6;
+
+constexpr std::uint64_t kSpillSalt = 0x7370696C6CULL;
+
+/// Uniform in [0, 1), from the flow alone: a repeated SYN falls alike.
+double UniformOf(common::Fingerprint flow) {
+  constexpr unsigned kDroppedBits = 11;
+  constexpr double kUnit = 1.0 / 9007199254740992.0;  // 2^-53
+  const std::uint64_t hash = common::HashNumbers(flow.value, 0, kSpillSalt);
+  return static_cast<double>(hash >> kDroppedBits) * kUnit;
+}
+
 /// The position of the service that the flow's hash falls to. The same on
 /// every instance, so that a repeated SYN stays with its service.
 std::size_t ShareOf(const Route& route, common::Fingerprint flow) {
@@ -27,6 +45,27 @@
   return 0;
 }
 
+/// Usable targets of a service, as one failure domain sees them.
+struct LocalShare {
+  std::size_t local;
+  std::size_t remote;
+  std::size_t domains;
+};
+
+// A failure domain that has lost most of its targets would send the load of the
+// whole domain to the one that is left, which sheds, while targets elsewhere
+// idle. Clients are as many in each domain, so the part of the new flows beyond
+// the domain's share of the targets goes to others.
+bool Spills(const LocalShare& share, common::Fingerprint flow) {
+  if (share.remote == 0) {
+    return false;
+  }
+  const double fair = static_cast<double>(share.local + share.remote) /
+                      static_cast<double>(share.domains);
+  const double part = static_cast<double>(share.local) / fair;
+  return part < kFewLocal && UniformOf(flow) >= part;
+}
+
 }  // namespace
 
 std::optional<Choice> TargetChoice::Choose(const ChoiceQuery& query) const {
@@ -48,7 +87,9 @@
   std::vector<TargetIndex> local;
   std::vector<TargetIndex> remote;
   std::vector<TargetIndex> suspected;
+  std::set<std::string_view> domains;
   for (const TargetIndex index : this->targets.Serving(service)) {
+    domains.insert(this->targets.At(index).published.domain);
     if (query.except == index || this->watch.Suspected(index, query.now)) {
       suspected.push_back(index);
     } else if (this->targets.At(index).published.domain == this->domain) {
@@ -57,7 +98,8 @@
       remote.push_back(index);
     }
   }
-  if (!local.empty()) {
+  const LocalShare share{local.size(), remote.size(), domains.size()};
+  if (!local.empty() && !Spills(share, query.flow)) {
     return Choice{this->LeastUsed(local, query), SteeringReason::kLocal};
   }
   if (!remote.empty()) {
--- a/source/core/steering/target_choice.h
+++ b/source/core/steering/target_choice.h
@@ -30,8 +30,9 @@
   SteeringReason reason{SteeringReason::kLocal};
 };
 
-/// Chooses the own failure domain's least used target, and looks further only
-/// when that domain has none that can serve.
+/// Chooses the own failure domain's least used target. Looks further when that
+/// domain has none that can serve, and for a part of the flows when it has far
+/// fewer of the service's usable targets than the others.
 class TargetChoice {
  public:
   /// `domain` is the own failure domain. The tables must outlive this.
--- a/tests/core/steering/steering_scene.h
+++ b/tests/core/steering/steering_scene.h
@@ -8,12 +8,12 @@
 
 namespace sassafrasdyke::core {
 
-/// An instance of the domain "north" with its view.
+/// An instance with its view.
 struct SteeringScene {
-  SteeringScene()
+  explicit SteeringScene(const std::string& domain = "north")
       : view(publication, std::chrono::seconds(60)),
-        steering("north", {this->view.Routes(), this->view.Targets(),
-                           this->view.Contact()}) {}
+        steering(domain, {this->view.Routes(), this->view.Targets(),
+                          this->view.Contact()}) {}
 
   /// Publishes a target; `value` as SamplePublication reads it.
   void Publish(const std::string& id, const std::string& value,
--- /dev/null
+++ b/tests/core/steering/target_choice_test.cc
@@ -0,0 +1,97 @@
+/// How the load of new flows falls on targets.
+#include <algorithm>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <memory>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "core/steering/steering_scene.h"
+
+namespace sassafrasdyke::core {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Usable targets of the domains, in the order of kDomains.
+struct Left {
+  std::vector<int> targets;
+  double busiest;  ///< Most flows at one target, to the mean.
+  double local;    ///< Least part of a domain's flows that stay in it.
+};
+
+std::ostream& operator<<(std::ostream& out, const Left& row) {
+  for (const int count : row.targets) {
+    out << count << " ";
+  }
+  return out;
+}
+
+const std::string kDomains[] = {"north", "south", "west"};
+
+const Left kLeft[] = {
+    {{5, 5, 4}, 1.20, 1.0}, {{2, 1, 1}, 1.40, 1.0}, {{1, 3, 3}, 1.30, 0.3},
+    {{1, 5, 4}, 1.25, 0.2}, {{0, 4, 4}, 1.10, 0.0},
+};
+
+/// One instance for each domain, with the same view.
+std::vector<std::unique_ptr<SteeringScene>> Instances(const Left& row) {
+  std::vector<std::unique_ptr<SteeringScene>> instances;
+  for (const std::string& domain : kDomains) {
+    auto scene = std::make_unique<SteeringScene>(domain);
+    scene->Configure("1 198.18.0.1:443=diary", 0ms);
+    int id = 0xA0;
+    for (std::size_t i = 0; i < row.targets.size(); ++i) {
+      for (int n = 0; n < row.targets[i]; ++n) {
+        ++id;
+        const std::string address = "10.0.0." + std::to_string(id) + ":80";
+        char name[16];
+        std::snprintf(name, sizeof(name), "%x", static_cast<unsigned>(id));
+        scene->Publish(name, TargetText("diary", kDomains[i], address), 0ms);
+      }
+    }
+    instances.push_back(std::move(scene));
+  }
+  return instances;
+}
+
+// Most targets of one failure domain die, and the clients of that domain open
+// their flows anew. All sent to the one target that is left, they fill its
+// queue, and it sheds requests while targets of other domains idle. Clients of
+// a domain that has its share of targets stay in it.
+BOOST_DATA_TEST_CASE(a_domain_with_few_targets_shares_its_load, kLeft, row) {
+  constexpr std::uint16_t kFlows = 2000;
+  const auto instances = Instances(row);
+  std::map<std::uint32_t, int> flows;
+  double least_local = 1.0;
+  for (std::size_t i = 0; i < instances.size(); ++i) {
+    int local = 0;
+    for (std::uint16_t n = 0; n < kFlows; ++n) {
+      const auto port = static_cast<std::uint16_t>(1024 + kFlows * i + n);
+      const auto action =
+          instances[i]->steering.OnPacket(SteeringScene::Syn(port), 10ms);
+      const auto* const sent = std::get_if<SendToTarget>(&action);
+      BOOST_REQUIRE(sent != nullptr);
+      const TargetEntry& target = instances[i]->view.Targets().At(sent->target);
+      ++flows[target.word.value];
+      local += target.published.domain == kDomains[i] ? 1 : 0;
+    }
+    least_local = std::min(least_local, static_cast<double>(local) / kFlows);
+  }
+  int most = 0;
+  for (const auto& [word, count] : flows) {
+    most = std::max(most, count);
+  }
+  const double mean =
+      static_cast<double>(kFlows * instances.size()) /
+      static_cast<double>(row.targets[0] + row.targets[1] + row.targets[2]);
+
+  BOOST_TEST(most / mean <= row.busiest);
+  BOOST_TEST(least_local >= row.local);
+}
+
+}  // namespace
+}  // namespace sassafrasdyke::core
