Let a leaving target serve its last flows before its clients are told

Ruled out: trials of leaving targets not at all (targets that crash while they drain would keep their clients waiting).

Change: a target that leaves or is unpublished must have been quiet for a second before a failed trial, or its removal alone, ends its flows. One whose address has gone to another target is ended at once, as before.

--- a/source/core/steering/flow_steering.cc
+++ b/source/core/steering/flow_steering.cc
@@ -16,7 +16,8 @@
 /// met; the rest covers what stores and peers take to pass it on.
 constexpr std::chrono::milliseconds kNewsTakes{500};
 /// A target whose entry was removed, but that answered a client this lately, is
-/// alive behind a cut.
+/// alive behind a cut; one whose entry was removed this lately may still serve
+/// its last flows.
 constexpr std::chrono::milliseconds kSignOfLife{1000};
 /// Unknown words remembered at most; forged ones must not take memory.
 constexpr std::size_t kMostUnknown = 256;
@@ -160,7 +161,8 @@
                                           const TargetEntry& target,
                                           std::chrono::milliseconds now) {
   const std::chrono::milliseconds answered = this->watch.LastAnswered(index);
-  const bool lives = answered > target.gone_at && now - answered <= kSignOfLife;
+  const bool lives = !target.replaced &&
+                     now - std::max(answered, target.gone_at) <= kSignOfLife;
   if (lives || packet.payload_bytes == 0) {
     return SendToTarget{index, SteeringReason::kCarried};
   }
--- a/source/core/steering/target_watch.cc
+++ b/source/core/steering/target_watch.cc
@@ -34,6 +34,11 @@
 /// flows again soon after the cut heals.
 constexpr std::chrono::milliseconds kSilentProbePause{1000};
 
+/// A target that leaves closes its listener, and then its entry goes, a little
+/// before it has served its last flow (3 ms were seen). It must have been quiet
+/// this long before a failed trial says that it has ended.
+constexpr std::chrono::milliseconds kLingers{1000};
+
 double Decay(std::chrono::milliseconds age) {
   return std::exp2(-static_cast<double>(age.count()) / kHalfLifeMs);
 }
@@ -74,6 +79,25 @@
   state.wants_probe = state.wants_probe || repeated;
 }
 
+void TargetWatch::OnLeaving(TargetIndex target, std::chrono::milliseconds now) {
+  this->states[target].leaving_since = now;
+}
+
+void TargetWatch::OnUnpublished(TargetIndex target,
+                                std::chrono::milliseconds now) {
+  State& state = this->states[target];
+  state.leaving_since = now;
+  state.unpublished = true;
+  state.wants_probe = true;
+  state.next_probe = now + kLingers;
+}
+
+void TargetWatch::OnServing(TargetIndex target) {
+  State& state = this->states[target];
+  state.leaving_since.reset();
+  state.unpublished = false;
+}
+
 std::vector<TargetIndex> TargetWatch::TakeProbes(
     std::chrono::milliseconds now) {
   std::vector<TargetIndex> probes;
@@ -105,7 +129,10 @@
   if (state.last_answered >= started) {
     return false;  // It has shown life meanwhile.
   }
-  if (outcome == ProbeOutcome::kUnclear) {
+  const bool lingers =
+      state.leaving_since &&
+      now - std::max(*state.leaving_since, state.last_answered) < kLingers;
+  if (outcome == ProbeOutcome::kUnclear || lingers) {
     state.failed_probes = 0;
     // Packets that stay unanswered ask again; an unpublished target has none.
     state.wants_probe = state.unpublished;
--- a/source/core/steering/target_watch.h
+++ b/source/core/steering/target_watch.h
@@ -37,12 +37,12 @@
  public:
   /// A packet that a living target answers was sent.
   void OnSent(TargetIndex target, std::chrono::milliseconds now);
+  /// The target is published as leaving; it serves its flows to the end.
+  void OnLeaving(TargetIndex target, std::chrono::milliseconds now);
   /// The target is no longer published; it may have ended.
-  void OnUnpublished(TargetIndex target) {
-    State& state = this->states[target];
-    state.unpublished = true;
-    state.wants_probe = true;
-  }
+  void OnUnpublished(TargetIndex target, std::chrono::milliseconds now);
+  /// The target is published as serving.
+  void OnServing(TargetIndex target);
   /// A trial connection ended that was started at `started`; true if the
   /// target is silent since now.
   bool OnProbed(TargetIndex target, ProbeOutcome outcome,
@@ -93,6 +93,8 @@
     std::chrono::milliseconds next_probe{0};
     bool wants_probe{false};
     bool unpublished{false};
+    /// Since when it has been leaving or unpublished; nothing while it serves.
+    std::optional<std::chrono::milliseconds> leaving_since;
     bool silent{false};
   };
   const State* Find(TargetIndex target) const;
--- a/source/front/flow_port.cc
+++ b/source/front/flow_port.cc
@@ -188,13 +188,25 @@
 }
 
 void FlowPort::OnTargetChange(const core::TargetChange& change) {
-  if (change.phase != core::TargetPhase::kGone) {
-    return;
+  const milliseconds now = this->context.clock.Now();
+  core::TargetWatch& watch = this->steering.Watch();
+  switch (change.phase) {
+    case core::TargetPhase::kServing:
+      watch.OnServing(change.target);
+      return;
+    case core::TargetPhase::kDraining:
+      watch.OnLeaving(change.target, now);
+      return;
+    case core::TargetPhase::kGone:
+      break;
+    case core::TargetPhase::kUnreadable:
+    case core::TargetPhase::kShadowed:
+      return;
   }
   if (change.replaced) {
     this->ResetFlowsOf(change.target, core::RefusalReason::kTargetGone);
   } else {
-    this->steering.Watch().OnUnpublished(change.target);
+    watch.OnUnpublished(change.target, now);
   }
 }
 
