--- a/tests/platform/store_codec_test.cc
+++ b/tests/platform/store_codec_test.cc
@@ -85,16 +85,18 @@
   BOOST_TEST(configuration.routes[1].shares[0].service == "b");
 }
 
+std::string OneRoute(const std::string& fields) {
+  return R"({"version":7,"routes":[{)" + fields + "}]}";
+}
+
 const std::string kNoConfigurations[] = {
     "",
     "{}",
     R"({"version":"7","routes":[]})",
     R"({"version":7})",
-    R"({"version":7,"routes":[{"host":"198.18.0.1","prefix":"443",)"
-    R"("service":"a"}]})",
-    R"({"version":7,"routes":[{"host":"nowhere","prefix":"/443/",)"
-    R"("service":"a"}]})",
-    R"({"version":7,"routes":[{"host":"198.18.0.1","prefix":"/443/"}]})",
+    OneRoute(R"("host":"198.18.0.1","prefix":"443","service":"a")"),
+    OneRoute(R"("host":"nowhere","prefix":"/443/","service":"a")"),
+    OneRoute(R"("host":"198.18.0.1","prefix":"/443/")"),
 };
 
 // Half a configuration in force would drop routes that the operator never
