Remove a query of the target watch that nobody makes

Found in the last read of the change: TargetWatch::Misses had no caller left. No change of behaviour; the tests of the core and of front pass.

--- a/source/core/steering/target_watch.cc
+++ b/source/core/steering/target_watch.cc
@@ -224,11 +224,6 @@
   return state == nullptr ? 0.0 : state->flows * Decay(now - state->flows_at);
 }
 
-unsigned TargetWatch::Misses(TargetIndex target) const {
-  const State* const state = this->Find(target);
-  return state == nullptr ? 0 : state->misses;
-}
-
 const TargetWatch::State* TargetWatch::Find(TargetIndex target) const {
   const auto found = this->states.find(target);
   return found == this->states.end() ? nullptr : &found->second;
--- a/source/core/steering/target_watch.h
+++ b/source/core/steering/target_watch.h
@@ -74,8 +74,6 @@
   std::chrono::milliseconds LastAnswered(TargetIndex target) const;
   /// New flows given to the target lately, for comparing targets.
   double RecentFlows(TargetIndex target, std::chrono::milliseconds now) const;
-  /// Consecutive unanswered SYNs.
-  unsigned Misses(TargetIndex target) const;
 
  private:
   struct State {
