Share new flows by turns, so that a target that comes isn't flooded

Cause: each instance gave a new flow to the target with the lowest decayed count of past flows (half-life 10 s). A target that joins, or comes back from a suspicion, a withdrawn drain or a lapse, stands at 0 or far behind and got every new flow of its failure domain, from all instances at once.

Change: start-time fair queueing. A target's turn is the end of its last flow's share or the turn that was served last, whichever is later, so one that was away starts level whatever the reason; no history, no time constant.

The tests were seen failing on the code before: a newcomer got 100 of 100 flows, and 155 of 2,000 requests were turned away.

--- a/source/core/steering/flow_steering.cc
+++ b/source/core/steering/flow_steering.cc
@@ -75,7 +75,7 @@
   if (!chosen) {
     return this->OnNoTarget(now);
   }
-  this->watch.OnPlaced(chosen->target, now);
+  this->choice.OnPlaced(chosen->target, now);
   this->watch.OnSent(chosen->target, now);
   this->openings.Add(packet.flow, {chosen->target, now, false});
   this->pending.OnPlaced(packet.flow, chosen->target, now);
@@ -113,7 +113,7 @@
   if (!chosen) {
     return this->OnNoTarget(now);
   }
-  this->watch.OnPlaced(chosen->target, now);
+  this->choice.OnPlaced(chosen->target, now);
   opening = {chosen->target, now, true};
   this->pending.OnPlaced(packet.flow, chosen->target, now);
   return SendToTarget{chosen->target, SteeringReason::kRetried};
--- a/source/core/steering/flow_steering.h
+++ b/source/core/steering/flow_steering.h
@@ -49,7 +49,10 @@
     this->pending.OnPause();
   }
   /// A target can't come back.
-  void Forget(TargetIndex target) { this->watch.Forget(target); }
+  void Forget(TargetIndex target) {
+    this->watch.Forget(target);
+    this->choice.Forget(target);
+  }
   /// Bounded periodic work.
   void OnTick(std::chrono::milliseconds now);
 
--- a/source/core/steering/target_choice.cc
+++ b/source/core/steering/target_choice.cc
@@ -106,13 +106,13 @@
         [&](TargetIndex index) { return this->Usable(index, query); });
   }
   if (!local.empty() && query.instead) {
-    return Choice{this->LeastUsed(local, query), SteeringReason::kRelieved};
+    return Choice{this->NextInTurn(local, query), SteeringReason::kRelieved};
   }
   // Most flows end here, without a look at the targets of other domains: fewer
   // of those are usable than serve, so the domain's part is no smaller.
   const LocalShare at_least{local.size(), remote_serving, serving.size()};
   if (!local.empty() && PartOf(at_least) >= kFewLocal) {
-    return Choice{this->LeastUsed(local, query), SteeringReason::kLocal};
+    return Choice{this->NextInTurn(local, query), SteeringReason::kLocal};
   }
   return this->ChooseOfAll(service, local, query);
 }
@@ -136,10 +136,10 @@
   }
   const LocalShare share{local.size(), remote.size(), serving.size()};
   if (!local.empty() && !Spills(share, query.flow)) {
-    return Choice{this->LeastUsed(local, query), SteeringReason::kLocal};
+    return Choice{this->NextInTurn(local, query), SteeringReason::kLocal};
   }
   if (!remote.empty()) {
-    return Choice{this->LeastUsed(remote, query), SteeringReason::kSpilled};
+    return Choice{this->NextInTurn(remote, query), SteeringReason::kSpilled};
   }
   if (!suspected.empty()) {
     return Choice{this->LeastSuspected(suspected), SteeringReason::kSuspected};
@@ -147,31 +147,40 @@
   return std::nullopt;
 }
 
-TargetIndex TargetChoice::LeastUsed(const std::vector<TargetIndex>& options,
-                                    const ChoiceQuery& query) const {
+TargetIndex TargetChoice::NextInTurn(const std::vector<TargetIndex>& options,
+                                     const ChoiceQuery& query) const {
   TargetIndex best = options.front();
   double least = 0;
   std::uint64_t least_hash = 0;
   for (const TargetIndex index : options) {
-    const TargetEntry& target = this->targets.At(index);
-    const double warmth = target.warm_at > query.now ? kColdShare : 1.0;
-    const double capacity = warmth * target.published.slots;
-    const double used =
-        this->watch.RecentFlows(index, query.now) / std::max(capacity, 0.1);
+    const PublishedTarget& target = this->targets.At(index).published;
+    const double turn = this->turns.TurnOf(index, target.service);
     // Equal ones are taken by the flow's hash: instances that start together
     // would otherwise all begin with the same target.
-    const std::uint64_t hash = common::HashNumbers(
-        query.flow.value, target.published.number.value, kShareSalt);
+    const std::uint64_t hash =
+        common::HashNumbers(query.flow.value, target.number.value, kShareSalt);
     const bool first = index == options.front();
-    if (first || used < least || (used == least && hash < least_hash)) {
+    if (first || turn < least || (turn == least && hash < least_hash)) {
       best = index;
-      least = used;
+      least = turn;
       least_hash = hash;
     }
   }
   return best;
 }
 
+void TargetChoice::OnPlaced(TargetIndex target, std::chrono::milliseconds now) {
+  this->turns.OnPlaced(target, this->targets.At(target).published.service,
+                       this->CapacityOf(target, now));
+}
+
+double TargetChoice::CapacityOf(TargetIndex index,
+                                std::chrono::milliseconds now) const {
+  const TargetEntry& target = this->targets.At(index);
+  const double warmth = target.warm_at > now ? kColdShare : 1.0;
+  return warmth * target.published.slots;
+}
+
 TargetIndex TargetChoice::LeastSuspected(
     const std::vector<TargetIndex>& options) const {
   // The one whose failure is longest ago is the likeliest to be back.
--- a/source/core/steering/target_choice.h
+++ b/source/core/steering/target_choice.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "common/ids.h"
+#include "core/steering/fair_turns.h"
 #include "core/steering/flow_packet.h"
 #include "core/steering/target_watch.h"
 #include "core/view/route_table.h"
@@ -32,9 +33,9 @@
   SteeringReason reason{SteeringReason::kLocal};
 };
 
-/// Chooses the own failure domain's least used target. Looks further when that
-/// domain has none that can serve, and for a part of the flows when it has far
-/// fewer of the service's usable targets than the others.
+/// Chooses the target of the own failure domain whose turn it is. Looks further
+/// when that domain has none that can serve, and for a part of the flows when
+/// it has far fewer of the service's usable targets than the others.
 class TargetChoice {
  public:
   /// `domain` is the own failure domain. The tables must outlive this.
@@ -42,6 +43,10 @@
                const TargetWatch& watch)
       : domain(std::move(domain)), targets(targets), watch(watch) {}
 
+  /// A flow was placed at the target.
+  void OnPlaced(TargetIndex target, std::chrono::milliseconds now);
+  void Forget(TargetIndex target) { this->turns.Forget(target); }
+
   /// Nothing when no target of the route's services takes new flows.
   std::optional<Choice> Choose(const ChoiceQuery& query) const;
 
@@ -53,13 +58,16 @@
                                     const std::vector<TargetIndex>& local,
                                     const ChoiceQuery& query) const;
   bool Usable(TargetIndex index, const ChoiceQuery& query) const;
-  TargetIndex LeastUsed(const std::vector<TargetIndex>& options,
-                        const ChoiceQuery& query) const;
+  TargetIndex NextInTurn(const std::vector<TargetIndex>& options,
+                         const ChoiceQuery& query) const;
+  /// What the target can work on at once, in requests.
+  double CapacityOf(TargetIndex index, std::chrono::milliseconds now) const;
   TargetIndex LeastSuspected(const std::vector<TargetIndex>& options) const;
 
   const std::string domain;
   const TargetTable& targets;
   const TargetWatch& watch;
+  FairTurns turns;
 };
 
 }  // namespace sassafrasdyke::core
--- a/source/core/steering/target_watch.cc
+++ b/source/core/steering/target_watch.cc
@@ -1,7 +1,6 @@
 #include "core/steering/target_watch.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace sassafrasdyke::core {
 namespace {
@@ -14,10 +13,6 @@
 constexpr std::chrono::milliseconds kLongestSuspicion{8000};
 /// Past this many doublings the longest suspicion is reached.
 constexpr unsigned kMostDoublings = 4;
-/// Time in which the memory of a placed flow halves. Flows last up to a minute;
-/// a shorter time lets a target that has just come catch up in seconds instead
-/// of taking every new flow for a minute.
-constexpr double kHalfLifeMs = 10'000.0;
 
 /// A client repeats a packet after 200 ms. One that has been repeated, with no
 /// sign of life from any of the target's flows between, is worth a look.
@@ -39,18 +34,8 @@
 /// this long before a failed trial says that it has ended.
 constexpr std::chrono::milliseconds kLingers{1000};
 
-double Decay(std::chrono::milliseconds age) {
-  return std::exp2(-static_cast<double>(age.count()) / kHalfLifeMs);
-}
-
 }  // namespace
 
-void TargetWatch::OnPlaced(TargetIndex target, std::chrono::milliseconds now) {
-  State& state = this->states[target];
-  state.flows = state.flows * Decay(now - state.flows_at) + 1.0;
-  state.flows_at = now;
-}
-
 void TargetWatch::OnAnswered(TargetIndex target,
                              std::chrono::milliseconds now) {
   State& state = this->states[target];
@@ -236,12 +221,6 @@
                           : state->last_answered;
 }
 
-double TargetWatch::RecentFlows(TargetIndex target,
-                                std::chrono::milliseconds now) const {
-  const State* const state = this->Find(target);
-  return state == nullptr ? 0.0 : state->flows * Decay(now - state->flows_at);
-}
-
 const TargetWatch::State* TargetWatch::Find(TargetIndex target) const {
   const auto found = this->states.find(target);
   return found == this->states.end() ? nullptr : &found->second;
--- a/source/core/steering/target_watch.h
+++ b/source/core/steering/target_watch.h
@@ -1,6 +1,5 @@
 /// What an instance learns of targets from the packets it forwards: who answers
-/// SYNs, who swallows them, who has fallen silent, and how many new flows each
-/// has been given.
+/// SYNs, who swallows them, and who has fallen silent.
 ///
 /// A target that dies without a word stays published until its entry lapses,
 /// two to four seconds later. Its clients' requests would wait for nobody until
@@ -33,7 +32,7 @@
 /// The log's word for an outcome.
 std::string_view Word(ProbeOutcome outcome);
 
-/// Passive health and load, by target. Times are monotonic.
+/// Passive health, by target. Times are monotonic.
 class TargetWatch {
  public:
   /// A packet that a living target answers was sent.
@@ -59,8 +58,6 @@
   /// Whether the target surely doesn't answer now.
   bool Silent(TargetIndex target) const;
 
-  /// A new flow was sent to the target.
-  void OnPlaced(TargetIndex target, std::chrono::milliseconds now);
   /// A client shows that the target answered.
   void OnAnswered(TargetIndex target, std::chrono::milliseconds now);
   /// A client repeats a SYN that the target has left unanswered.
@@ -76,8 +73,6 @@
   std::chrono::milliseconds LastMissed(TargetIndex target) const;
   /// When a client last showed that the target answers.
   std::chrono::milliseconds LastAnswered(TargetIndex target) const;
-  /// New flows given to the target lately, for comparing targets.
-  double RecentFlows(TargetIndex target, std::chrono::milliseconds now) const;
 
  private:
   struct State {
@@ -85,8 +80,6 @@
     std::chrono::milliseconds last_missed{0};
     std::chrono::milliseconds last_answered{std::chrono::milliseconds::min()};
     std::chrono::milliseconds suspected_until{0};
-    double flows{0};
-    std::chrono::milliseconds flows_at{0};
     /// Packets sent since the target last showed life, and since when.
     unsigned unanswered{0};
     std::chrono::milliseconds unanswered_since{0};
--- /dev/null
+++ b/tests/core/steering/steady_load.cc
@@ -0,0 +1,138 @@
+#include "core/steering/steady_load.h"
+
+#include <string>
+
+namespace sassafrasdyke::core {
+namespace {
+
+using namespace std::chrono_literals;
+using Time = std::chrono::milliseconds;
+
+constexpr Time kObjective = 150ms;
+constexpr Time kRoundTrip = 2ms;
+constexpr Time kLastAnswers = 3000ms;
+constexpr std::size_t kSlots = 2;
+constexpr std::size_t kQueue = 8;
+/// The first target's number, which is also the word of its flows.
+constexpr std::uint32_t kFirstWord = 0xA0;
+
+std::uint32_t WordOfTarget(std::size_t number) {
+  return kFirstWord + static_cast<std::uint32_t>(number);
+}
+
+}  // namespace
+
+SteadyLoad::SteadyLoad(const LoadPlan& plan)
+    : plan(plan), targets(plan.targets) {
+  for (std::size_t i = 0; i < plan.instances; ++i) {
+    this->instances.push_back(std::make_unique<SteeringScene>());
+    this->instances.back()->Configure("1 198.18.0.1:443=diary", 0ms);
+  }
+  for (std::size_t number = 0; number < plan.targets; ++number) {
+    const bool joins = plan.joins_at && number + 1 == plan.targets;
+    if (!joins) {
+      this->PublishTarget(number, 0ms);
+    }
+  }
+  this->outcome.placed_after_join.resize(plan.targets);
+}
+
+void SteadyLoad::PublishTarget(std::size_t number, Time now) {
+  char name[16];
+  std::snprintf(name, sizeof(name), "%x", WordOfTarget(number));
+  const std::string address = "10.0.0." + std::to_string(number + 1) + ":80";
+  for (const auto& instance : this->instances) {
+    instance->Publish(name, TargetText("diary", "north", address), now);
+  }
+}
+
+LoadOutcome SteadyLoad::Play() {
+  for (Time now = 0ms; now < this->plan.length + kLastAnswers; now += 1ms) {
+    if (now == this->plan.joins_at) {
+      this->PublishTarget(this->plan.targets - 1, now);
+    }
+    if (now < this->plan.length && now % this->plan.wants_every == 0ms) {
+      ++this->outcome.asked;
+      this->callers.push_back({now, 0, 0, 0, 0});
+      this->Open(this->callers.size() - 1, now);
+    }
+    for (std::size_t number = 0; number < this->targets.size(); ++number) {
+      this->Work(number, now);
+    }
+    if (now % 100ms == 0ms) {
+      for (const auto& instance : this->instances) {
+        instance->steering.OnTick(now);
+      }
+    }
+  }
+  return this->outcome;
+}
+
+void SteadyLoad::Open(std::size_t id, Time now) {
+  Caller& caller = this->callers[id];
+  ++caller.tries;
+  caller.port = ++this->last_port;
+  caller.instance = this->random.Below(this->instances.size());
+  SteeringScene& scene = *this->instances[caller.instance];
+  caller.word = scene.WordOf(
+      scene.steering.OnPacket(SteeringScene::Syn(caller.port), now));
+  scene.steering.OnPacket(SteeringScene::Data(caller.port, caller.word),
+                          now + kRoundTrip);
+  const std::size_t number = caller.word - kFirstWord;
+  if (this->plan.joins_at && now >= *this->plan.joins_at &&
+      now < *this->plan.joins_at + 1s) {
+    ++this->outcome.placed_after_join[number];
+  }
+  Target& target = this->targets.at(number);
+  if (target.queue.size() < kQueue) {
+    target.queue.push_back(id);
+    return;
+  }
+  ++this->outcome.shed;
+  FlowPacket fin = SteeringScene::Ack(caller.port, caller.word);
+  fin.flags.fin = true;
+  scene.steering.OnPacket(fin, now + kRoundTrip);
+  if (caller.tries == 1) {
+    this->Open(id, now);
+  }
+}
+
+void SteadyLoad::Work(std::size_t number, Time now) {
+  Target& target = this->targets[number];
+  std::vector<std::size_t> done;
+  for (const auto& [id, at] : target.in_work) {
+    if (at <= now) {
+      done.push_back(id);
+    }
+  }
+  for (const std::size_t id : done) {
+    target.in_work.erase(id);
+    this->Answer(id, now);
+  }
+  while (!target.queue.empty() && target.in_work.size() < kSlots) {
+    target.in_work[target.queue.front()] = now + this->WorkTime(number, now);
+    target.queue.pop_front();
+  }
+}
+
+Time SteadyLoad::WorkTime(std::size_t number, Time now) {
+  const bool slow = number == 0 && now >= this->plan.slow_from &&
+                    now < this->plan.slow_from + this->plan.slow_for;
+  const Time usual =
+      15ms + Time(static_cast<Time::rep>(this->random.Below(30)));
+  return usual * (slow ? this->plan.slow_factor : 1);
+}
+
+void SteadyLoad::Answer(std::size_t id, Time now) {
+  const Caller& caller = this->callers[id];
+  SteeringScene& scene = *this->instances[caller.instance];
+  FlowPacket ack = SteeringScene::Ack(caller.port, caller.word);
+  ack.acknowledgement = 1000;
+  scene.steering.OnPacket(ack, now + kRoundTrip);
+  ack.flags.fin = true;
+  scene.steering.OnPacket(ack, now + kRoundTrip);
+  const bool in_time = now + kRoundTrip - caller.wants_since <= kObjective;
+  (in_time ? this->outcome.in_time : this->outcome.late) += 1;
+}
+
+}  // namespace sassafrasdyke::core
--- /dev/null
+++ b/tests/core/steering/steady_load.h
@@ -0,0 +1,80 @@
+/// Callers that open a flow for each request at a steady rate, before targets
+/// with slots and a queue: several instances of one failure domain, each of
+/// which knows its own flows only.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "core/fleet/jitter.h"
+#include "core/steering/steering_scene.h"
+
+namespace sassafrasdyke::core {
+
+/// What is played. Targets are numbered from 0.
+struct LoadPlan {
+  std::size_t instances{3};
+  std::size_t targets{5};
+  std::chrono::milliseconds wants_every{5};
+  std::chrono::milliseconds length{10'000};
+  /// Target 0 takes `slow_factor` times as long from `slow_from` on, for
+  /// `slow_for`.
+  std::int64_t slow_factor{1};
+  std::chrono::milliseconds slow_from{0};
+  std::chrono::milliseconds slow_for{0};
+  /// When the last target is published; before that it isn't there.
+  std::optional<std::chrono::milliseconds> joins_at;
+};
+
+/// What callers got.
+struct LoadOutcome {
+  int asked{0};
+  int in_time{0};  ///< Answered within the objective.
+  int late{0};
+  int shed{0};  ///< Turned away by a full target; the caller tries once more.
+  /// Flows placed at each target in the second after `joins_at`.
+  std::vector<int> placed_after_join;
+};
+
+/// Plays a plan, a millisecond at a time.
+class SteadyLoad {
+ public:
+  explicit SteadyLoad(const LoadPlan& plan);
+  LoadOutcome Play();
+
+ private:
+  using Time = std::chrono::milliseconds;
+
+  struct Caller {
+    Time wants_since{0};
+    std::uint16_t port{0};
+    std::size_t instance{0};
+    std::uint32_t word{0};
+    unsigned tries{0};
+  };
+  struct Target {
+    std::deque<std::size_t> queue;
+    std::map<std::size_t, Time> in_work;  ///< Callers, and when they are done.
+  };
+
+  void PublishTarget(std::size_t number, Time now);
+  void Open(std::size_t id, Time now);
+  void Work(std::size_t number, Time now);
+  void Answer(std::size_t id, Time now);
+  Time WorkTime(std::size_t number, Time now);
+
+  const LoadPlan plan;
+  Jitter random{7};
+  std::vector<std::unique_ptr<SteeringScene>> instances;
+  std::vector<Caller> callers;
+  std::vector<Target> targets;
+  std::uint16_t last_port{1024};
+  LoadOutcome outcome;
+};
+
+}  // namespace sassafrasdyke::core
--- /dev/null
+++ b/tests/core/steering/steady_load_test.cc
@@ -0,0 +1,107 @@
+/// What callers get while targets come, or turn slow, under a steady load.
+#include "core/steering/steady_load.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <ostream>
+#include <string>
+
+namespace sassafrasdyke::core {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// The ways in which a target comes to take new flows.
+enum class Arrival { kNew, kSuspected, kDrainWithdrawn, kLapsed };
+
+struct ArrivalRow {
+  std::string name;
+  Arrival arrival;
+};
+
+std::ostream& operator<<(std::ostream& out, const ArrivalRow& row) {
+  return out << row.name;
+}
+
+const ArrivalRow kArrivals[] = {
+    {"new", Arrival::kNew},
+    {"suspected for a while", Arrival::kSuspected},
+    {"its drain was withdrawn", Arrival::kDrainWithdrawn},
+    {"its entry had lapsed", Arrival::kLapsed},
+};
+
+const std::string kText = "diary north 10.0.0.1:80";
+
+void Leave(SteeringScene& scene, Arrival arrival,
+           std::chrono::milliseconds at) {
+  switch (arrival) {
+    case Arrival::kNew:
+      return;
+    case Arrival::kSuspected:
+      for (int misses = 0; misses < 6; ++misses) {
+        scene.steering.Watch().OnMissed(scene.IndexOf(0xA1), at);
+      }
+      return;
+    case Arrival::kDrainWithdrawn:
+      scene.Publish("a1", kText + " draining", at);
+      return;
+    case Arrival::kLapsed:
+      scene.Remove("a1", at);
+      return;
+  }
+}
+
+// A target joins, or comes back after some seconds in which it took no new
+// flows. Were it given every new flow until it has had as many as the others,
+// its queue would fill, and callers would wait there or be turned away while
+// its neighbours idle.
+BOOST_DATA_TEST_CASE(a_target_that_comes_gets_its_share_and_no_more, kArrivals,
+                     row) {
+  SteeringScene scene;
+  scene.Configure("1 198.18.0.1:443=diary", 0ms);
+  for (int i = 2; i <= 5; ++i) {
+    scene.Publish("a" + std::to_string(i),
+                  "diary north 10.0.0." + std::to_string(i) + ":80", 0ms);
+  }
+  if (row.arrival != Arrival::kNew) {
+    scene.Publish("a1", kText, 0ms);
+    Leave(scene, row.arrival, 0ms);
+  }
+  std::uint16_t port = 1024;
+  auto now = 1ms;
+  for (; now < 8s; now += 10ms) {
+    scene.steering.OnPacket(SteeringScene::Syn(++port), now);
+  }
+  if (row.arrival != Arrival::kSuspected) {
+    scene.Publish("a1", kText, now);
+  }
+
+  constexpr int kFlows = 100;
+  int at_newcomer = 0;
+  for (int i = 0; i < kFlows; ++i, now += 10ms) {
+    const auto action =
+        scene.steering.OnPacket(SteeringScene::Syn(++port), now);
+    at_newcomer += scene.WordOf(action) == 0xA1 ? 1 : 0;
+  }
+  BOOST_TEST(at_newcomer >= 15);  // A fifth of them is fair.
+  BOOST_TEST(at_newcomer <= 25);
+}
+
+// A target joins four others, at 200 requests a second before three instances:
+// a third of what they can do. Sent every new flow by all three at once it
+// turns callers away.
+BOOST_AUTO_TEST_CASE(a_joining_target_turns_nobody_away) {
+  LoadPlan plan;
+  plan.joins_at = 5s;
+  const LoadOutcome outcome = SteadyLoad(plan).Play();
+
+  BOOST_TEST(outcome.shed == 0);
+  BOOST_TEST(outcome.in_time >= outcome.asked * 99 / 100);
+  const int fair = 200 / 5;
+  BOOST_TEST(outcome.placed_after_join.back() <= fair * 3 / 2);
+  BOOST_TEST(outcome.placed_after_join.back() >= fair / 2);
+}
+
+}  // namespace
+}  // namespace sassafrasdyke::core
--- a/tests/core/steering/target_watch_test.cc
+++ b/tests/core/steering/target_watch_test.cc
@@ -179,15 +179,5 @@
   BOOST_TEST(!watch.Suspected(kTarget, row.until));
 }
 
-// A target that has just come must not take every new flow until it has as many
-// as the others, minutes later.
-BOOST_AUTO_TEST_CASE(old_flows_count_less) {
-  TargetWatch watch;
-  watch.OnPlaced(kTarget, 0ms);
-  watch.OnPlaced(kTarget, 0ms);
-
-  BOOST_TEST(watch.RecentFlows(kTarget, 10s) == 1.0);
-}
-
 }  // namespace
 }  // namespace sassafrasdyke::core
