Count requests as unanswered only where answers are seen

That showed a fault: on routes whose short answers are acknowledged with the next request only, a target's served requests looked unanswered for two seconds, and a target that came, having none, got every new flow until then. Whether answers are seen is learnt for each route now, and the test plays both kinds of clients.

--- a/source/core/steering/pending_requests.cc
+++ b/source/core/steering/pending_requests.cc
@@ -20,12 +20,23 @@
 /// Requests followed at most, some 1 MB: 4,000 a second for two seconds, many
 /// times the share of one of 810 instances.
 constexpr std::size_t kMost = 8192;
+/// Routes whose answers are followed; beyond, all are learnt anew, so that
+/// routes withdrawn long ago take no memory.
+constexpr std::size_t kMostRoutes = 4096;
 /// Weight of the newest answer in the averages: some ten answers count.
 constexpr double kNewest = 0.1;
 /// Below this share of answers seen the counts are mostly requests that were
 /// served long ago.
 constexpr double kLeastSeen = 0.4;
 
+void DecreaseOrErase(std::unordered_map<TargetIndex, std::size_t>& counts,
+                     TargetIndex target) {
+  const auto count = counts.find(target);
+  if (--count->second == 0) {
+    counts.erase(count);
+  }
+}
+
 double Average(double old, double newest) {
   return old + kNewest * (newest - old);
 }
@@ -35,7 +46,7 @@
 void PendingRequests::OnPlaced(const common::FlowKey& flow, TargetIndex target,
                                milliseconds now) {
   this->OnEnd(flow);
-  this->Add(flow, {target, now, true, false});
+  this->Add(flow, {target, now});
 }
 
 void PendingRequests::OnRequest(const common::FlowKey& flow, TargetIndex target,
@@ -47,10 +58,10 @@
     }
     // The client got its answer, or it would not ask again; how long the answer
     // took isn't known.
-    this->NoteSeen(false);
+    this->NoteSeen(flow.service, false);
     this->Remove(found);
   }
-  this->Add(flow, {target, now, true, true});
+  this->Add(flow, {target, now, true, false, true});
 }
 
 std::optional<milliseconds> PendingRequests::OnAnswer(
@@ -60,7 +71,7 @@
     return std::nullopt;
   }
   const milliseconds took = now - found->second.since;
-  this->NoteSeen(at_once);
+  this->NoteSeen(flow.service, at_once);
   this->Remove(found);
   if (!at_once) {
     return std::nullopt;
@@ -91,7 +102,7 @@
     if (const auto found = this->Find(this->to_forget.front());
         found != this->table.end()) {
       if (found->second.requested) {
-        this->NoteSeen(false);
+        this->NoteSeen(found->first.service, false);
       }
       this->Remove(found);
     }
@@ -117,22 +128,27 @@
   return this->seen_share >= kLeastSeen;
 }
 
-void PendingRequests::Add(const common::FlowKey& flow, const Pending& pending) {
+// A request whose short answer is acknowledged with the client's next one only
+// looks unanswered long after it was served. A target that has just come has
+// none of these, and would be given every new flow for two seconds.
+void PendingRequests::Add(const common::FlowKey& flow, Pending pending) {
   if (this->to_forget.size() >= kMost) {
     return;
   }
+  pending.unanswered = this->SeenShareOf(flow.service) >= kLeastSeen;
   this->table.insert_or_assign(flow, pending);
   ++this->counts[pending.target];
-  ++this->unanswered[pending.target];
+  if (pending.unanswered) {
+    ++this->unanswered[pending.target];
+  }
   this->to_uncount.push_back({pending.since, flow});
   this->to_forget.push_back({pending.since, flow});
 }
 
 void PendingRequests::Remove(Table::iterator entry) {
   this->Uncount(entry->second);
-  const auto unanswered = this->unanswered.find(entry->second.target);
-  if (--unanswered->second == 0) {
-    this->unanswered.erase(unanswered);
+  if (entry->second.unanswered) {
+    DecreaseOrErase(this->unanswered, entry->second.target);
   }
   this->table.erase(entry);
 }
@@ -142,14 +158,21 @@
     return;
   }
   pending.counted = false;
-  const auto count = this->counts.find(pending.target);
-  if (--count->second == 0) {
-    this->counts.erase(count);
+  DecreaseOrErase(this->counts, pending.target);
+}
+
+void PendingRequests::NoteSeen(const common::Endpoint& route, bool seen) {
+  const double newest = seen ? 1.0 : 0.0;
+  this->seen_share = Average(this->seen_share, newest);
+  if (this->seen_by_route.size() >= kMostRoutes) {
+    this->seen_by_route.clear();
   }
+  this->seen_by_route[route] = Average(this->SeenShareOf(route), newest);
 }
 
-void PendingRequests::NoteSeen(bool seen) {
-  this->seen_share = Average(this->seen_share, seen ? 1.0 : 0.0);
+double PendingRequests::SeenShareOf(const common::Endpoint& route) const {
+  const auto found = this->seen_by_route.find(route);
+  return found == this->seen_by_route.end() ? 1.0 : found->second;
 }
 
 milliseconds PendingRequests::CountedFor() const {
--- a/source/core/steering/pending_requests.h
+++ b/source/core/steering/pending_requests.h
@@ -14,6 +14,7 @@
 
 #include "common/flow_key.h"
 #include "core/steering/flow_memory.h"
+#include "core/view/route_table.h"
 #include "core/view/target_table.h"
 
 namespace sassafrasdyke::core {
@@ -45,7 +46,8 @@
     return this->counts;
   }
   /// Requests at the target that nobody has seen answered yet, also those that
-  /// have taken too long to be counted by `At`.
+  /// have taken too long to be counted by `At`; only of routes most of whose
+  /// answers are seen.
   std::size_t UnansweredAt(TargetIndex target) const;
   /// How long answers have lately taken, from the request or the SYN.
   std::chrono::milliseconds AnswerTime() const;
@@ -57,7 +59,8 @@
     TargetIndex target;
     std::chrono::milliseconds since{0};
     bool counted{true};
-    bool requested{false};  ///< A request has followed the SYN.
+    bool unanswered{false};  ///< Counted by UnansweredAt.
+    bool requested{false};   ///< A request has followed the SYN.
   };
   struct Due {
     std::chrono::milliseconds since{0};
@@ -65,10 +68,12 @@
   };
   using Table = std::unordered_map<common::FlowKey, Pending, FlowHash>;
 
-  void Add(const common::FlowKey& flow, const Pending& pending);
+  void Add(const common::FlowKey& flow, Pending pending);
   void Remove(Table::iterator entry);
   void Uncount(Pending& pending);
-  void NoteSeen(bool seen);
+  void NoteSeen(const common::Endpoint& route, bool seen);
+  /// Part of the route's answers that are seen at once, lately.
+  double SeenShareOf(const common::Endpoint& route) const;
   /// How long a request without an answer counts.
   std::chrono::milliseconds CountedFor() const;
   /// The entry that `due` was queued for; the end when it is gone or renewed.
@@ -81,6 +86,7 @@
   std::deque<Due> to_forget;
   double answer_ms{0};  ///< 0 before the first answer.
   double seen_share{1.0};
+  std::unordered_map<common::Endpoint, double, EndpointHash> seen_by_route;
 };
 
 }  // namespace sassafrasdyke::core
--- a/tests/core/steering/steady_load_test.cc
+++ b/tests/core/steering/steady_load_test.cc
@@ -18,6 +18,8 @@
 struct ArrivalRow {
   std::string name;
   Arrival arrival;
+  /// Whether clients acknowledge answers at once, or with their next request.
+  bool seen;
 };
 
 std::ostream& operator<<(std::ostream& out, const ArrivalRow& row) {
@@ -25,10 +27,12 @@
 }
 
 const ArrivalRow kArrivals[] = {
-    {"new", Arrival::kNew},
-    {"suspected for a while", Arrival::kSuspected},
-    {"its drain was withdrawn", Arrival::kDrainWithdrawn},
-    {"its entry had lapsed", Arrival::kLapsed},
+    {"new", Arrival::kNew, true},
+    {"suspected for a while", Arrival::kSuspected, true},
+    {"its drain was withdrawn", Arrival::kDrainWithdrawn, true},
+    {"its entry had lapsed", Arrival::kLapsed, true},
+    {"new, answers aren't seen", Arrival::kNew, false},
+    {"suspected, answers aren't seen", Arrival::kSuspected, false},
 };
 
 const std::string kText = "diary north 10.0.0.1:80";
@@ -52,6 +56,21 @@
   }
 }
 
+/// A client opens a flow, asks, and is answered; returns the target's word.
+std::uint32_t Ask(SteeringScene& scene, std::uint16_t port, bool seen,
+                  std::chrono::milliseconds now) {
+  const std::uint32_t word =
+      scene.WordOf(scene.steering.OnPacket(SteeringScene::Syn(port), now));
+  scene.steering.OnPacket(SteeringScene::Data(port, word), now);
+  if (seen) {
+    FlowPacket ack = SteeringScene::Ack(port, word);
+    ack.acknowledgement = 1000;
+    scene.steering.OnPacket(ack, now + 5ms);
+  }
+  scene.steering.OnTick(now);
+  return word;
+}
+
 // A target joins, or comes back after some seconds in which it took no new
 // flows. Were it given every new flow until it has had as many as the others,
 // its queue would fill, and callers would wait there or be turned away while
@@ -71,7 +90,7 @@
   std::uint16_t port = 1024;
   auto now = 1ms;
   for (; now < 8s; now += 10ms) {
-    scene.steering.OnPacket(SteeringScene::Syn(++port), now);
+    Ask(scene, ++port, row.seen, now);
   }
   if (row.arrival != Arrival::kSuspected) {
     scene.Publish("a1", kText, now);
@@ -80,9 +99,7 @@
   constexpr int kFlows = 100;
   int at_newcomer = 0;
   for (int i = 0; i < kFlows; ++i, now += 10ms) {
-    const auto action =
-        scene.steering.OnPacket(SteeringScene::Syn(++port), now);
-    at_newcomer += scene.WordOf(action) == 0xA1 ? 1 : 0;
+    at_newcomer += Ask(scene, ++port, row.seen, now) == 0xA1 ? 1 : 0;
   }
   BOOST_TEST(at_newcomer >= 15);  // A fifth of them is fair.
   BOOST_TEST(at_newcomer <= 25);
