Ask the store less: pauses vary and count as waiting, substitutes ask rarely

Ruled out: a longer pause alone.

Change: the pause varies between 0.4 and 1.2 s, so that the two readers come apart, and the next watch is shorter by it; an instance that reads only because nobody told it anything waits for up to 3 s after failures, the readers and those without a view as before for up to 0.4 s.

--- a/source/core/roster/peer_sync.cc
+++ b/source/core/roster/peer_sync.cc
@@ -77,12 +77,17 @@
   return !this->leaving && this->roster.Rank(now) < this->limits.readers;
 }
 
-bool PeerSync::ShouldRead(std::chrono::milliseconds now) const {
+StoreReading PeerSync::Reading(std::chrono::milliseconds now) const {
   if (!this->view.Usable()) {
-    return now >= this->listing_left_until;
+    return now >= this->listing_left_until ? StoreReading::kNeeded
+                                           : StoreReading::kNone;
+  }
+  if (this->IsReader(now)) {
+    return StoreReading::kNeeded;
   }
   const auto age = this->view.Contact().Age(now);
-  return !age || *age > this->limits.read_after || this->IsReader(now);
+  return !age || *age > this->limits.read_after ? StoreReading::kSubstitute
+                                                : StoreReading::kNone;
 }
 
 bool PeerSync::IsSeed() const {
--- a/source/core/roster/peer_sync.h
+++ b/source/core/roster/peer_sync.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <span>
 #include <vector>
@@ -49,6 +50,16 @@
 /// The limits at a pace.
 SyncLimits SyncLimitsFor(const NewsPace& pace);
 
+/// Why an instance reads the store itself.
+enum class StoreReading : std::uint8_t {
+  kNone,
+  /// Nobody has told it anything for a while. Its domain's readers are trying
+  /// as well, and will tell it.
+  kSubstitute,
+  /// Others depend on it, or it can't serve without.
+  kNeeded,
+};
+
 /// A digest and where to.
 struct DigestOut {
   common::Endpoint to;
@@ -94,8 +105,11 @@
     this->roster.SetSeeds(seeds);
   }
 
-  /// Whether this instance shall read the store itself now.
-  bool ShouldRead(std::chrono::milliseconds now) const;
+  /// Whether, and why, this instance shall read the store itself now.
+  StoreReading Reading(std::chrono::milliseconds now) const;
+  bool ShouldRead(std::chrono::milliseconds now) const {
+    return this->Reading(now) != StoreReading::kNone;
+  }
   /// How far this view is, for an answer over a stream.
   ViewMark Mark(std::chrono::milliseconds now) const;
   const Roster& Members() const { return this->roster; }
--- a/source/front/front_process.cc
+++ b/source/front/front_process.cc
@@ -308,8 +308,10 @@
 }
 
 void FrontProcess::ChooseReading() {
-  const bool reads = this->sync.ShouldRead(this->Now());
+  const core::StoreReading wanted = this->sync.Reading(this->Now());
+  const bool reads = wanted != core::StoreReading::kNone;
   if (reads == this->reading) {
+    this->reader.SetReading(wanted);
     return;
   }
   this->reading = reads;
@@ -318,7 +320,7 @@
   } else {
     this->view.Contact().OnIdle();
   }
-  this->reader.SetActive(reads);
+  this->reader.SetReading(wanted);
   this->log.OnNote(reads ? "reads-store" : "follows-readers",
                    {{"members", this->sync.Members().Size()}}, this->Now());
 }
--- a/source/front/store_reader.cc
+++ b/source/front/store_reader.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace sassafrasdyke::front {
 namespace {
@@ -15,10 +16,19 @@
   limits.wait = pace.Of(limits.wait);
   limits.slack = pace.Of(limits.slack);
   limits.longest_retry = pace.Of(limits.longest_retry);
+  limits.longest_substitute_retry = pace.Of(limits.longest_substitute_retry);
   limits.pace = pace.Of(limits.pace);
   return limits;
 }
 
+core::BackoffLimits RetriesFor(const StoreLimits& limits,
+                               core::StoreReading reading) {
+  if (reading == core::StoreReading::kSubstitute) {
+    return {limits.longest_retry, limits.longest_substitute_retry};
+  }
+  return {limits.first_retry, limits.longest_retry};
+}
+
 StoreReader::StoreReader(ev::loop_ref loop, const common::Endpoint& store,
                          const core::Publication& publication,
                          const StoreLimits& limits, std::uint64_t seed,
@@ -28,18 +38,19 @@
       limits(limits),
       listener(listener),
       jitter(seed),
-      backoff({limits.first_retry, limits.longest_retry}),
+      backoff(RetriesFor(limits, core::StoreReading::kNone)),
       connection(loop, *this),
       timer(loop) {
   this->timer.set<StoreReader, &StoreReader::OnTimer>(this);
 }
 
-void StoreReader::SetActive(bool active) {
-  if (this->active == active) {
+void StoreReader::SetReading(core::StoreReading reading) {
+  if (this->reading == reading) {
     return;
   }
-  this->active = active;
-  if (active && !this->connection.Busy()) {
+  this->reading = reading;
+  this->backoff = core::Backoff(RetriesFor(this->limits, reading));
+  if (reading != core::StoreReading::kNone && !this->connection.Busy()) {
     this->CallAfter(std::chrono::milliseconds{0});
   }
 }
@@ -68,16 +79,21 @@
 }
 
 void StoreReader::OnTimer(ev::timer& /*timer*/, int /*events*/) {
-  if (!this->active) {
+  if (this->reading == core::StoreReading::kNone) {
     return;
   }
   ++this->counts.calls;
   const bool watches = this->known.value != 0 && this->listed_at.value == 0;
-  const std::string path =
-      watches ? this->publication.WatchPath(this->known, this->limits.wait)
-              : this->publication.ListPath(this->list_after);
+  // A pause counts as waiting: those who depend on this instance hear from it
+  // no less often for it.
+  const std::chrono::milliseconds wait =
+      this->limits.wait -
+      std::exchange(this->paused, std::chrono::milliseconds{0});
+  const std::string path = watches
+                               ? this->publication.WatchPath(this->known, wait)
+                               : this->publication.ListPath(this->list_after);
   const std::chrono::milliseconds deadline =
-      watches ? this->limits.wait + this->limits.slack : this->limits.slack;
+      watches ? wait + this->limits.slack : this->limits.slack;
   this->connection.Get({this->store, path, deadline, this->limits.max_answer});
 }
 
@@ -149,8 +165,12 @@
   this->backoff.OnSuccess();
   this->known = std::max(this->known, batch->at);
   this->listener.OnStoreChanges(*batch);
-  this->CallAfter(batch->changes.empty() ? std::chrono::milliseconds{0}
-                                         : this->limits.pace);
+  if (batch->changes.empty()) {
+    this->CallAfter(std::chrono::milliseconds{0});
+    return;
+  }
+  this->paused = this->limits.pace / 2 + this->jitter.UpTo(this->limits.pace);
+  this->CallAfter(this->paused);
 }
 
 void StoreReader::OnFailure(std::string_view what) {
--- a/source/front/store_reader.h
+++ b/source/front/store_reader.h
@@ -14,6 +14,7 @@
 #include "core/fleet/backoff.h"
 #include "core/fleet/jitter.h"
 #include "core/roster/news_pace.h"
+#include "core/roster/peer_sync.h"
 #include "core/view/publication.h"
 #include "http/get_connection.h"
 
@@ -31,10 +32,16 @@
   /// Bounds of the wait after a failure.
   std::chrono::milliseconds first_retry{50};
   std::chrono::milliseconds longest_retry{400};
-  /// Least time from one answer to the next watch. Changes come in groups (a
-  /// target that starts is published several times a second); the store keeps
-  /// them meanwhile, and one call brings them all.
-  std::chrono::milliseconds pace{150};
+  /// The same for a substitute. While the store is away every instance becomes
+  /// one; asking as often as the readers, who tell the others once it is back,
+  /// they would only use up its rate.
+  std::chrono::milliseconds longest_substitute_retry{3000};
+  /// Usual time from an answer with changes to the next watch, half as much to
+  /// half as much again. Changes come in groups (a target that starts is
+  /// published several times a second); the store keeps them meanwhile, and one
+  /// call brings them all. The two readers of a failure domain vary it apart,
+  /// so that the domain rarely waits for the longest. Less than `wait`.
+  std::chrono::milliseconds pace{800};
   /// Greatest answer, in bytes: a page of 1 MB in base64, with its fields.
   std::size_t max_answer{2U << 20U};
 };
@@ -42,6 +49,10 @@
 /// The limits at a pace.
 StoreLimits StoreLimitsFor(const core::NewsPace& pace);
 
+/// How long to wait after failures.
+core::BackoffLimits RetriesFor(const StoreLimits& limits,
+                               core::StoreReading reading);
+
 /// Takes what the store says.
 class StoreListener {
  public:
@@ -77,7 +88,7 @@
 
   /// Reads, or lets a call that runs end and makes no more. The same value
   /// twice changes nothing.
-  void SetActive(bool active);
+  void SetReading(core::StoreReading reading);
   /// Reads from another address from now on.
   void SetStore(const common::Endpoint& store);
   /// Everything up to `revision` is known from elsewhere; the next watch
@@ -105,7 +116,9 @@
   http::GetConnection connection;
   ev::timer timer;
   StoreCounts counts;
-  bool active{false};
+  core::StoreReading reading{core::StoreReading::kNone};
+  /// The pause before the next watch.
+  std::chrono::milliseconds paused{0};
   /// Where the next watch starts; 0: list first.
   common::Revision known;
   std::vector<core::Item> listed;  ///< Pages so far of the running listing.
--- a/tests/core/roster/peer_sync_test.cc
+++ b/tests/core/roster/peer_sync_test.cc
@@ -385,6 +385,30 @@
   BOOST_TEST(fleet.UpToDate() == 8U);
 }
 
+// The store is away for longer than views stay fresh, so every instance tries
+// to reach it. Only the two readers of each failure domain do so often: they
+// tell the others once it is back, and a fleet that asked as one would use up
+// the store's rate just then.
+BOOST_AUTO_TEST_CASE(an_absent_store_is_asked_often_by_its_readers_only) {
+  Fleet fleet(12, 2);
+  fleet.Write("configuration", "1 198.18.0.1:443=diary");
+  fleet.Run(8s);
+  for (std::size_t i = 0; i < 12; ++i) {
+    fleet.At(i).refused = true;
+  }
+  fleet.Run(4s);
+
+  std::size_t needed = 0;
+  std::size_t substitutes = 0;
+  for (std::size_t i = 0; i < 12; ++i) {
+    const StoreReading reading = fleet.At(i).sync->Reading(12s);
+    needed += reading == StoreReading::kNeeded ? 1 : 0;
+    substitutes += reading == StoreReading::kSubstitute ? 1 : 0;
+  }
+  BOOST_TEST(needed == 4U);
+  BOOST_TEST(substitutes == 8U);
+}
+
 // All instances of a large fleet start at once, and the store lists thousands
 // of targets. Only the seeds go on listing; the others leave the store's rate
 // to them for some seconds, and not for good.
--- a/tests/core/view/sample_publication.h
+++ b/tests/core/view/sample_publication.h
@@ -12,7 +12,7 @@
 
 namespace sassafrasdyke::core {
 
-class SamplePublication final : public Publication {
+class SamplePublication : public Publication {
  public:
   std::string ListPath(std::string_view after) const override {
     return "/list?" + std::string(after);
--- a/tests/front/store_reader_test.cc
+++ b/tests/front/store_reader_test.cc
@@ -16,6 +16,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using std::chrono::milliseconds;
 
 class Recorder final : public StoreListener {
  public:
@@ -41,6 +42,18 @@
   int large{0};
 };
 
+/// Notes how long the store was asked to hold each watch.
+class WatchedPublication final : public core::SamplePublication {
+ public:
+  std::string WatchPath(common::Revision after,
+                        milliseconds wait) const override {
+    this->waits.push_back(wait);
+    return SamplePublication::WatchPath(after, wait);
+  }
+
+  mutable std::vector<milliseconds> waits;
+};
+
 /// Short waits, so that tests are quick; none of them decides a verdict.
 StoreLimits QuickLimits() {
   StoreLimits limits;
@@ -53,10 +66,9 @@
 }
 
 struct Scene {
-  Scene()
+  explicit Scene(const StoreLimits& limits = QuickLimits())
       : server(loop),
-        reader(loop, server.Address(), publication, QuickLimits(), 1,
-               recorder) {}
+        reader(loop, server.Address(), publication, limits, 1, recorder) {}
 
   void Answer(unsigned status, const std::string& body) {
     this->server.Script({"HTTP/1.1 " + std::to_string(status) +
@@ -66,13 +78,13 @@
   }
   template <typename Done>
   void RunUntil(Done done) {
-    this->reader.SetActive(true);
+    this->reader.SetReading(core::StoreReading::kNeeded);
     BOOST_REQUIRE(tests::RunUntil(this->loop, done));
   }
 
   ev::dynamic_loop loop;
   http::ScriptedServer server;
-  core::SamplePublication publication;
+  WatchedPublication publication;
   Recorder recorder;
   StoreReader reader;
 };
@@ -94,6 +106,52 @@
   BOOST_TEST(scene.recorder.revisions[0] == 9U);
 }
 
+// Changes come in groups, so a reader pauses after one before it watches again.
+// Were the next watch held as long as ever, those who depend on the reader
+// would hear nothing for so long that all of them asked the store themselves.
+BOOST_AUTO_TEST_CASE(a_pause_counts_as_waiting) {
+  StoreLimits limits = QuickLimits();
+  limits.pace = 10ms;
+  Scene scene(limits);
+  scene.Answer(200, "5\na 1 x\n");
+  scene.Answer(200, "6\nb 6 y\n");
+  scene.Answer(200, "6\n");
+  scene.Answer(200, "6\n");
+
+  scene.RunUntil([&] { return scene.recorder.revisions.size() == 3; });
+
+  const std::vector<milliseconds>& waits = scene.publication.waits;
+  BOOST_TEST((waits.at(0) == 20ms));
+  BOOST_TEST((waits.at(1) >= 5ms));
+  BOOST_TEST((waits.at(1) <= 15ms));
+  BOOST_TEST((waits.at(2) == 20ms));
+}
+
+struct RetryRow {
+  core::StoreReading reading;
+  milliseconds first;
+  milliseconds longest;
+};
+
+std::ostream& operator<<(std::ostream& out, const RetryRow& row) {
+  return out << static_cast<int>(row.reading);
+}
+
+const RetryRow kRetries[] = {
+    {core::StoreReading::kNeeded, 1ms, 5ms},
+    {core::StoreReading::kSubstitute, 5ms, 70ms},
+};
+
+// The store is away. Who others depend on asks again soon; the rest of the
+// fleet mustn't use up the store's rate just when it returns.
+BOOST_DATA_TEST_CASE(substitutes_ask_again_later, kRetries, row) {
+  StoreLimits limits = QuickLimits();
+  limits.longest_substitute_retry = 70ms;
+  const core::BackoffLimits retries = RetriesFor(limits, row.reading);
+  BOOST_TEST((retries.first == row.first));
+  BOOST_TEST((retries.longest == row.longest));
+}
+
 // The store has dropped its history. Going on with the next event would miss
 // what was in the gap: a target that drains, or a configuration.
 BOOST_AUTO_TEST_CASE(a_lost_history_is_listed_anew) {
@@ -118,7 +176,7 @@
   }
   scene.Answer(200, page);
   scene.RunUntil([&] { return scene.recorder.large == 1; });
-  scene.reader.SetActive(false);
+  scene.reader.SetReading(core::StoreReading::kNone);
   scene.reader.HasRevision({6});
   scene.Answer(200, "7\na 7 y\n");
 
