Tell changes that one digest can't hold in several

Cause: a reader told its domain of up to 800 bytes of changes in a digest, and of more only that there are some; each member then took a copy over a connection of its own. While targets are replaced in bulk that is a copy each second for each member, and with longer pauses between watches it comes about more often.

Change: changes are cut at revisions into up to eight parts, each a digest. A part that isn't the last carries no age, so its receiver asks for no copy of what is on its way; a lost part leaves a gap that the last one shows.

--- a/source/core/roster/peer_sync.cc
+++ b/source/core/roster/peer_sync.cc
@@ -1,10 +1,13 @@
 #include "core/roster/peer_sync.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <iterator>
 #include <utility>
 
+#include "core/roster/delta_parts.h"
+
 namespace sassafrasdyke::core {
 namespace {
 
@@ -18,26 +21,10 @@
 /// few enough that a forged digest makes nobody send much.
 constexpr std::size_t kMostPassedOn = 32;
 
-std::size_t SizeOf(const ItemDelta& delta) {
-  constexpr std::size_t kOverhead = 16;
-  std::size_t size = 0;
-  for (const Item& item : delta.items) {
-    size += item.key.size() + (item.value ? item.value->size() : 0) + kOverhead;
-  }
-  return size;
-}
-
-/// The changes after `have`, if a datagram holds them.
-std::optional<ItemDelta> InlineSince(const ItemStore& items,
-                                     common::Revision have) {
-  if (have.value == 0 || have >= items.Complete()) {
-    return std::nullopt;
-  }
-  ItemDelta delta = items.Since(have);
-  if (delta.whole || SizeOf(delta) > kMostInlineBytes) {
-    return std::nullopt;
-  }
-  return delta;
+/// The changes that the digest itself carries.
+std::span<const ItemDelta> PartOf(const PeerDigest& digest) {
+  return digest.changes ? std::span(&*digest.changes, 1)
+                        : std::span<const ItemDelta>();
 }
 
 void Append(SyncActions& actions, SyncActions more) {
@@ -191,7 +178,7 @@
     actions = this->TellFollowers(before, now);
   }
   if (digest.view.complete <= have) {
-    Append(actions, this->TellOwed(digest.changes, now));
+    Append(actions, this->TellOwed(PartOf(digest), now));
   }
   if (digest.view.age && digest.view.complete >= have &&
       digest.view.complete.value != 0) {
@@ -204,12 +191,13 @@
   }
   // A newcomer is told at once: it may be new to everybody, and asks nobody
   // else.
-  if (digest.wants_answer || is_new) {
-    PeerDigest answer = this->MakeDigest(now);
-    if (digest.wants_answer) {
-      answer.changes = InlineSince(this->view.Items(), digest.view.complete);
-    }
-    actions.digests.push_back({digest.sender, std::move(answer)});
+  if (digest.wants_answer) {
+    Append(
+        actions,
+        this->Tell(std::array{digest.sender},
+                   PartsSince(this->view.Items(), digest.view.complete), now));
+  } else if (is_new) {
+    actions.digests.push_back({digest.sender, this->MakeDigest(now)});
   }
   return actions;
 }
@@ -223,13 +211,13 @@
                              std::chrono::milliseconds now) {
   SyncActions actions =
       this->IsReader(now) ? this->TellFollowers(before, now) : SyncActions{};
-  Append(actions, this->TellOwed(InlineSince(this->view.Items(), before), now));
+  Append(actions, this->TellOwed(PartsSince(this->view.Items(), before), now));
   return actions;
 }
 
 SyncActions PeerSync::TellFollowers(common::Revision before,
                                     std::chrono::milliseconds now) {
-  const auto changes = InlineSince(this->view.Items(), before);
+  const std::vector<ItemDelta> changes = PartsSince(this->view.Items(), before);
   const Followers followers =
       this->roster.FollowersOf(this->limits.readers, now);
   if (followers.lively.size() + followers.quiet.size() <= kToldDirectly) {
@@ -247,7 +235,7 @@
 // few. The groups are drawn anew each time: a relay that has died costs its
 // group this one digest, and the other reader's comes through another relay.
 SyncActions PeerSync::TellThroughRelays(const Followers& followers,
-                                        const std::optional<ItemDelta>& changes,
+                                        std::span<const ItemDelta> changes,
                                         std::chrono::milliseconds now) {
   std::vector<common::Endpoint> members = followers.lively;
   for (std::size_t i = members.size(); i > 1; --i) {
@@ -260,26 +248,39 @@
       static_cast<std::size_t>(std::sqrt(static_cast<double>(members.size())));
   SyncActions actions =
       this->Tell(std::span(members).first(relays), changes, now);
-  for (std::size_t i = relays; i < members.size(); ++i) {
-    PeerDigest& digest = actions.digests[i % relays].digest;
-    if (digest.pass_on.size() < kMostPassedOn) {
-      digest.pass_on.push_back(members[i]);
+  const std::size_t digests_each = actions.digests.size() / relays;
+  for (std::size_t d = 0; d < actions.digests.size(); ++d) {
+    PeerDigest& digest = actions.digests[d].digest;
+    digest.known.clear();  // Room for those who are to be told.
+    for (std::size_t i = relays + d / digests_each; i < members.size();
+         i += relays) {
+      if (digest.pass_on.size() < kMostPassedOn) {
+        digest.pass_on.push_back(members[i]);
+      }
     }
   }
-  for (DigestOut& out : actions.digests) {
-    out.digest.known.clear();  // Room for those who are to be told.
-  }
   return actions;
 }
 
 SyncActions PeerSync::Tell(std::span<const common::Endpoint> members,
-                           const std::optional<ItemDelta>& changes,
+                           std::span<const ItemDelta> changes,
                            std::chrono::milliseconds now) {
   SyncActions actions;
   for (const common::Endpoint& member : members) {
-    PeerDigest digest = this->MakeDigest(now);
-    digest.changes = changes;
-    actions.digests.push_back({member, std::move(digest)});
+    if (changes.empty()) {
+      actions.digests.push_back({member, this->MakeDigest(now)});
+    }
+    for (const ItemDelta& part : changes) {
+      PeerDigest digest = this->MakeDigest(now);
+      if (part.to < digest.view.complete) {
+        // The rest follows. Without an age the receiver neither takes its view
+        // for confirmed nor asks for a copy of what is on its way.
+        digest.view.complete = part.to;
+        digest.view.age.reset();
+      }
+      digest.changes = part;
+      actions.digests.push_back({member, std::move(digest)});
+    }
   }
   return actions;
 }
@@ -294,7 +295,7 @@
   }
 }
 
-SyncActions PeerSync::TellOwed(const std::optional<ItemDelta>& changes,
+SyncActions PeerSync::TellOwed(std::span<const ItemDelta> changes,
                                std::chrono::milliseconds now) {
   return this->Tell(std::exchange(this->owed, {}), changes, now);
 }
@@ -311,7 +312,7 @@
   }
   SyncActions actions =
       this->IsReader(now) ? this->TellFollowers(before, now) : SyncActions{};
-  Append(actions, this->TellOwed(InlineSince(this->view.Items(), before), now));
+  Append(actions, this->TellOwed(PartsSince(this->view.Items(), before), now));
   return actions;
 }
 
--- a/source/core/roster/peer_sync.h
+++ b/source/core/roster/peer_sync.h
@@ -126,15 +126,15 @@
   /// The own view has what the store or a peer has told.
   SyncActions OnNews(common::Revision before, std::chrono::milliseconds now);
   SyncActions TellThroughRelays(const Followers& followers,
-                                const std::optional<ItemDelta>& changes,
+                                std::span<const ItemDelta> changes,
                                 std::chrono::milliseconds now);
   SyncActions Tell(std::span<const common::Endpoint> members,
-                   const std::optional<ItemDelta>& changes,
+                   std::span<const ItemDelta> changes,
                    std::chrono::milliseconds now);
   /// Remembers whom this instance was asked to tell.
   void Owe(const std::vector<common::Endpoint>& members);
   /// Tells them, now that the own view has what they shall hear.
-  SyncActions TellOwed(const std::optional<ItemDelta>& changes,
+  SyncActions TellOwed(std::span<const ItemDelta> changes,
                        std::chrono::milliseconds now);
 
   LiveView& view;
--- /dev/null
+++ b/tests/core/roster/delta_parts_test.cc
@@ -0,0 +1,94 @@
+/// How changes are cut to the size of a digest.
+#include "core/roster/delta_parts.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <ostream>
+#include <string>
+
+#include "core/roster/peer_digest.h"
+
+namespace sassafrasdyke::core {
+namespace {
+
+struct PartsRow {
+  std::string name;
+  std::size_t changes;
+  std::size_t bytes_each;
+  bool at_one_revision;
+  std::size_t parts;
+};
+
+std::ostream& operator<<(std::ostream& out, const PartsRow& row) {
+  return out << row.name;
+}
+
+const PartsRow kParts[] = {
+    {"none", 0, 0, false, 0},
+    {"one", 1, 300, false, 1},
+    {"two fit", 2, 300, false, 1},
+    {"three don't", 3, 300, false, 2},
+    {"a dozen", 12, 300, false, 6},
+    {"too many for digests", 60, 300, false, 0},
+    {"one too large", 1, 2000, false, 0},
+    {"small ones of one revision", 3, 100, true, 1},
+    {"too many of one revision", 12, 300, true, 0},
+};
+
+std::size_t SizeOf(const ItemDelta& part) {
+  std::size_t size = 0;
+  for (const Item& item : part.items) {
+    size += item.key.size() + item.value.value_or("").size();
+  }
+  return size;
+}
+
+// Ten targets start within a second. Whoever hears of it in parts must end with
+// the same view as from a copy, and one that misses a part must notice: with a
+// hole in its view it would take a target that is leaving for one that serves.
+BOOST_DATA_TEST_CASE(parts_bring_a_view_up_to_date, kParts, row) {
+  ItemStore sender;
+  sender.Replace({{"configuration", {1}, "x"}}, {1});
+  ItemStore receiver = sender;
+  for (std::size_t i = 0; i < row.changes; ++i) {
+    const common::Revision at{2 + (row.at_one_revision ? 0 : i)};
+    sender.Merge(
+        {"target/" + std::to_string(i), at, std::string(row.bytes_each, 'x')});
+    sender.CompleteTo(at);
+  }
+
+  const std::vector<ItemDelta> parts = PartsSince(sender, {1});
+
+  BOOST_TEST(parts.size() == row.parts);
+  for (const ItemDelta& part : parts) {
+    BOOST_TEST(SizeOf(part) <= kMostInlineBytes);
+    receiver.Apply(part);
+  }
+  if (row.parts > 0) {
+    BOOST_TEST(receiver.Complete().value == sender.Complete().value);
+    BOOST_TEST(receiver.Since({1}).items.size() == row.changes);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_lost_part_leaves_a_gap_that_shows) {
+  ItemStore sender;
+  sender.Replace({{"configuration", {1}, "x"}}, {1});
+  ItemStore receiver = sender;
+  for (std::uint64_t i = 0; i < 6; ++i) {
+    sender.Merge(
+        {"target/" + std::to_string(i), {2 + i}, std::string(500, 'x')});
+    sender.CompleteTo({2 + i});
+  }
+
+  const std::vector<ItemDelta> parts = PartsSince(sender, {1});
+  BOOST_REQUIRE(parts.size() == 6U);
+  receiver.Apply(parts[0]);
+  receiver.Apply(parts[2]);
+  receiver.Apply(parts[5]);
+
+  BOOST_TEST(receiver.Complete().value == parts[0].to.value);
+}
+
+}  // namespace
+}  // namespace sassafrasdyke::core
--- a/tests/core/roster/peer_sync_test.cc
+++ b/tests/core/roster/peer_sync_test.cc
@@ -385,6 +385,29 @@
   BOOST_TEST(fleet.UpToDate() == 8U);
 }
 
+// A release starts ten targets within a second, in a failure domain of forty
+// instances. Taken as copies the changes would cost forty connections each
+// second; told in several digests they reach everybody without one.
+BOOST_AUTO_TEST_CASE(many_changes_at_once_need_no_copies) {
+  Fleet fleet(40, 1);
+  fleet.Write("configuration", "1 198.18.0.1:443=diary");
+  fleet.Run(10s);
+  for (std::size_t i = 0; i < 40; ++i) {
+    fleet.At(i).copies = 0;
+  }
+  for (int i = 0; i < 10; ++i) {
+    fleet.Write("target/" + std::to_string(i), std::string(250, 'x'));
+  }
+  fleet.Run(1s);
+
+  std::uint64_t copies = 0;
+  for (std::size_t i = 0; i < 40; ++i) {
+    copies += fleet.At(i).copies;
+  }
+  BOOST_TEST(copies == 0U);
+  BOOST_TEST(fleet.UpToDate() == 40U);
+}
+
 // The store is away for longer than views stay fresh, so every instance tries
 // to reach it. Only the two readers of each failure domain do so often: they
 // tell the others once it is back, and a fleet that asked as one would use up
