Let the first limit follow the targets' slots; tell no tuning stories in comments

The gate's first limit restated the slots of the deployments at hand (2, and as many that wait); it follows what targets publish now. Comments of the steering, the exchange and the port keep what they guard against and lose measured figures and stories.

--- a/source/core/steering/admission.h
+++ b/source/core/steering/admission.h
@@ -1,10 +1,9 @@
 /// When new flows may be opened: at once while targets have room, and in the
 /// order that serves most callers in time when they don't.
 ///
-/// What it gains: with 450 requests a second for ten targets, after all
-/// instances were off for 1.1 s, targets turned away 192 tries instead of 999,
-/// and of the requests of the next two seconds 0.77 of the worth was served
-/// instead of 0.66. See docs/MEASUREMENTS.md, "Openings held back".
+/// It answers the load after a common restart or a cut: the callers of a second
+/// or more come back within a tenth of one, while new ones go on to come. Sent
+/// on as they come, most of both would be served late or turned away.
 #pragma once
 
 #include <chrono>
--- a/source/core/steering/flow_steering.cc
+++ b/source/core/steering/flow_steering.cc
@@ -137,7 +137,7 @@
   // a target's flows pass through one instance of a large domain, and a client
   // may leave an answer unacknowledged until its next request; without a look
   // at the numbers that would seem an unanswered repeat, and cost a trial
-  // connection (three for each new flow at 300 instances, measured).
+  // connection.
   const bool opened = this->openings.Finish(packet.flow).has_value();
   const CarriedNews news = this->memory.OnCarried(packet, *index, now);
   this->NotePending(packet, route, *index, news, now);
--- a/source/core/steering/opening_gate.cc
+++ b/source/core/steering/opening_gate.cc
@@ -5,12 +5,11 @@
 namespace sassafrasdyke::core {
 namespace {
 
-/// The limit before any answer: a target's two slots, and one that waits for
-/// each.
-constexpr double kFirstLimit = 4.0;
-/// The same for targets of another failure domain, which every instance of the
-/// fleet may turn to at once: one request from each of eleven is half of what
-/// ten targets can work on.
+/// The limit before any answer, to what one target works on at once: as much
+/// again may wait there.
+constexpr double kFirstTargets = 2.0;
+/// The same, in requests, for targets of another failure domain, which every
+/// instance of the fleet may turn to at once: the least that tells anything.
 constexpr double kFirstElsewhere = 1.0;
 /// The limit never falls below this, so that answers go on telling when there
 /// is room again.
@@ -26,13 +25,12 @@
 /// By how much each answer lets the quickest one count less, so that a service
 /// whose requests have become longer is believed after some hundred answers.
 constexpr double kQuickestForgets = 1.003;
-/// Answers up to this many times the quickest are no sign of congestion. Work
-/// that varies by half of itself has a quickest answer of a third of its mean;
-/// and a route may ask for less than its targets can do on an idle day, its
-/// flows must not be held back for that.
+/// Answers up to this many times the quickest are no sign of congestion: work
+/// varies, and a route may ask for less than its targets can do on an idle day.
+/// Its flows must not be held back for that.
 constexpr double kTimesQuickest = 6.0;
 /// Answers before the quickest is believed. Right after a common restart none
-/// is quick; with this at 1 the limits grew until targets shed as before.
+/// is quick, and what takes long would seem usual.
 constexpr unsigned kBelieved = 100;
 
 /// The service that gets most of the route's flows.
@@ -111,14 +109,22 @@
       return limit->second;
     }
   }
-  return {domain == this->domain ? kFirstLimit : kFirstElsewhere};
+  return {domain == this->domain ? this->FirstLimit(service) : kFirstElsewhere};
+}
+
+double OpeningGate::FirstLimit(const std::string& service) const {
+  const ServingTargets& serving = this->targets.ServingByDomain(service);
+  const auto local = serving.find(this->domain);
+  if (local == serving.end()) {
+    return kLeastLimit;
+  }
+  const TargetEntry& target = this->targets.At(local->second.front());
+  return kFirstTargets * target.published.slots;
 }
 
 // Requests at a target that swallows SYNs or has fallen silent wait for nobody,
 // and must not keep flows from those that serve. Few of thousands of targets
-// have requests of one instance, so these are looked at: at 300 instances and
-// 3,000 targets that takes 8.1% of an instance's processor in all, a look at
-// every target 9.4%.
+// have requests of one instance, so only these are looked at.
 std::map<std::string, double> OpeningGate::PendingByDomain(
     const std::string& service, std::chrono::milliseconds now) const {
   const auto usable = [this, now](TargetIndex index) {
--- a/source/core/steering/opening_gate.h
+++ b/source/core/steering/opening_gate.h
@@ -68,6 +68,8 @@
   using Limits = std::map<std::string, Limit, std::less<>>;
 
   Limit LimitOf(const std::string& service, const std::string& domain) const;
+  /// The limit of the own domain before any answer.
+  double FirstLimit(const std::string& service) const;
   /// Requests pending at each domain that has usable targets of the service.
   std::map<std::string, double> PendingByDomain(
       const std::string& service, std::chrono::milliseconds now) const;
--- a/source/core/steering/target_choice.cc
+++ b/source/core/steering/target_choice.cc
@@ -16,9 +16,9 @@
 constexpr double kColdShare = 0.6;
 
 /// A failure domain with less than this part of its fair share of a service's
-/// usable targets sends some new flows elsewhere. With the uneven numbers of a
-/// small service (two, one and one) a domain has three quarters of its share,
-/// and keeps its flows.
+/// usable targets sends some new flows elsewhere. Few targets can't be shared
+/// evenly: a domain with one of four among three has three quarters of its
+/// share, and keeps its flows.
 constexpr double kFewLocal = 0.6;
 
 constexpr std::uint64_t kSpillSalt = 0x7370696C6CULL;
--- a/source/core/steering/target_watch.cc
+++ b/source/core/steering/target_watch.cc
@@ -21,16 +21,16 @@
 /// Least time between trial connections to one target that isn't known to be
 /// silent. Each costs the target's machine a handshake.
 constexpr std::chrono::milliseconds kProbePause{300};
-/// Failed trial connections in a row after which a target is silent. Two: one
-/// lost packet can fail one, and at a loss of 3% both of them once in 300 times
-/// that there is a suspicion at all.
+/// Failed trial connections in a row after which a target is silent. One lost
+/// packet can fail one of them, and a target taken for silent by mistake costs
+/// all of its flows.
 constexpr unsigned kFailuresToSilent = 2;
 /// A silent target is tried again this often, so that one behind a cut takes
 /// flows again soon after the cut heals.
 constexpr std::chrono::milliseconds kSilentProbePause{1000};
 
 /// A target that leaves closes its listener, and then its entry goes, a little
-/// before it has served its last flow (3 ms were seen). It must have been quiet
+/// before it has served its last flow. It must have been quiet
 /// this long before a failed trial says that it has ended.
 constexpr std::chrono::milliseconds kLingers{1000};
 
--- a/source/front/flow_port.cc
+++ b/source/front/flow_port.cc
@@ -196,9 +196,9 @@
       continue;
     }
     const core::TargetEntry& entry = this->context.view.Targets().At(target);
-    // Who has gone is asked only as long as somebody waits for the answer:
-    // without that, 100 instances asked 20 gone targets three times a second
-    // each, and made three times as many connections as there were flows.
+    // Who has gone is asked only as long as somebody waits for the answer.
+    // Else a large fleet would make more connections to ended targets than
+    // there are flows.
     const bool ended = entry.phase == core::TargetPhase::kGone &&
                        (this->steering.Watch().Silent(target) ||
                         !this->steering.HasFlowsOf(target));
--- a/source/front/peer_codec.h
+++ b/source/front/peer_codec.h
@@ -24,8 +24,7 @@
     std::span<const std::uint8_t> bytes);
 
 /// The items of a copy, compressed: the entries of targets are much alike, and
-/// 3,000 of them shrink from 0.7 MB to a tenth (measured on entries of the
-/// platform's form). On a link of 10 Mbit/s that is 60 ms instead of 600.
+/// on a small link a copy that isn't compressed delays clients' packets.
 std::string EncodeItems(const core::ItemDelta& delta);
 /// A copy around items that were encoded before.
 std::string EncodeCopy(const core::ViewMark& mark, const std::string& items);
--- a/source/front/peer_exchange.cc
+++ b/source/front/peer_exchange.cc
@@ -17,8 +17,7 @@
 /// Copies that are sent at the same time. After a common restart a whole
 /// failure domain asks the few that have a view; one that served all of them
 /// would fill its link for a minute, and the packets of its clients would wait
-/// behind the copies (measured: 30 s until 300 instances served again, and
-/// 40 MB of unsent copies). The others are sent to those who have taken one.
+/// behind the copies. The others are sent to those who have taken one.
 constexpr std::size_t kMostCopies = 3;
 /// More unsent bytes than this on a connection mean a copy under way.
 constexpr std::size_t kCopyUnderWay = 4096;
