--- a/source/core/decision.h
+++ b/source/core/decision.h
@@ -65,7 +65,7 @@
 /// One line of the decision log.
 using Decision = std::variant<FlowDecision, PartitionDecision>;
 
-/// The log's word for a value; stable, documented in OPERATING.md.
+/// The log's word for a value; stable, documented in OPERATIONS-BALANCE.md.
 std::string_view Word(PlacementReason reason);
 std::string_view Word(DropReason reason);
 std::string_view Word(ResetReason reason);
--- a/source/observe/log_event.h
+++ b/source/observe/log_event.h
@@ -27,7 +27,7 @@
   kProcess,
 };
 
-/// The log's word for a channel; stable, documented in OPERATING.md.
+/// The log's word for a channel; stable, documented in OPERATIONS-BALANCE.md.
 std::string_view Word(LogChannel channel);
 
 /// Something that happened to the process itself or at its edges.
