--- a/bench/front/front_bench.cc
+++ b/bench/front/front_bench.cc
@@ -177,7 +177,7 @@
 };
 
 void HeapOfRememberedFlows(benchmark::State& state) {
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     const std::size_t before = heap_in_use;
     core::FlowMemory memory(60s);
     for (std::uint32_t i = 0; i < kFlows; ++i) {
@@ -191,7 +191,7 @@
 
 void HeapOfHeldOpenings(benchmark::State& state) {
   const std::vector<std::uint8_t> bytes(32);
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     const std::size_t before = heap_in_use;
     core::HeldOpenings held;
     for (std::uint32_t i = 0; i < kWaiting; ++i) {
@@ -204,7 +204,7 @@
 BENCHMARK(HeapOfHeldOpenings)->Unit(benchmark::kMillisecond);
 
 void HeapOfPendingRequests(benchmark::State& state) {
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     const std::size_t before = heap_in_use;
     core::PendingRequests pending;
     for (std::uint32_t i = 0; i < kWaiting; ++i) {
@@ -217,7 +217,7 @@
 BENCHMARK(HeapOfPendingRequests)->Unit(benchmark::kMillisecond);
 
 void HeapOfTheView(benchmark::State& state) {
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     const std::size_t before = heap_in_use;
     const View view;
     state.counters["MB"] = static_cast<double>(heap_in_use - before) / 1e6;
@@ -232,7 +232,7 @@
   View view(routes);
   std::uint64_t version = 1;
   double heap = 0;
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     state.PauseTiming();
     ++version;
     std::string text = ConfigurationText(version, routes);
@@ -255,7 +255,7 @@
 void NewTargetEntry(benchmark::State& state) {
   View view;
   std::uint64_t revision = kTargets + 1;
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     core::Item item =
         TargetItem(static_cast<std::uint32_t>(revision) % kTargets);
     item.revision = {++revision};
@@ -270,7 +270,7 @@
   const std::vector<std::uint8_t> bytes =
       front::EncodeDigest(member.DigestOf(7, 100ms));
   milliseconds now = 100ms;
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     const auto digest = front::DecodeDigest(bytes);
     benchmark::DoNotOptimize(member.sync.OnDigest(*digest, now));
   }
@@ -283,7 +283,7 @@
 void Tick(benchmark::State& state) {
   Member member;
   milliseconds now = 100ms;
-  for (auto _ : state) {
+  while (state.KeepRunning()) {
     now += 100ms;
     member.view.view.Contact().OnAnswer(now);
     for (const core::DigestOut& out : member.sync.OnTick(now).digests) {
--- a/rig/load/load_model.cc
+++ b/rig/load/load_model.cc
@@ -149,7 +149,8 @@
   this->Tell("target/" + std::to_string(target), std::nullopt, kLearntWithin);
 }
 
-void LoadModel::Tell(const std::string& key, std::optional<std::string> value,
+void LoadModel::Tell(const std::string& key,
+                     const std::optional<std::string>& value,
                      Time learnt_within) {
   this->published.emplace_back(key, value);
   const common::Revision at{++this->revision};
--- a/rig/load/load_model.h
+++ b/rig/load/load_model.h
@@ -85,7 +85,7 @@
 
   void Publish(std::size_t target, bool draining, Time learnt_within);
   void Remove(std::size_t target);
-  void Tell(const std::string& key, std::optional<std::string> value,
+  void Tell(const std::string& key, const std::optional<std::string>& value,
             Time learnt_within);
   void StartInstance(std::size_t instance);
   void ScheduleTrouble();
--- a/rig/load/load_scenario.cc
+++ b/rig/load/load_scenario.cc
@@ -33,12 +33,12 @@
 
 LoadEvent ReadEvent(const Json& json) {
   LoadEvent event;
-  const std::string word = json.value("trouble", std::string("none"));
-  const auto* const found =
-      std::ranges::find(kTroubles, std::string_view(word),
-                        [](const auto& trouble) { return trouble.second; });
+  const std::string given = json.value("trouble", std::string("none"));
+  const std::string_view word = given;
+  const auto* const found = std::ranges::find(
+      kTroubles, word, [](const auto& trouble) { return trouble.second; });
   if (found == kTroubles.end()) {
-    throw std::invalid_argument("event.trouble: no such trouble: " + word);
+    throw std::invalid_argument("event.trouble: no such trouble: " + given);
   }
   event.trouble = found->first;
   event.at = Ms(json, "at_ms", event.at);
@@ -125,7 +125,8 @@
   service.work_spread = draw.Between(0.2, 1.0);
   service.objective = milliseconds(draw.Count(50, 2000));
   service.deadline = service.objective * static_cast<int>(draw.Count(4, 16));
-  const double round_trips = 6.0 * scenario.client_delay.count();
+  const double round_trips =
+      6.0 * static_cast<double>(scenario.client_delay.count());
   service.work_ms = std::max(
       2.0, (static_cast<double>(service.objective.count()) - round_trips) /
                draw.Between(2.5, 10));
