--- a/soak/run.py
+++ b/soak/run.py
@@ -28,6 +28,7 @@
 import random
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 
@@ -37,6 +38,8 @@
 APPLY, DRAIN, SLACK = 3.0, 3.0, 0.5
 SETTLE = 9.0  # Seconds without faults before the last judgement.
 JUDGED = 4.0  # Seconds of the last judgement.
+LANES = 60  # Each has four of the networks 127.0 to 127.239.
+LANE_PORT = 7999  # Of the address by which a run holds its lane.
 SERVED = 0.97  # Share of requests that must be served in them.
 HICCUP = 0.3
 
@@ -427,6 +430,22 @@
               f"faults {dict(sorted(self.faults.items()))}", flush=True)
 
 
+def claim_lane(first):
+    """Takes the first lane from `first` on that no other run has.
+
+    Runs of two checkouts number their lanes alike; with the same addresses one
+    of them would fail at its start. The lane is held by the returned socket.
+    """
+    for lane in range(first, LANES):
+        held = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            held.bind((f"127.{4 * lane}.255.254", LANE_PORT))
+            return lane, held
+        except OSError:
+            held.close()
+    sys.exit(f"no lane from {first} on is free")
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--seed", type=int, default=1)
@@ -437,10 +456,11 @@
     parser.add_argument("--clients", type=int, default=24)
     parser.add_argument("--program",
                         default="build/source/app/sassafrasdyke")
-    parser.add_argument("--lane", type=int, default=0, choices=range(60),
-                        help="runs at the same time need different ones")
+    parser.add_argument("--lane", type=int, default=0, choices=range(LANES),
+                        help="the first to try; each holds its own addresses")
     parser.add_argument("--folder", help="where logs go; kept")
     options = parser.parse_args()
+    options.lane, held = claim_lane(options.lane)
     with tempfile.TemporaryDirectory() as temporary:
         folder = pathlib.Path(options.folder or temporary)
         folder.mkdir(parents=True, exist_ok=True)
@@ -453,6 +473,7 @@
             for one in scene.instances:
                 one.end()
         scene.report()
+    held.close()
     sys.exit(1 if scene.found else 0)
 
 
