--- a/bench/front/front_bench.cc
+++ b/bench/front/front_bench.cc
@@ -24,7 +24,7 @@
 
 namespace {
 
-/// Heap in use, and its highest value since the last `HeapMark`.
+/// Heap in use, in bytes, and its highest value since a benchmark last set it.
 std::size_t heap_in_use = 0;
 std::size_t heap_peak = 0;
 
--- a/rig/load/balancer_variant.h
+++ b/rig/load/balancer_variant.h
@@ -28,7 +28,7 @@
   std::uint32_t word{0};  ///< Of the target; 0 when the client is reset.
 };
 
-/// Reads what `ModelItems` published.
+/// Gives back the items that the model added; there is no text to read.
 class ModelPublication final : public core::Publication {
  public:
   std::string ListPath(std::string_view after) const override;
--- a/source/core/roster/peer_sync.cc
+++ b/source/core/roster/peer_sync.cc
@@ -175,7 +175,7 @@
   }
   const common::Revision have = this->view.Items().Complete();
   if (have > before && this->IsReader(now)) {
-    actions = this->TellFollowers(before, now);
+    actions = this->TellFollowers(PartsSince(this->view.Items(), before), now);
   }
   if (digest.view.complete <= have) {
     Append(actions, this->TellOwed(PartOf(digest), now));
@@ -209,15 +209,15 @@
 
 SyncActions PeerSync::OnNews(common::Revision before,
                              std::chrono::milliseconds now) {
+  const std::vector<ItemDelta> changes = PartsSince(this->view.Items(), before);
   SyncActions actions =
-      this->IsReader(now) ? this->TellFollowers(before, now) : SyncActions{};
-  Append(actions, this->TellOwed(PartsSince(this->view.Items(), before), now));
+      this->IsReader(now) ? this->TellFollowers(changes, now) : SyncActions{};
+  Append(actions, this->TellOwed(changes, now));
   return actions;
 }
 
-SyncActions PeerSync::TellFollowers(common::Revision before,
+SyncActions PeerSync::TellFollowers(std::span<const ItemDelta> changes,
                                     std::chrono::milliseconds now) {
-  const std::vector<ItemDelta> changes = PartsSince(this->view.Items(), before);
   const Followers followers =
       this->roster.FollowersOf(this->limits.readers, now);
   if (followers.lively.size() + followers.quiet.size() <= kToldDirectly) {
@@ -310,10 +310,7 @@
   if (mark.age && mark.complete == this->view.Items().Complete()) {
     this->view.Contact().OnConfirmed(now - *mark.age);
   }
-  SyncActions actions =
-      this->IsReader(now) ? this->TellFollowers(before, now) : SyncActions{};
-  Append(actions, this->TellOwed(PartsSince(this->view.Items(), before), now));
-  return actions;
+  return this->OnNews(before, now);
 }
 
 }  // namespace sassafrasdyke::core
--- a/source/core/roster/peer_sync.h
+++ b/source/core/roster/peer_sync.h
@@ -121,7 +121,7 @@
   bool IsReader(std::chrono::milliseconds now) const;
   bool IsSeed() const;
   void TakeMark(const ViewMark& mark, std::chrono::milliseconds now);
-  SyncActions TellFollowers(common::Revision before,
+  SyncActions TellFollowers(std::span<const ItemDelta> changes,
                             std::chrono::milliseconds now);
   /// The own view has what the store or a peer has told.
   SyncActions OnNews(common::Revision before, std::chrono::milliseconds now);
