One modelled target for both plays of a load

The plays of a steady load and of a herd that reopens its flows each held the same queue, slots and work of a target.

--- a/tests/core/steering/reopening_herd.cc
+++ b/tests/core/steering/reopening_herd.cc
@@ -15,8 +15,6 @@
 constexpr Time kCopies[] = {0ms, 200ms, 600ms};
 constexpr Time kTryEnds = 1400ms;
 constexpr unsigned kTries = 3;
-constexpr std::size_t kSlots = 2;
-constexpr std::size_t kQueue = 8;
 constexpr std::size_t kTargets = 3;
 
 }  // namespace
@@ -105,30 +103,17 @@
   caller.word = word;
   this->scene.steering.OnPacket(SteeringScene::Data(caller.port, word),
                                 now + kRoundTrip);
-  Target& target = this->targets[word];
-  if (target.queue.size() >= kQueue) {
+  if (!this->targets[word].Offer(id)) {
     ++this->outcome.shed;
     this->FailTry(id, now);
-    return;
   }
-  target.queue.push_back(id);
 }
 
-void ReopeningHerd::Work(Target& target, Time now) {
-  std::vector<std::size_t> done;
-  for (const auto& [id, at] : target.in_work) {
-    if (at <= now) {
-      done.push_back(id);
-    }
-  }
-  for (const std::size_t id : done) {
-    target.in_work.erase(id);
+void ReopeningHerd::Work(ModelledTarget& target, Time now) {
+  const auto work_time = [this] { return this->WorkTime(); };
+  for (const std::size_t id : target.Work(now, work_time)) {
     this->Answer(id, now);
   }
-  while (!target.queue.empty() && target.in_work.size() < kSlots) {
-    target.in_work[target.queue.front()] = now + this->WorkTime();
-    target.queue.pop_front();
-  }
 }
 
 Time ReopeningHerd::WorkTime() {
--- a/tests/core/steering/reopening_herd.h
+++ b/tests/core/steering/reopening_herd.h
@@ -5,13 +5,13 @@
 
 #include <chrono>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <string>
 #include <vector>
 
 #include "core/fleet/jitter.h"
 #include "core/steering/admission.h"
+#include "core/steering/modelled_target.h"
 #include "core/steering/steering_scene.h"
 
 namespace sassafrasdyke::core {
@@ -46,16 +46,12 @@
     std::uint32_t word{0};  ///< Of its target, once the SYN is answered.
     bool done{false};
   };
-  struct Target {
-    std::deque<std::size_t> queue;
-    std::map<std::size_t, Time> in_work;  ///< Callers, and when they are done.
-  };
 
   void StartTry(std::size_t id, Time now);
   void SendSyn(std::size_t id, Time now);
   void Open(std::size_t id, std::uint32_t word, Time now);
   void ReleaseHeld(Time now);
-  void Work(Target& target, Time now);
+  void Work(ModelledTarget& target, Time now);
   void Answer(std::size_t id, Time now);
   void GiveUp(Time now);
   void FailTry(std::size_t id, Time now);
@@ -67,7 +63,7 @@
   Jitter random;
   std::vector<Caller> callers;
   std::map<std::uint16_t, std::size_t> by_port;
-  std::map<std::uint32_t, Target> targets;
+  std::map<std::uint32_t, ModelledTarget> targets;
   std::uint16_t last_port{1024};
   HerdOutcome outcome;
 };
--- a/tests/core/steering/steady_load.cc
+++ b/tests/core/steering/steady_load.cc
@@ -11,8 +11,6 @@
 constexpr Time kObjective = 150ms;
 constexpr Time kRoundTrip = 2ms;
 constexpr Time kLastAnswers = 3000ms;
-constexpr std::size_t kSlots = 2;
-constexpr std::size_t kQueue = 8;
 /// The first target's number, which is also the word of its flows.
 constexpr std::uint32_t kFirstWord = 0xA0;
 
@@ -117,9 +115,7 @@
       now < *this->plan.joins_at + 500ms) {
     ++this->outcome.placed_after_join[number];
   }
-  Target& target = this->targets.at(number);
-  if (target.queue.size() < kQueue) {
-    target.queue.push_back(id);
+  if (this->targets.at(number).Offer(id)) {
     return;
   }
   ++this->outcome.shed;
@@ -132,21 +128,10 @@
 }
 
 void SteadyLoad::Work(std::size_t number, Time now) {
-  Target& target = this->targets[number];
-  std::vector<std::size_t> done;
-  for (const auto& [id, at] : target.in_work) {
-    if (at <= now) {
-      done.push_back(id);
-    }
-  }
-  for (const std::size_t id : done) {
-    target.in_work.erase(id);
+  const auto work_time = [&] { return this->WorkTime(number, now); };
+  for (const std::size_t id : this->targets[number].Work(now, work_time)) {
     this->Answer(id, now);
   }
-  while (!target.queue.empty() && target.in_work.size() < kSlots) {
-    target.in_work[target.queue.front()] = now + this->WorkTime(number, now);
-    target.queue.pop_front();
-  }
 }
 
 Time SteadyLoad::WorkTime(std::size_t number, Time now) {
--- a/tests/core/steering/steady_load.h
+++ b/tests/core/steering/steady_load.h
@@ -5,7 +5,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -13,6 +12,7 @@
 #include <vector>
 
 #include "core/fleet/jitter.h"
+#include "core/steering/modelled_target.h"
 #include "core/steering/steering_scene.h"
 
 namespace sassafrasdyke::core {
@@ -64,10 +64,6 @@
     std::uint32_t word{0};
     unsigned tries{0};
   };
-  struct Target {
-    std::deque<std::size_t> queue;
-    std::map<std::size_t, Time> in_work;  ///< Callers, and when they are done.
-  };
 
   /// What the plan has for this moment.
   void Change(Time now);
@@ -82,7 +78,7 @@
   Jitter random{7};
   std::vector<std::unique_ptr<SteeringScene>> instances;
   std::vector<Caller> callers;
-  std::vector<Target> targets;
+  std::vector<ModelledTarget> targets;
   std::map<std::size_t, std::string> published;  ///< The targets' states.
   std::uint16_t last_port{1024};
   LoadOutcome outcome;
