Keep flows near while the way elsewhere outweighs their work

Cause: a domain with less than 0.6 of its fair share of a service's targets spills by share, whatever the load.

An instance now learns, for each service, the way to targets of its own domain and of others, and what the own take for a request. While the longer way adds more than that, flows stay.

--- a/source/core/steering/flow_steering.cc
+++ b/source/core/steering/flow_steering.cc
@@ -167,6 +167,9 @@
     const auto timing =
         this->pending.OnAnswer(packet.flow, packet.payload_bytes == 0, now);
     if (timing) {
+      const PublishedTarget& from = this->view.targets.At(target).published;
+      this->answer_times.OnAnswer(from.service, from.domain == this->domain,
+                                  *timing, now);
       this->gate.OnAnswer(target, route, *timing, now);
     }
   }
--- a/source/core/steering/flow_steering.h
+++ b/source/core/steering/flow_steering.h
@@ -9,6 +9,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "core/steering/answer_times.h"
 #include "core/steering/flow_memory.h"
 #include "core/steering/flow_packet.h"
 #include "core/steering/opening_gate.h"
@@ -34,7 +35,9 @@
  public:
   FlowSteering(const std::string& domain, SteeringView view)
       : view(view),
-        choice(domain, view.targets, this->watch, this->pending),
+        domain(domain),
+        choice(domain, view.targets, this->watch, this->pending,
+               this->answer_times),
         gate(domain, view.targets, this->watch, this->pending),
         memory(view.routes.FlowLife()) {}
 
@@ -96,8 +99,10 @@
   bool ViewIsFresh(std::chrono::milliseconds now) const;
 
   SteeringView view;
+  const std::string domain;
   TargetWatch watch;
   PendingRequests pending;
+  AnswerTimes answer_times;
   TargetChoice choice;
   OpeningGate gate;
   OpeningTable openings;
--- a/source/core/steering/opening_gate.cc
+++ b/source/core/steering/opening_gate.cc
@@ -93,7 +93,7 @@
   const double usual =
       limit.answers > kBelieved ? limit.quickest_ms * kTimesQuickest : 0.0;
   const auto left_ms =
-      static_cast<double>((ObjectiveOf(route) - 2 * timing.round_trip).count());
+      static_cast<double>((ObjectiveOf(route) - timing.Way()).count());
   return at_target_ms > std::max(left_ms * kPartForTarget, usual);
 }
 
--- a/source/core/steering/pending_requests.h
+++ b/source/core/steering/pending_requests.h
@@ -28,11 +28,11 @@
   /// request on a flow that was open before.
   std::chrono::milliseconds round_trip{0};
 
-  /// What the target took for it: the flow was opened and then asked, each with
-  /// one round trip.
+  /// The flow was opened and then asked, each with one round trip.
+  std::chrono::milliseconds Way() const { return 2 * this->round_trip; }
+  /// What the target took for it.
   std::chrono::milliseconds AtTarget() const {
-    return std::max(this->took - 2 * this->round_trip,
-                    std::chrono::milliseconds{0});
+    return std::max(this->took - this->Way(), std::chrono::milliseconds{0});
   }
 };
 
--- a/source/core/steering/target_choice.cc
+++ b/source/core/steering/target_choice.cc
@@ -131,8 +131,13 @@
       }
     }
   }
+  // While few targets are enough, flows would only have a longer way elsewhere.
+  // Where the way counts for little they spill anyway: by the time that answers
+  // show a queue, hundreds may wait in it.
   const LocalShare share{local.size(), remote.size(), serving.size()};
-  if (!local.empty() && !Spills(share, query.flow)) {
+  const bool stays = !Spills(share, query.flow) ||
+                     this->answer_times.WayOutweighsWork(service, query.now);
+  if (!local.empty() && stays) {
     return Choice{this->NextInTurn(local, query), SteeringReason::kLocal};
   }
   if (!remote.empty()) {
--- a/source/core/steering/target_choice.h
+++ b/source/core/steering/target_choice.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "common/ids.h"
+#include "core/steering/answer_times.h"
 #include "core/steering/fair_turns.h"
 #include "core/steering/flow_packet.h"
 #include "core/steering/pending_requests.h"
@@ -37,7 +38,8 @@
 /// Chooses the target of the own failure domain that has the fewest requests of
 /// this instance unanswered, and of these the one whose turn it is. Looks
 /// further when that domain has none that can serve, and for a part of the
-/// flows when it has far fewer of the service's usable targets than the others.
+/// flows when it has far fewer of the service's usable targets than the others,
+/// unless the way to them takes longer than the work.
 ///
 /// The requests are what a slow target shows first: given its share of the
 /// flows all the same, it would keep them all until they are late, while its
@@ -46,11 +48,13 @@
  public:
   /// `domain` is the own failure domain. The tables must outlive this.
   TargetChoice(std::string domain, const TargetTable& targets,
-               const TargetWatch& watch, const PendingRequests& pending)
+               const TargetWatch& watch, const PendingRequests& pending,
+               const AnswerTimes& answer_times)
       : domain(std::move(domain)),
         targets(targets),
         watch(watch),
-        pending(pending) {}
+        pending(pending),
+        answer_times(answer_times) {}
 
   /// A flow was placed at the target.
   void OnPlaced(TargetIndex target);
@@ -75,6 +79,7 @@
   const TargetTable& targets;
   const TargetWatch& watch;
   const PendingRequests& pending;
+  const AnswerTimes& answer_times;
   FairTurns turns;
 };
 
--- /dev/null
+++ b/tests/core/steering/answer_times_test.cc
@@ -0,0 +1,65 @@
+/// Whether flows gain by going to another failure domain.
+#include "core/steering/answer_times.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <ostream>
+#include <string>
+
+namespace sassafrasdyke::core {
+namespace {
+
+using namespace std::chrono_literals;
+using Time = std::chrono::milliseconds;
+
+/// What the answers of each side took; `asked_after` the last of them the
+/// question is put.
+struct Answers {
+  std::string name;
+  int near;
+  Time near_round_trip;
+  Time near_work;
+  int far;
+  Time far_round_trip;
+  Time far_work;
+  Time asked_after;
+  bool outweighs;
+};
+
+std::ostream& operator<<(std::ostream& out, const Answers& row) {
+  return out << row.name;
+}
+
+const Answers kAnswers[] = {
+    {"quick work, a long way", 10, 26ms, 2ms, 10, 34ms, 2ms, 1ms, true},
+    {"a queue at the own", 10, 26ms, 20ms, 10, 34ms, 2ms, 1ms, false},
+    {"long work", 10, 26ms, 180ms, 10, 34ms, 180ms, 1ms, false},
+    {"a queue elsewhere", 10, 26ms, 2ms, 10, 34ms, 500ms, 1ms, true},
+    {"nothing known", 0, 26ms, 2ms, 0, 34ms, 2ms, 1ms, false},
+    {"nothing known of others", 10, 26ms, 2ms, 0, 34ms, 2ms, 1ms, false},
+    {"little known of others", 10, 26ms, 2ms, 3, 34ms, 2ms, 1ms, false},
+    {"flows that were open", 10, 0ms, 2ms, 10, 0ms, 2ms, 1ms, false},
+    {"known long ago", 10, 26ms, 2ms, 10, 34ms, 2ms, 60s, false},
+};
+
+BOOST_DATA_TEST_CASE(the_way_is_weighed_against_the_work, kAnswers, row) {
+  AnswerTimes times;
+  const auto answer = [&times](bool near, Time round_trip, Time work) {
+    times.OnAnswer("diary", near, {100ms, 2 * round_trip + work, round_trip},
+                   200ms);
+  };
+  for (int i = 0; i < row.near; ++i) {
+    answer(true, row.near_round_trip, row.near_work);
+  }
+  for (int i = 0; i < row.far; ++i) {
+    answer(false, row.far_round_trip, row.far_work);
+  }
+
+  BOOST_TEST(times.WayOutweighsWork("diary", 200ms + row.asked_after) ==
+             row.outweighs);
+  BOOST_TEST(!times.WayOutweighsWork("menu", 200ms + row.asked_after));
+}
+
+}  // namespace
+}  // namespace sassafrasdyke::core
--- a/tests/core/steering/target_choice_test.cc
+++ b/tests/core/steering/target_choice_test.cc
@@ -93,5 +93,47 @@
   BOOST_TEST(least_local >= row.local);
 }
 
+struct Calm {
+  std::string name;
+  std::chrono::milliseconds work;
+  int least_local;  ///< Of 100 flows.
+  int most_local;
+};
+
+std::ostream& operator<<(std::ostream& out, const Calm& row) {
+  return out << row.name;
+}
+
+const Calm kCalm[] = {{"idle targets", 2ms, 95, 100},
+                      {"busy targets", 200ms, 10, 40}};
+
+// Guards against flows that take a longer way than they have work, though the
+// few targets of their own domain idle: each would come late for nothing.
+BOOST_DATA_TEST_CASE(few_idle_targets_keep_their_flows, kCalm, row) {
+  constexpr auto kNearWay = 26ms;
+  constexpr auto kFarWay = 34ms;
+  constexpr int kFlows = 100;
+  const auto instances = Instances({{1, 5, 4}, 0, 0});
+  SteeringScene& north = *instances.front();
+  auto now = 10ms;
+  std::uint16_t port = 1024;
+  int local = 0;
+  for (int i = 0; i < 2 * kFlows; ++i) {
+    now += 300ms;
+    const std::uint32_t word =
+        north.WordOf(north.steering.OnPacket(SteeringScene::Syn(++port), now));
+    const bool is_local = word == 0xA1;
+    const auto way = is_local ? kNearWay : kFarWay;
+    north.steering.OnPacket(SteeringScene::Data(port, word), now + way);
+    FlowPacket ack = SteeringScene::Ack(port, word);
+    ack.acknowledgement = 1000;
+    north.steering.OnPacket(ack, now + 2 * way + row.work);
+    local += i >= kFlows && is_local ? 1 : 0;
+  }
+
+  BOOST_TEST(local >= row.least_local);
+  BOOST_TEST(local <= row.most_local);
+}
+
 }  // namespace
 }  // namespace sassafrasdyke::core
--- a/tests/rig/load_model_test.cc
+++ b/tests/rig/load_model_test.cc
@@ -11,13 +11,14 @@
 namespace sassafrasdyke::rig {
 namespace {
 
-const std::uint64_t kDrawn[] = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 29, 39};
+const std::uint64_t kDrawn[] = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 29, 39, 50154};
 
 // A deployment differs from those that the policies were made with: its targets
 // have many slots, its work is slow or varies much, its callers are far away.
 // Nothing but what is observed may decide there. Were its flows held back while
 // its targets have room, callers would wait and give up: in the first of these,
-// and in 10, 29 and 39, one in five or more did.
+// and in 10, 29 and 39, one in five or more did. In 50154 flows of a domain
+// with few targets took a longer way than they have work, though these idled.
 BOOST_DATA_TEST_CASE(a_drawn_deployment_is_served_as_by_plain_policies, kDrawn,
                      seed) {
   BOOST_TEST(RatioOfDrawn(seed) >= kLeastRatio,
