Fill the targets after an outage, and count what they have until they answer

Cause, from the cells by second and from changing one constant at a time: the limit before any answer was twice the slots of one target, and grows with answers only; and a request stopped counting after 150 ms, so with longer work the limit bounds a rate, not what targets have.

--- a/source/core/steering/opening_gate.cc
+++ b/source/core/steering/opening_gate.cc
@@ -5,8 +5,8 @@
 namespace sassafrasdyke::core {
 namespace {
 
-/// The limit before any answer, to what one target works on at once: as much
-/// again may wait there.
+/// The least limit before any answer, to what one target works on at once: as
+/// much again may wait there.
 constexpr double kFirstTargets = 2.0;
 /// The same, in requests, for targets of another failure domain, which every
 /// instance of the fleet may turn to at once: the least that tells anything.
@@ -140,8 +140,15 @@
   if (local == serving.end()) {
     return kLeastLimit;
   }
-  const TargetEntry& target = this->targets.At(local->second.front());
-  return kFirstTargets * target.published.slots;
+  double all = 0;
+  double largest = 0;
+  for (const TargetIndex index : local->second) {
+    const auto slots =
+        static_cast<double>(this->targets.At(index).published.slots);
+    all += slots;
+    largest = std::max(largest, slots);
+  }
+  return std::max(all, kFirstTargets * largest);
 }
 
 // Requests at a target that swallows SYNs or has fallen silent wait for nobody,
--- a/source/core/steering/opening_gate.h
+++ b/source/core/steering/opening_gate.h
@@ -82,7 +82,10 @@
   using Limits = std::map<std::string, Limit, std::less<>>;
 
   Limit LimitOf(const std::string& service, const std::string& domain) const;
-  /// The limit of the own domain before any answer.
+  /// The limit of the own domain before any answer: what its targets work on at
+  /// once. Less would leave targets idle for several times as long as an answer
+  /// takes where there are few instances, and callers back from an outage would
+  /// be late at half the load. Where there are many, each has few callers.
   double FirstLimit(const std::string& service) const;
   /// Requests pending at each domain that has usable targets of the service.
   std::map<std::string, double> PendingByDomain(
--- a/source/core/steering/pending_requests.cc
+++ b/source/core/steering/pending_requests.cc
@@ -11,12 +11,13 @@
 /// short answer is never acknowledged stops counting soon after it is served.
 constexpr double kAnswersCounted = 4.0;
 /// Bounds of that time. The lower one covers two round trips between failure
-/// domains; past the upper one a target is slow or dead, and requests that wait
-/// there must not keep new flows from targets that have room.
+/// domains; past the upper one an answer tells nothing of now.
 constexpr milliseconds kLeastCounted{30};
-constexpr milliseconds kMostCounted{150};
-/// An answer that comes later than this tells nothing of now.
 constexpr milliseconds kForgottenAfter{2000};
+/// How long a request counts before any answer has shown how long they take.
+/// Past it a target may be dead, and requests that wait there must not keep new
+/// flows from targets that have room.
+constexpr milliseconds kCountedUnknown{150};
 /// Requests followed at most, some 1 MB: 4,000 a second for two seconds, many
 /// times the share of one of 810 instances.
 constexpr std::size_t kMost = 8192;
@@ -179,11 +180,11 @@
 
 milliseconds PendingRequests::CountedFor() const {
   if (this->answer_ms == 0) {
-    return kMostCounted;
+    return kCountedUnknown;
   }
   const milliseconds scaled(
       static_cast<milliseconds::rep>(kAnswersCounted * this->answer_ms));
-  return std::clamp(scaled, kLeastCounted, kMostCounted);
+  return std::clamp(scaled, kLeastCounted, kForgottenAfter);
 }
 
 PendingRequests::Table::iterator PendingRequests::Find(const Due& due) {
--- a/tests/core/steering/opening_gate_test.cc
+++ b/tests/core/steering/opening_gate_test.cc
@@ -96,6 +96,30 @@
   BOOST_TEST(capacity <= row.most);
 }
 
+struct First {
+  int targets;
+  int limit;
+};
+
+std::ostream& operator<<(std::ostream& out, const First& row) {
+  return out << row.targets << " targets";
+}
+
+// Targets of two slots each; a single one is given as much again to queue.
+const First kFirsts[] = {{1, 4}, {2, 4}, {5, 10}, {14, 28}};
+
+// Guards against targets that idle after an outage while callers are held back:
+// the limit before any answer has to fill all of them.
+BOOST_DATA_TEST_CASE(the_first_limit_fills_the_targets, kFirsts, row) {
+  GateScene scene;
+  for (int i = 2; i <= row.targets; ++i) {
+    scene.Publish("c" + std::to_string(i),
+                  "diary north 10.0.2." + std::to_string(i) + ":80", 0ms);
+  }
+
+  BOOST_TEST(scene.Capacity(0xA1, "north") == row.limit);
+}
+
 // The targets' queues grow until answers take more than half of what callers
 // allow. The limit falls to a few requests at a time, and comes back with the
 // first quick answers.
--- a/tests/core/steering/pending_requests_test.cc
+++ b/tests/core/steering/pending_requests_test.cc
@@ -1,7 +1,10 @@
 /// What an instance believes that targets are working on.
 #include "core/steering/pending_requests.h"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <ostream>
 
 #include "core/steering/steering_scene.h"
 
@@ -85,6 +88,33 @@
   BOOST_TEST(pending.At(kTarget) == 0U);
 }
 
+struct Usual {
+  std::chrono::milliseconds answer;
+  std::chrono::milliseconds counted;
+};
+
+std::ostream& operator<<(std::ostream& out, const Usual& row) {
+  return out << row.answer.count() << " ms";
+}
+
+const Usual kUsuals[] = {{20ms, 80ms}, {300ms, 1200ms}, {900ms, 2000ms}};
+
+// Guards against a limit that bounds nothing where work is long: requests that
+// targets still have must go on counting.
+BOOST_DATA_TEST_CASE(a_request_counts_for_some_answer_times, kUsuals, row) {
+  PendingRequests pending;
+  for (std::uint16_t port = 1; port < 50; ++port) {
+    pending.OnRequest(Flow(port), kTarget, 0ms);
+    pending.OnAnswer(Flow(port), true, row.answer);
+  }
+  pending.OnRequest(Flow(100), kTarget, 1000ms);
+
+  pending.Expire(1000ms + row.counted - 1ms);
+  BOOST_TEST(pending.At(kTarget) == 1U);
+  pending.Expire(1000ms + row.counted);
+  BOOST_TEST(pending.At(kTarget) == 0U);
+}
+
 // All answers fit into one packet, which clients acknowledge with their next
 // request only. The counts then say nothing, and that is known.
 BOOST_AUTO_TEST_CASE(answers_that_are_never_seen_are_noticed) {
