Let a limit that congestion lowered double until it nears its old size

Cause: each round of answers until a queue has drained is late and shrinks the limit, down to one request; from there it grew by one an answer time. Slow start now leads to half of the limit at which congestion began; rounds that go on being late don't lower that mark.

--- a/source/core/steering/opening_gate.cc
+++ b/source/core/steering/opening_gate.cc
@@ -1,6 +1,7 @@
 #include "core/steering/opening_gate.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sassafrasdyke::core {
 namespace {
@@ -19,6 +20,9 @@
 constexpr double kFewLate = 0.35;
 /// What is left of the limit when all answers were late.
 constexpr double kAfterAllLate = 0.3;
+/// The part of the limit at which congestion began; from there on it grows
+/// slowly.
+constexpr double kCarefulFrom = 0.5;
 /// A limit that isn't used to this part says nothing of what would fit.
 constexpr double kUsed = 0.5;
 /// The part of the objective that an answer may take. The rest is for the way,
@@ -63,7 +67,8 @@
         here != pending.end() && here->second + 1 >= limit.requests * kUsed;
     // One for each answer doubles the limit with every answer time, one for
     // each limit's worth of answers only feels its way.
-    const double step = limit.found ? 1.0 / limit.requests : 1.0;
+    const double step =
+        limit.requests >= limit.careful_from ? 1.0 / limit.requests : 1.0;
     limit.requests += used ? step : 0.0;
   }
   this->limits[published.service].insert_or_assign(published.domain, limit);
@@ -74,10 +79,13 @@
   const double late = round.answers == 0
                           ? 0.0
                           : static_cast<double>(round.late) / round.answers;
-  if (late < kFewLate) {
+  const bool lasts = std::exchange(limit.congested, late >= kFewLate);
+  if (!limit.congested) {
     return;
   }
-  limit.found = true;
+  if (!lasts) {
+    limit.careful_from = limit.requests * kCarefulFrom;
+  }
   limit.requests = std::max(
       kLeastLimit, limit.requests * (1.0 - late * (1.0 - kAfterAllLate)));
 }
--- a/source/core/steering/opening_gate.h
+++ b/source/core/steering/opening_gate.h
@@ -11,12 +11,14 @@
 ///
 /// Nobody tells an instance its share: how many others there are is known only
 /// seconds after a common restart, when it matters most. The limits are found
-/// as TCP finds its window, by additive increase and multiplicative decrease;
-/// the sign of congestion is that many answers of a round take the targets both
-/// half of what callers allow and several times what the quickest take.
+/// as TCP finds its window, by slow start, additive increase and multiplicative
+/// decrease. The sign of congestion is that many answers of a round take the
+/// targets both half of what callers allow and several times what the quickest
+/// take.
 #pragma once
 
 #include <chrono>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -66,7 +68,11 @@
   /// What one domain's targets of a service may be given, in requests.
   struct Limit {
     double requests;
-    bool found{false};      ///< An answer has been late since the start.
+    /// Below this the limit doubles with every answer time, above it grows by
+    /// one. Half of what it was when congestion began, and no less for lasting:
+    /// the rounds until a queue has drained say nothing of what would fit.
+    double careful_from{std::numeric_limits<double>::infinity()};
+    bool congested{false};  ///< Many answers of the last round were late.
     double quickest_ms{0};  ///< The quickest answer in a while; 0 before any.
     unsigned answers{0};
     Round round{};
--- a/tests/core/steering/opening_gate_test.cc
+++ b/tests/core/steering/opening_gate_test.cc
@@ -137,6 +137,24 @@
   BOOST_TEST(open >= 6);
 }
 
+// Guards against targets that idle for seconds after a queue has drained: a
+// limit that was far larger must be found again within a few answers.
+BOOST_AUTO_TEST_CASE(a_limit_is_soon_found_again) {
+  constexpr int kAtOnce = 40;
+  GateScene never_late;
+  never_late.Answers(0xA1, 6, kAtOnce, 20ms);
+  GateScene scene;
+  scene.Answers(0xA1, 6, kAtOnce, 20ms);
+  scene.Answers(0xA1, 3, kAtOnce, 140ms);
+  scene.Answers(0xA1, 8, kAtOnce, 20ms);
+
+  const int before = never_late.Capacity(0xA1, "north");
+  const int after = scene.Capacity(0xA1, "north");
+
+  BOOST_TEST_MESSAGE(before << " requests, then " << after);
+  BOOST_TEST(after * 2 >= before);
+}
+
 // One answer in five takes long, because work varies or one target of many is
 // slow. Fewer requests for all targets would mend neither; callers would wait
 // while targets idle, and give up.
