--- a/tests/rig/load_open_faults_test.cc
+++ b/tests/rig/load_open_faults_test.cc
@@ -11,13 +11,11 @@
 namespace sassafrasdyke::rig {
 namespace {
 
-const std::uint64_t kDrawn[] = {167, 188, 97,  33,  101, 182, 36, 11, 56,
-                                26,  133, 123, 109, 119, 16,  28, 166};
+const std::uint64_t kDrawn[] = {167, 182, 188, 50452, 50501, 90105, 90875};
 
-// Most of these have more load than their targets can do, or lose a part of
-// them, and answers take longer than a client's try lasts. Flows that are held
-// back, the newest first, leave older ones until their tries have ended; sent
-// on at once these would have been answered late.
+// Guards against callers that are held back where plain placing serves them:
+// ordinary answers take more than half of what callers allow and seem late, or
+// the load is more than targets can do.
 BOOST_DATA_TEST_CASE(a_drawn_deployment_is_served_as_by_plain_policies, kDrawn,
                      seed) {
   BOOST_TEST(RatioOfDrawn(seed) >= kLeastRatio,
