Put whom to ask about a flow into a class of its own

exchange.cc holds the hand-overs and copies; the question's way along the owners (OwnerInquiry) needs only the views. A question without an asker is refused as a malformed header: nobody could get the packet back.

--- a/source/core/exchange/exchange.cc
+++ b/source/core/exchange/exchange.cc
@@ -43,7 +43,8 @@
       world(world),
       sender(incarnation),
       fallbacks(world, this->store),
-      gatherer(world, this->store, this->sender) {}
+      gatherer(world, this->store, this->sender),
+      inquiry(self, world) {}
 
 void Exchange::OnConfiguration(const std::vector<common::TargetId>& ended,
                                std::chrono::milliseconds now, Outbox& outbox) {
@@ -178,8 +179,8 @@
   } else if (asks_standby || reborn) {
     this->StartHandOver(partition);
   }
-  if (state.seen_owner.value != 0 && state.seen_owner != owner) {
-    state.trail.Add(state.seen_owner, now + this->world.InForce().policy.lease);
+  if (state.seen_owner != owner) {
+    this->inquiry.OnFormer(partition, state.seen_owner, now);
   }
   state.seen_owner = owner;
   state.seen_incarnation = incarnation;
@@ -303,7 +304,7 @@
   for (std::uint32_t i = 0; i < this->world.Partitions().size(); ++i) {
     const PartitionIndex partition{i};
     PartitionState& state = this->world.StateOf(partition);
-    if (state.previous.value != 0 && !this->WhomToAsk(partition, now)) {
+    if (state.previous.value != 0 && !this->inquiry.Previous(partition, now)) {
       state.previous = {};
       if (state.owned) {
         this->AbsorbAll(partition, now);
@@ -475,14 +476,6 @@
   }
 }
 
-void Exchange::OnAsked(PartitionIndex partition, common::InstanceId asker,
-                       std::chrono::milliseconds now) {
-  if (asker.value != 0 && asker != this->self) {
-    this->world.StateOf(partition).trail.Add(
-        asker, now + this->world.InForce().policy.lease);
-  }
-}
-
 void Exchange::OnAskedInVain(PartitionIndex partition, common::InstanceId asker,
                              std::chrono::milliseconds now) {
   PartitionState& state = this->world.StateOf(partition);
@@ -602,51 +595,9 @@
   }
 }
 
-std::optional<common::InstanceId> Exchange::WhomToAsk(
-    PartitionIndex partition, std::chrono::milliseconds now) const {
-  const PartitionState& state = this->world.StateOf(partition);
-  if (state.previous.value == 0 || now >= state.ask_until ||
-      !this->world.Owners().IsAnswering(state.previous)) {
-    return std::nullopt;
-  }
-  return state.previous;
-}
-
-std::optional<common::InstanceId> Exchange::NextToAsk(
-    PartitionIndex partition, const Arrival& arrival,
-    std::chrono::milliseconds now) const {
-  if (arrival.hops + 1 >= kHopLimit) {
-    return std::nullopt;  // The last hop is for the way back.
-  }
-  const OwnerMap& owners = this->world.Owners();
-  const auto accepts = [&](common::InstanceId id) {
-    return id.value != 0 && id != this->self && id != arrival.asker &&
-           !(arrival.hops > 0 && id == arrival.from) && owners.IsAnswering(id);
-  };
-  if (const auto previous = this->WhomToAsk(partition, now);
-      previous && (accepts(*previous) || arrival.asker.value == 0)) {
-    return previous;
-  }
-  const PartitionState& state = this->world.StateOf(partition);
-  const PartitionOwners& present = owners.At(partition);
-  if (accepts(present.owner)) {
-    return present.owner;
-  }
-  if (state.owned && arrival.asker.value != 0) {
-    return std::nullopt;  // Sent here as to the owner by who was asked.
-  }
-  if (const auto former = state.trail.Newest(now, accepts)) {
-    return former;
-  }
-  const bool new_here = state.owned && now - state.owned_since <
-                                           this->world.InForce().policy.lease;
-  return new_here && accepts(present.standby) ? std::optional(present.standby)
-                                              : std::nullopt;
-}
-
 bool Exchange::IsLearning(PartitionIndex partition,
                           std::chrono::milliseconds now) const {
-  if (this->WhomToAsk(partition, now)) {
+  if (this->inquiry.Previous(partition, now)) {
     return true;
   }
   const auto& sets =
--- a/source/core/exchange/exchange.h
+++ b/source/core/exchange/exchange.h
@@ -13,9 +13,9 @@
 #include "core/exchange/copy_sender.h"
 #include "core/exchange/copy_store.h"
 #include "core/exchange/fallbacks.h"
+#include "core/exchange/owner_inquiry.h"
 #include "core/flow/flow_world.h"
 #include "core/messages.h"
-#include "core/packet.h"
 
 namespace sassafrasdyke::core {
 
@@ -48,11 +48,6 @@
   void OnEnded(common::Fingerprint flow, const FlowRecord& record,
                std::chrono::milliseconds now);
 
-  /// `asker` takes itself for the owner, whatever this instance's view says: it
-  /// may place flows that this instance will meet.
-  void OnAsked(PartitionIndex partition, common::InstanceId asker,
-               std::chrono::milliseconds now);
-
   /// The new owner asks about a flow that is unknown here as well. If this
   /// instance has nothing of the whole partition, it says so.
   void OnAskedInVain(PartitionIndex partition, common::InstanceId asker,
@@ -60,16 +55,9 @@
 
   void OnTick(std::chrono::milliseconds now, Outbox& outbox);
 
-  /// Whom to ask about a flow that isn't known here.
-  std::optional<common::InstanceId> WhomToAsk(
-      PartitionIndex partition, std::chrono::milliseconds now) const;
-
-  /// Whom to ask next about a flow that isn't known here, for the packet's
-  /// asker: whoever was the owner before, or may still take itself for it as
-  /// views differ. Nothing when all that may know have been asked.
-  std::optional<common::InstanceId> NextToAsk(
-      PartitionIndex partition, const Arrival& arrival,
-      std::chrono::milliseconds now) const;
+  /// Whom to ask about flows that aren't known here.
+  OwnerInquiry& Inquiry() { return this->inquiry; }
+  const OwnerInquiry& Inquiry() const { return this->inquiry; }
 
   /// Whether another instance may still have something to tell about the
   /// partition.
@@ -156,6 +144,7 @@
   CopyStore store;
   Fallbacks fallbacks;
   CopyGatherer gatherer;
+  OwnerInquiry inquiry;
   std::deque<Pending> pending;
   std::chrono::milliseconds cleaned_at{0};
 };
--- a/source/core/flow_balancer.cc
+++ b/source/core/flow_balancer.cc
@@ -63,8 +63,8 @@
   const PartitionOwners& owners = this->world.Owners().At(context.partition);
   if (packet.arrival.hops > 0 &&
       packet.arrival.purpose == HopPurpose::kAskPrevious) {
-    this->exchange.OnAsked(context.partition, packet.arrival.asker,
-                           context.now);
+    this->exchange.Inquiry().OnAsked(context.partition, packet.arrival.asker,
+                                     context.now);
   }
   if (owners.owner == this->self) {
     return this->DecideAsOwner(context);
@@ -118,7 +118,7 @@
 
 std::optional<PacketAction> FlowBalancer::Ask(const Context& context,
                                               common::InstanceId asker) const {
-  const auto next = this->exchange.NextToAsk(
+  const auto next = this->exchange.Inquiry().Next(
       context.partition, context.packet.arrival, context.now);
   if (!next) {
     return std::nullopt;
@@ -266,7 +266,8 @@
   }
   const common::InstanceId asker = packet.arrival.asker;
   if (asker.value != 0 && asker != this->self &&
-      this->exchange.WhomToAsk(context.partition, context.now) == asker) {
+      this->exchange.Inquiry().Previous(context.partition, context.now) ==
+          asker) {
     // This instance learns from the asker, and would ask it about the flow.
     return this->Redirect(context, asker, DropReason::kUnreachable);
   }
--- a/source/datapath/gue.cc
+++ b/source/datapath/gue.cc
@@ -61,6 +61,11 @@
   const std::uint32_t asker = extra == kPrivateDataWithAsker
                                   ? ReadBigEndian32(datagram.subspan(kAskerAt))
                                   : 0;
+  const bool asks =
+      purpose == static_cast<std::uint8_t>(core::HopPurpose::kAskPrevious);
+  if (asks && asker == 0) {
+    return std::nullopt;  // Nobody to return the packet to.
+  }
   return core::Arrival{.hops = hops,
                        .from = {ReadBigEndian32(datagram.subspan(kSenderAt))},
                        .purpose = static_cast<core::HopPurpose>(purpose),
--- a/tests/datapath/gue_test.cc
+++ b/tests/datapath/gue_test.cc
@@ -38,7 +38,7 @@
   const core::Arrival sent{.hops = 2,
                            .from = {0x01020304},
                            .purpose = core::HopPurpose::kAskPrevious,
-                           .asker = {}};
+                           .asker = {5}};
 
   const Bytes datagram = Wrap(EncodeForInstance(inner, sent), inner);
   const auto decoded = DecodeGue(datagram);
@@ -118,6 +118,9 @@
     {"unknown purpose",
      {0x02, 0x04, 0, 0, 1, 9, 0, 0, 0, 0, 0, 1, 0x45},
      PacketFault::kBadGue},
+    {"a question of nobody",
+     {0x02, 0x04, 0, 0, 1, 1, 0, 0, 0, 0, 0, 1, 0x45},
+     PacketFault::kBadGue},
     {"variant 2", {0x80, 0x04, 0, 0, 0x45}, PacketFault::kBadGue},
     {"variant 1 of IP version 5", {0x50, 0, 0, 0}, PacketFault::kBadGue},
 };
