Judge congestion by eight answers or more

Cause, from the limit printed at each round: rounds had four to seven answers, and where work varies and the objective is little more than twice the work a quarter of ordinary answers take more than half of it; two late ones of five are common, and each such round takes a third off the limit. A round has eight answers now, or as many as the limit if that is less. Ruled out: queues at the targets (the same load is served at once by plain placing).

--- a/source/core/steering/opening_gate.cc
+++ b/source/core/steering/opening_gate.cc
@@ -18,6 +18,9 @@
 /// Late answers below this part of all come from work that is long by itself,
 /// or from a target that is slow; fewer requests for all targets mend neither.
 constexpr double kFewLate = 0.35;
+/// A round has this many answers, or as many as the limit if that is less. Of
+/// fewer, two that are long by themselves would seem congestion.
+constexpr double kEnoughAnswers = 8.0;
 /// What is left of the limit when all answers were late.
 constexpr double kAfterAllLate = 0.3;
 /// The part of the limit at which congestion began; from there on it grows
@@ -53,7 +56,8 @@
                            std::chrono::milliseconds now) {
   const PublishedTarget& published = this->targets.At(target).published;
   Limit limit = this->LimitOf(published.service, published.domain);
-  if (timing.sent_at >= limit.round.since) {
+  const double enough = std::min(kEnoughAnswers, limit.requests);
+  if (timing.sent_at >= limit.round.since && limit.round.answers >= enough) {
     Shrink(limit);
     limit.round = {now, 0, 0};
   }
--- a/source/core/steering/opening_gate.h
+++ b/source/core/steering/opening_gate.h
@@ -57,9 +57,9 @@
                                      std::chrono::milliseconds now) const;
 
  private:
-  /// The answers to requests that were sent since it began. It ends with the
-  /// first answer to one of them: those before were sent under the limit
-  /// before.
+  /// The answers to requests that were sent since it began. It ends with an
+  /// answer to one of them, once there are enough: those before were sent under
+  /// the limit before.
   struct Round {
     std::chrono::milliseconds since{0};
     unsigned answers{0};
--- a/tests/core/steering/opening_gate_test.cc
+++ b/tests/core/steering/opening_gate_test.cc
@@ -184,6 +184,20 @@
   BOOST_TEST(scene.Capacity(0xA1, "north") >= kAtOnce);
 }
 
+// Guards against a limit that falls though nothing queues: two of four answers
+// that are long by themselves say nothing of congestion.
+BOOST_AUTO_TEST_CASE(few_answers_are_no_congestion) {
+  GateScene usual;
+  usual.Answers(0xA1, 3, 8, 20ms);
+  GateScene scene;
+  scene.Answers(0xA1, 3, 8, 20ms);
+  scene.Answers(0xA1, 1, 2, 20ms);
+  scene.Answers(0xA1, 1, 2, 140ms);
+  scene.Answers(0xA1, 1, 2, 20ms);
+
+  BOOST_TEST(scene.Capacity(0xA1, "north") >= usual.Capacity(0xA1, "north"));
+}
+
 // Callers are 35 ms away from their instance: an answer takes more than half of
 // their objective, of which their target has 10 ms. Were the way counted as the
 // target's time, all flows would be held back for a target that has nothing to
