--- a/tests/core/owner_change_test.cc
+++ b/tests/core/owner_change_test.cc
@@ -1,5 +1,6 @@
 /// Owners that change while instances see different views: few balancers, each
 /// told what to believe, without a random history.
+#include <algorithm>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
