--- a/source/core/flow/owner_trail.cc
+++ b/source/core/flow/owner_trail.cc
@@ -1,7 +1,6 @@
 #include "core/flow/owner_trail.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace sassafrasdyke::core {
 namespace {
@@ -17,20 +16,19 @@
   std::erase_if(this->formers,
                 [former](const Former& known) { return known.id == former; });
   if (this->formers.size() >= kMost) {
-    this->formers.erase(this->formers.begin());
+    this->formers.pop_back();
   }
-  this->formers.push_back({former, until});
+  this->formers.insert(this->formers.begin(), {former, until});
 }
 
 std::optional<common::InstanceId> OwnerTrail::Newest(
     std::chrono::milliseconds now,
     const std::function<bool(common::InstanceId)>& accepts) const {
-  for (const Former& former : std::views::reverse(this->formers)) {
-    if (now < former.until && accepts(former.id)) {
-      return former.id;
-    }
-  }
-  return std::nullopt;
+  const auto found = std::find_if(
+      this->formers.begin(), this->formers.end(), [&](const Former& former) {
+        return now < former.until && accepts(former.id);
+      });
+  return found == this->formers.end() ? std::nullopt : std::optional(found->id);
 }
 
 }  // namespace sassafrasdyke::core
--- a/source/core/flow/owner_trail.h
+++ b/source/core/flow/owner_trail.h
@@ -32,7 +32,7 @@
     std::chrono::milliseconds until{0};
   };
 
-  std::vector<Former> formers;  ///< The newest last.
+  std::vector<Former> formers;  ///< The newest first.
 };
 
 }  // namespace sassafrasdyke::core
--- a/tests/core/steering/answer_times_test.cc
+++ b/tests/core/steering/answer_times_test.cc
@@ -17,13 +17,13 @@
 /// question is put.
 struct Answers {
   std::string name;
-  int near;
   Time near_round_trip;
   Time near_work;
-  int far;
   Time far_round_trip;
   Time far_work;
   Time asked_after;
+  int near;
+  int far;
   bool outweighs;
 };
 
@@ -32,15 +32,15 @@
 }
 
 const Answers kAnswers[] = {
-    {"quick work, a long way", 10, 26ms, 2ms, 10, 34ms, 2ms, 1ms, true},
-    {"a queue at the own", 10, 26ms, 20ms, 10, 34ms, 2ms, 1ms, false},
-    {"long work", 10, 26ms, 180ms, 10, 34ms, 180ms, 1ms, false},
-    {"a queue elsewhere", 10, 26ms, 2ms, 10, 34ms, 500ms, 1ms, true},
-    {"nothing known", 0, 26ms, 2ms, 0, 34ms, 2ms, 1ms, false},
-    {"nothing known of others", 10, 26ms, 2ms, 0, 34ms, 2ms, 1ms, false},
-    {"little known of others", 10, 26ms, 2ms, 3, 34ms, 2ms, 1ms, false},
-    {"flows that were open", 10, 0ms, 2ms, 10, 0ms, 2ms, 1ms, false},
-    {"known long ago", 10, 26ms, 2ms, 10, 34ms, 2ms, 60s, false},
+    {"quick work, a long way", 26ms, 2ms, 34ms, 2ms, 1ms, 10, 10, true},
+    {"a queue at the own", 26ms, 20ms, 34ms, 2ms, 1ms, 10, 10, false},
+    {"long work", 26ms, 180ms, 34ms, 180ms, 1ms, 10, 10, false},
+    {"a queue elsewhere", 26ms, 2ms, 34ms, 500ms, 1ms, 10, 10, true},
+    {"nothing known", 26ms, 2ms, 34ms, 2ms, 1ms, 0, 0, false},
+    {"nothing known of others", 26ms, 2ms, 34ms, 2ms, 1ms, 10, 0, false},
+    {"little known of others", 26ms, 2ms, 34ms, 2ms, 1ms, 10, 3, false},
+    {"flows that were open", 0ms, 2ms, 0ms, 2ms, 1ms, 10, 10, false},
+    {"known long ago", 26ms, 2ms, 34ms, 2ms, 60s, 10, 10, false},
 };
 
 BOOST_DATA_TEST_CASE(the_way_is_weighed_against_the_work, kAnswers, row) {
