--- a/source/core/steering/opening_gate.cc
+++ b/source/core/steering/opening_gate.cc
@@ -80,9 +80,7 @@
 
 void OpeningGate::Shrink(Limit& limit) {
   const Round& round = limit.round;
-  const double late = round.answers == 0
-                          ? 0.0
-                          : static_cast<double>(round.late) / round.answers;
+  const double late = static_cast<double>(round.late) / round.answers;
   const bool lasts = std::exchange(limit.congested, late >= kFewLate);
   if (!limit.congested) {
     return;
