Say that a trail also holds who claims a partition; look a copy up only when new

OwnerTrail's names spoke of former owners only, but instances that ask as the owner are noted there too. AwaitsTarget looked through all copies for each unknown flow, also long after the partition was taken, when the answer is no.

--- a/source/core/exchange/exchange.cc
+++ b/source/core/exchange/exchange.cc
@@ -627,11 +627,14 @@
 
 bool Exchange::AwaitsTarget(common::Fingerprint flow, PartitionIndex partition,
                             std::chrono::milliseconds now) const {
-  const auto target =
-      this->store.Find(this->world.Directory().KeyOf(partition), flow);
   const bool soon = now - this->world.StateOf(partition).owned_since <
                     this->world.InForce().policy.lease;
-  return target && soon && !this->world.Targets().Find(*target);
+  if (!soon) {
+    return false;
+  }
+  const auto target =
+      this->store.Find(this->world.Directory().KeyOf(partition), flow);
+  return target && !this->world.Targets().Find(*target);
 }
 
 void Exchange::EraseCopy(common::Fingerprint flow, PartitionIndex partition) {
--- a/source/core/exchange/owner_inquiry.cc
+++ b/source/core/exchange/owner_inquiry.cc
@@ -49,15 +49,15 @@
 void OwnerInquiry::OnAsked(PartitionIndex partition, common::InstanceId asker,
                            std::chrono::milliseconds now) {
   if (asker != this->self) {
-    this->OnFormer(partition, asker, now);
+    this->Remember(partition, asker, now);
   }
 }
 
-void OwnerInquiry::OnFormer(PartitionIndex partition, common::InstanceId former,
+void OwnerInquiry::Remember(PartitionIndex partition, common::InstanceId owner,
                             std::chrono::milliseconds now) {
-  if (former.value != 0) {
+  if (owner.value != 0) {
     this->world.StateOf(partition).trail.Add(
-        former, now + this->world.InForce().policy.lease);
+        owner, now + this->world.InForce().policy.lease);
   }
 }
 
--- a/source/core/exchange/owner_inquiry.h
+++ b/source/core/exchange/owner_inquiry.h
@@ -38,9 +38,15 @@
 
   /// `former` owns no longer in this instance's view.
   void OnFormer(PartitionIndex partition, common::InstanceId former,
-                std::chrono::milliseconds now);
+                std::chrono::milliseconds now) {
+    this->Remember(partition, former, now);
+  }
 
  private:
+  /// Notes that `owner` may decide for a lease's time.
+  void Remember(PartitionIndex partition, common::InstanceId owner,
+                std::chrono::milliseconds now);
+
   common::InstanceId self;
   FlowWorld& world;
 };
--- a/source/core/flow/owner_trail.cc
+++ b/source/core/flow/owner_trail.cc
@@ -5,30 +5,30 @@
 namespace sassafrasdyke::core {
 namespace {
 
-/// Former owners remembered of a partition: a rolling restart moves it no more
+/// Owners remembered of a partition: a rolling restart moves it no more
 /// often while views differ.
 constexpr std::size_t kMost = 3;
 
 }  // namespace
 
-void OwnerTrail::Add(common::InstanceId former,
+void OwnerTrail::Add(common::InstanceId owner,
                      std::chrono::milliseconds until) {
-  std::erase_if(this->formers,
-                [former](const Former& known) { return known.id == former; });
-  if (this->formers.size() >= kMost) {
-    this->formers.pop_back();
+  std::erase_if(this->entries,
+                [owner](const Entry& entry) { return entry.id == owner; });
+  if (this->entries.size() >= kMost) {
+    this->entries.pop_back();
   }
-  this->formers.insert(this->formers.begin(), {former, until});
+  this->entries.insert(this->entries.begin(), {owner, until});
 }
 
 std::optional<common::InstanceId> OwnerTrail::Newest(
     std::chrono::milliseconds now,
     const std::function<bool(common::InstanceId)>& accepts) const {
   const auto found = std::find_if(
-      this->formers.begin(), this->formers.end(), [&](const Former& former) {
-        return now < former.until && accepts(former.id);
+      this->entries.begin(), this->entries.end(), [&](const Entry& entry) {
+        return now < entry.until && accepts(entry.id);
       });
-  return found == this->formers.end() ? std::nullopt : std::optional(found->id);
+  return found == this->entries.end() ? std::nullopt : std::optional(found->id);
 }
 
 }  // namespace sassafrasdyke::core
--- a/source/core/flow/owner_trail.h
+++ b/source/core/flow/owner_trail.h
@@ -1,4 +1,5 @@
-/// The owners that a partition has lately had, as one instance saw them.
+/// The owners that a partition has lately had, as one instance saw them, and
+/// instances that lately took themselves for its owner.
 #pragma once
 
 #include <chrono>
@@ -16,23 +17,22 @@
 /// monotonic.
 class OwnerTrail {
  public:
-  /// `former` owns no longer in this instance's view; it may go on deciding
-  /// until `until`.
-  void Add(common::InstanceId former, std::chrono::milliseconds until);
+  /// `owner` may go on deciding until `until`, though another is the owner in
+  /// this instance's view.
+  void Add(common::InstanceId owner, std::chrono::milliseconds until);
 
-  /// The newest former owner that may still decide and that `accepts` lets
-  /// pass.
+  /// The newest that may still decide and that `accepts` lets pass.
   std::optional<common::InstanceId> Newest(
       std::chrono::milliseconds now,
       const std::function<bool(common::InstanceId)>& accepts) const;
 
  private:
-  struct Former {
+  struct Entry {
     common::InstanceId id;
     std::chrono::milliseconds until{0};
   };
 
-  std::vector<Former> formers;  ///< The newest first.
+  std::vector<Entry> entries;  ///< The newest first.
 };
 
 }  // namespace sassafrasdyke::core
