Block SIGHUP until front installs its handler

Remaining limitation: before main, while the program is being loaded, the signal still terminates the process. A supervisor that starts the program with SIGHUP blocked closes that window.

The soak failed with an AttributeError when a fault stopped an instance whose process had already exited on its own; it now starts the instance again.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -106,6 +106,12 @@
             self.disturb()
 
     async def _stop(self, program, seeds, pause):
+        if self.running():
+            await self._terminate()
+        await asyncio.sleep(pause)
+        self.start(program, seeds)
+
+    async def _terminate(self):
         self.signal(signal.SIGTERM)
         self.stopping = True
         process = self.process
@@ -117,8 +123,6 @@
             self.world.broken("stop", f"{self.name} outlived its grace")
             process.kill()
         process.wait()
-        await asyncio.sleep(pause)
-        self.start(program, seeds)
 
     def note_exit(self):
         """An end that nobody asked for is a fault of the program."""
--- a/source/front/front_process.cc
+++ b/source/front/front_process.cc
@@ -17,6 +17,7 @@
 #include "front/front_metrics.h"
 #include "front/line_log.h"
 #include "front/peer_exchange.h"
+#include "front/reload_signal.h"
 #include "front/status_handlers.h"
 #include "front/stop_watch.h"
 #include "front/store_reader.h"
@@ -208,6 +209,7 @@
   this->term.start(SIGTERM);
   this->hup.set<FrontProcess, &FrontProcess::OnHup>(this);
   this->hup.start(SIGHUP);
+  UnblockReloadSignal();
   this->loop.run(0);
   return {};
 }
