Keep a relay's pending members until its view includes the change

In a large failure domain, a reader tells a few relays about a change and names the members that each relay has to tell. A change that does not fit into a digest, such as a configuration of a thousand routes, is first fetched as a copy. A relay told its members on the next digest whose view was no newer than its own. That could also be an ordinary digest from a peer that arrived while the copy was in transit, so the relay announced its old view. The members learned of the change only when their views had become old, up to two seconds later, and then asked peers and the store.

A relay now records the revision that its members are to be told about and tells them once its own view has reached it. The changes that it sends start at the revision that the members are assumed to have, so they still travel in digests where they fit.

--- a/source/core/roster/peer_sync.cc
+++ b/source/core/roster/peer_sync.cc
@@ -21,12 +21,6 @@
 /// few enough that a forged digest makes nobody send much.
 constexpr std::size_t kMostPassedOn = 32;
 
-/// The changes that the digest itself carries.
-std::span<const ItemDelta> PartOf(const PeerDigest& digest) {
-  return digest.changes ? std::span(&*digest.changes, 1)
-                        : std::span<const ItemDelta>();
-}
-
 void Append(SyncActions& actions, SyncActions more) {
   std::ranges::move(more.digests, std::back_inserter(actions.digests));
 }
@@ -166,8 +160,8 @@
 SyncActions PeerSync::OnDigest(const PeerDigest& digest,
                                std::chrono::milliseconds now) {
   const bool is_new = this->roster.OnDigest(digest, now);
-  this->Owe(digest.pass_on);
   const common::Revision before = this->view.Items().Complete();
+  this->Owe(digest, before);
   SyncActions actions;
   this->TakeMark(digest.view, now);
   if (digest.changes) {
@@ -177,9 +171,7 @@
   if (have > before && this->IsReader(now)) {
     actions = this->TellFollowers(PartsSince(this->view.Items(), before), now);
   }
-  if (digest.view.complete <= have) {
-    Append(actions, this->TellOwed(PartOf(digest), now));
-  }
+  Append(actions, this->TellOwed(now));
   if (digest.view.age && digest.view.complete >= have &&
       digest.view.complete.value != 0) {
     if (digest.view.complete == have) {
@@ -212,7 +204,7 @@
   const std::vector<ItemDelta> changes = PartsSince(this->view.Items(), before);
   SyncActions actions =
       this->IsReader(now) ? this->TellFollowers(changes, now) : SyncActions{};
-  Append(actions, this->TellOwed(changes, now));
+  Append(actions, this->TellOwed(now));
   return actions;
 }
 
@@ -285,8 +277,19 @@
   return actions;
 }
 
-void PeerSync::Owe(const std::vector<common::Endpoint>& members) {
-  for (const common::Endpoint& member : members) {
+void PeerSync::Owe(const PeerDigest& digest, common::Revision before) {
+  if (digest.pass_on.empty()) {
+    return;
+  }
+  const common::Revision base = digest.changes ? digest.changes->from : before;
+  if (this->owed.empty()) {
+    this->owed_base_revision = base;
+    this->owed_revision = digest.view.complete;
+  } else {
+    this->owed_base_revision = std::min(this->owed_base_revision, base);
+    this->owed_revision = std::max(this->owed_revision, digest.view.complete);
+  }
+  for (const common::Endpoint& member : digest.pass_on) {
     const bool known =
         std::ranges::find(this->owed, member) != this->owed.end();
     if (!known && this->owed.size() < kMostPassedOn) {
@@ -295,9 +298,14 @@
   }
 }
 
-SyncActions PeerSync::TellOwed(std::span<const ItemDelta> changes,
-                               std::chrono::milliseconds now) {
-  return this->Tell(std::exchange(this->owed, {}), changes, now);
+SyncActions PeerSync::TellOwed(std::chrono::milliseconds now) {
+  if (this->owed.empty() ||
+      this->view.Items().Complete() < this->owed_revision) {
+    return {};
+  }
+  return this->Tell(std::exchange(this->owed, {}),
+                    PartsSince(this->view.Items(), this->owed_base_revision),
+                    now);
 }
 
 SyncActions PeerSync::OnPulled(ItemDelta delta, const ViewMark& mark,
--- a/source/core/roster/peer_sync.h
+++ b/source/core/roster/peer_sync.h
@@ -131,11 +131,11 @@
   SyncActions Tell(std::span<const common::Endpoint> members,
                    std::span<const ItemDelta> changes,
                    std::chrono::milliseconds now);
-  /// Remembers whom this instance was asked to tell.
-  void Owe(const std::vector<common::Endpoint>& members);
-  /// Tells them, now that the own view has what they shall hear.
-  SyncActions TellOwed(std::span<const ItemDelta> changes,
-                       std::chrono::milliseconds now);
+  /// Queues the members that the digest asks this instance to tell about its
+  /// view. `before` is the own revision before the digest was applied.
+  void Owe(const PeerDigest& digest, common::Revision before);
+  /// Tells the queued members once the own view has reached `owed_revision`.
+  SyncActions TellOwed(std::chrono::milliseconds now);
 
   LiveView& view;
   const SyncLimits limits;
@@ -144,7 +144,11 @@
   bool leaving{false};
   bool pulling{false};
   std::vector<common::Endpoint> owed;  ///< To be told by this instance.
-  unsigned redirects{0};               ///< In a row, without a copy.
+  /// The revision that the owed members are assumed to have.
+  common::Revision owed_base_revision;
+  /// The revision that the own view must reach before they are told.
+  common::Revision owed_revision;
+  unsigned redirects{0};  ///< In a row, without a copy.
   /// Until when a large listing is left to others.
   std::chrono::milliseconds listing_left_until{0};
   std::chrono::milliseconds asked_at{0};
--- a/tests/core/roster/peer_sync_test.cc
+++ b/tests/core/roster/peer_sync_test.cc
@@ -32,7 +32,7 @@
 class Fleet {
  public:
   Fleet(std::size_t size, std::size_t domains,
-        milliseconds known_within = 3000ms)
+        milliseconds known_within = 3000ms, std::uint64_t seed = 0)
       : pace(known_within) {
     std::vector<common::Endpoint> seeds;
     for (std::size_t i = 0; i < std::min<std::size_t>(3, size); ++i) {
@@ -42,7 +42,7 @@
       auto node = std::make_unique<Node>(publication);
       node->sync = std::make_unique<PeerSync>(
           RosterSelf{AddressOf(i), "domain-" + std::to_string(i % domains)},
-          seeds, node->view, SyncLimitsFor(this->pace), i);
+          seeds, node->view, SyncLimitsFor(this->pace), seed + i);
       this->nodes.push_back(std::move(node));
       this->Carry(i, this->nodes[i]->sync->OnStart(0ms));
     }
@@ -283,6 +283,20 @@
   BOOST_TEST(most <= row.most);
 }
 
+// Guards against a relay that drops its list of members to tell when another
+// peer's older digest arrives while it copies a change too large for a digest.
+BOOST_DATA_TEST_CASE(a_relay_tells_all_of_a_change_that_needs_a_copy,
+                     boost::unit_test::data::xrange(12), seed) {
+  Fleet fleet(116, 1, 3000ms, 1000U * static_cast<std::uint64_t>(seed));
+  Fill(fleet);
+  fleet.Run(20s);
+
+  fleet.Write("target/large", std::string(5000, 'x'));
+  fleet.Run(1s);
+
+  BOOST_TEST(fleet.UpToDate() == 116U);
+}
+
 // An instance through which others hear dies, and a change follows while it is
 // still counted on. Those others ask as soon as their view gets old.
 BOOST_DATA_TEST_CASE(a_dead_relay_delays_no_change_too_long,
