Bound a substitute's first delay by the time a change may take

Followers with old views read the store after a random delay of up to 100 ms per live member of their failure domain. Members that died recently still count as live. The first delay is now bounded by what is left of that time (0.5 s of 3 s, 3.5 s of 6 s).

The log now tells why an instance reads the store and with which view (reads-store), how much a listing returned (listed), and that the first calls failed (store-lost, previously written only after a call had been served). These lines were missing when the whole fleet returned: the log couldn't tell a slow listing from one that was given up.

--- a/source/core/roster/news_pace.h
+++ b/source/core/roster/news_pace.h
@@ -15,7 +15,10 @@
  public:
   /// `known_within`: the time in which a change must be known.
   explicit NewsPace(std::chrono::milliseconds known_within)
-      : part(std::clamp(known_within / kUsual, kLeastPart, 1.0)) {}
+      : known_within(known_within),
+        part(std::clamp(known_within / kUsual, kLeastPart, 1.0)) {}
+
+  std::chrono::milliseconds KnownWithin() const { return this->known_within; }
 
   /// The time in place of the usual one.
   std::chrono::milliseconds Of(std::chrono::milliseconds usual) const {
@@ -31,6 +34,7 @@
   /// on calls than on packets.
   static constexpr double kLeastPart = 0.1;
 
+  std::chrono::milliseconds known_within;
   double part;
 };
 
--- a/source/core/roster/peer_sync.cc
+++ b/source/core/roster/peer_sync.cc
@@ -32,6 +32,11 @@
   limits.ask_after = pace.Of(limits.ask_after);
   limits.read_after = pace.Of(limits.read_after);
   limits.ask_every = pace.Of(limits.ask_every);
+  // Time reserved for reading the store and passing the change on to peers.
+  constexpr std::chrono::milliseconds kReadAndRelayTime{300};
+  limits.max_first_substitute_delay =
+      std::max(pace.KnownWithin() - limits.read_after - kReadAndRelayTime,
+               pace.Of(kReadAndRelayTime));
   return limits;
 }
 
@@ -199,6 +204,7 @@
   if (is_reader && digest.view.age &&
       *digest.view.age > this->limits.read_after) {
     this->view.Contact().OnAbsence();
+    this->plan.OnStoreAbsence(this->roster.DomainSize(now), now);
   }
 }
 
--- a/source/core/roster/reading_plan.cc
+++ b/source/core/roster/reading_plan.cc
@@ -1,5 +1,8 @@
 #include "core/roster/reading_plan.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace sassafrasdyke::core {
 namespace {
 
@@ -10,6 +13,18 @@
 
 }  // namespace
 
+std::string_view Word(StoreReading reading) {
+  switch (reading) {
+    case StoreReading::kNone:
+      return "none";
+    case StoreReading::kSubstitute:
+      return "substitute";
+    case StoreReading::kNeeded:
+      return "needed";
+  }
+  return "unknown";
+}
+
 ReadingPlan::ReadingPlan(const SyncLimits& limits, std::uint64_t seed)
     : limits(limits),
       jitter(seed),
@@ -26,30 +41,42 @@
 }
 
 std::chrono::milliseconds ReadingPlan::NextSubstituteTime(
-    std::size_t members, std::chrono::milliseconds now) {
+    std::chrono::milliseconds max_delay, std::chrono::milliseconds now) {
   if (!this->last_digest_at || now - *this->last_digest_at > kIsolatedAfter) {
     return now;
   }
-  return now + this->jitter.UpTo(this->limits.substitute_delay_per_member *
-                                 static_cast<int>(members));
+  return now + this->jitter.UpTo(max_delay);
 }
 
 void ReadingPlan::OnFailure(std::size_t members,
                             std::chrono::milliseconds now) {
   if (this->HasHeardPeers()) {
     const std::chrono::milliseconds start =
-        this->NextSubstituteTime(members, now);
+        this->NextSubstituteTime(this->MaxSubstituteDelay(members), now);
     this->listing_left_until = start;
     this->substitute_from = start;
   }
 }
 
+void ReadingPlan::OnStoreAbsence(std::size_t members,
+                                 std::chrono::milliseconds now) {
+  if (this->substitute_from && now < *this->substitute_from &&
+      !std::exchange(this->store_absent, true)) {
+    this->substitute_from =
+        this->NextSubstituteTime(this->MaxSubstituteDelay(members), now);
+  }
+}
+
 void ReadingPlan::OnTick(std::optional<std::chrono::milliseconds> age,
                          std::size_t members, std::chrono::milliseconds now) {
   if (!this->TooOld(age)) {
     this->substitute_from.reset();
+    this->store_absent = false;
   } else if (!this->substitute_from) {
-    this->substitute_from = this->NextSubstituteTime(members, now);
+    this->substitute_from = this->NextSubstituteTime(
+        std::min(this->MaxSubstituteDelay(members),
+                 this->limits.max_first_substitute_delay),
+        now);
   }
 }
 
--- a/source/core/roster/reading_plan.h
+++ b/source/core/roster/reading_plan.h
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string_view>
 
 #include "core/fleet/jitter.h"
 #include "core/roster/sync_limits.h"
@@ -27,6 +28,9 @@
   kNeeded,
 };
 
+/// The log's word for a reason to read the store.
+std::string_view Word(StoreReading reading);
+
 /// The roles of an instance in the fleet.
 struct ReadingRole {
   bool seed{false};
@@ -45,6 +49,10 @@
   /// An own call of the store failed. `members`: the number of live members of
   /// the failure domain.
   void OnFailure(std::size_t members, std::chrono::milliseconds now);
+  /// A reader of the failure domain reported that it can't reach the store. No
+  /// change can be missed then, so a pending delay is replaced, once per
+  /// absence, by a random one without the bound of the first delay.
+  void OnStoreAbsence(std::size_t members, std::chrono::milliseconds now);
   /// Called ten times a second. `age`: the age of the view, if there is one.
   void OnTick(std::optional<std::chrono::milliseconds> age, std::size_t members,
               std::chrono::milliseconds now);
@@ -70,8 +78,13 @@
   }
   /// A randomized time from which this instance may read as a substitute; `now`
   /// if it seems disconnected from its peers.
-  std::chrono::milliseconds NextSubstituteTime(std::size_t members,
-                                               std::chrono::milliseconds now);
+  std::chrono::milliseconds NextSubstituteTime(
+      std::chrono::milliseconds max_delay, std::chrono::milliseconds now);
+  /// The maximum delay of a substitute in a failure domain of `members` live
+  /// members, without the bound of the first delay.
+  std::chrono::milliseconds MaxSubstituteDelay(std::size_t members) const {
+    return this->limits.substitute_delay_per_member * static_cast<int>(members);
+  }
 
   const SyncLimits limits;
   Jitter jitter;
@@ -79,6 +92,9 @@
   std::optional<std::chrono::milliseconds> last_digest_at;
   std::chrono::milliseconds listing_left_until{0};
   std::optional<std::chrono::milliseconds> substitute_from;
+  /// Whether OnStoreAbsence() has replaced a delay since the view became too
+  /// old.
+  bool store_absent{false};
 };
 
 }  // namespace sassafrasdyke::core
--- a/source/core/roster/sync_limits.h
+++ b/source/core/roster/sync_limits.h
@@ -24,6 +24,10 @@
   /// first to read tells the others, so that a domain's calls to a store that
   /// is away don't grow with its size.
   std::chrono::milliseconds substitute_delay_per_member{100};
+  /// Upper bound of the first such delay. Without it, members that died
+  /// recently and still count as live could delay a change beyond the time in
+  /// which it must be in force.
+  std::chrono::milliseconds max_first_substitute_delay{500};
   /// Pause between questions while the view is too old.
   std::chrono::milliseconds ask_every{250};
   /// Pause between questions while there is no view.
--- a/source/front/front_process.cc
+++ b/source/front/front_process.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <csignal>
 #include <memory>
+#include <optional>
 #include <utility>
 
 #include "common/hash.h"
@@ -140,7 +141,9 @@
   milliseconds settings_checked_at{0};
   bool was_usable{false};
   bool was_ready{false};
-  bool store_answered{false};
+  /// Whether the last call of the store succeeded; empty before the first
+  /// result.
+  std::optional<bool> store_answered;
   bool reading{false};
 };
 
@@ -264,6 +267,8 @@
 void FrontProcess::OnStoreListing(std::vector<core::Item> items,
                                   common::Revision at) {
   this->OnStoreAnswer();
+  this->log.OnNote("listed", {{"items", items.size()}, {"revision", at.value}},
+                   this->Now());
   const common::Revision before = this->view.Items().Complete();
   const auto started = std::chrono::steady_clock::now();
   this->view.OnListing(std::move(items), at, this->Now());
@@ -288,7 +293,7 @@
   if (!this->reading) {
     this->view.Contact().OnIdle();  // The last call of a reading that ended.
   }
-  if (!std::exchange(this->store_answered, true)) {
+  if (std::exchange(this->store_answered, true) != true) {
     this->log.OnNote("store-regained", {}, now);
   }
 }
@@ -299,7 +304,7 @@
   }
   this->view.Contact().OnFailure();
   this->sync.OnStoreFailure(this->Now());
-  if (std::exchange(this->store_answered, false)) {
+  if (std::exchange(this->store_answered, false) != false) {
     this->log.OnNote("store-lost", {{"why", what}}, this->Now());
   }
   this->ChooseReading();
@@ -319,8 +324,13 @@
     this->view.Contact().OnIdle();
   }
   this->reader.SetReading(wanted);
-  this->log.OnNote(reads ? "reads-store" : "follows-readers",
-                   {{"members", this->sync.Members().Size()}}, this->Now());
+  LineFields fields{{"members", this->sync.Members().Size()},
+                    {"revision", this->view.Items().Complete().value}};
+  if (reads) {
+    fields["why"] = core::Word(wanted);
+  }
+  this->log.OnNote(reads ? "reads-store" : "follows-readers", fields,
+                   this->Now());
 }
 
 void FrontProcess::OnPeerNews() {
--- a/tests/core/roster/fleet_start.cc
+++ b/tests/core/roster/fleet_start.cc
@@ -13,6 +13,7 @@
 
 constexpr milliseconds kStep = 5ms;
 constexpr milliseconds kTick = 100ms;
+constexpr milliseconds kKnownWithin = 6s;
 constexpr milliseconds kDuration = 10s;
 constexpr milliseconds kStartSpread = 300ms;
 constexpr milliseconds kDelayWithinDomain = 1ms;
@@ -53,7 +54,7 @@
     const std::size_t domain = id % start.domains;
     node->sync = std::make_unique<PeerSync>(
         RosterSelf{AddressOf(id), "domain-" + std::to_string(domain)}, seeds,
-        node->view, SyncLimits(), seed);
+        node->view, SyncLimitsFor(NewsPace(kKnownWithin)), seed);
     node->starts_at = this->jitter.UpTo(kStartSpread);
     node->refused =
         domain < start.refused_domains || this->Chance(start.instances_refused);
--- a/tests/core/roster/peer_sync_test.cc
+++ b/tests/core/roster/peer_sync_test.cc
@@ -447,6 +447,26 @@
   BOOST_TEST(substitutes == 8U);
 }
 
+// Guards against survivors learning of a change too late because members that
+// died together with the readers still lengthen the substitute delay.
+BOOST_DATA_TEST_CASE(dead_members_do_not_delay_substitutes,
+                     boost::unit_test::data::xrange(6), seed) {
+  Fleet fleet(60, 1, 3000ms, 1000U * static_cast<std::uint64_t>(seed));
+  Fill(fleet);
+  fleet.Run(10s);
+  std::size_t alive = 0;
+  for (std::size_t i = 0; i < 60; ++i) {
+    const bool survives = alive < 3 && !fleet.At(i).sync->ShouldRead(10s);
+    fleet.At(i).dead = !survives;
+    alive += survives ? 1 : 0;
+  }
+
+  fleet.Write("configuration", "2 198.18.0.1:443=handover");
+  fleet.Run(2900ms);
+
+  BOOST_TEST(fleet.UpToDate() == 3U);
+}
+
 // Guards against followers removing targets whose entries lapsed while the
 // store was away, because they made no failed call themselves.
 BOOST_AUTO_TEST_CASE(entries_that_lapsed_meanwhile_are_kept_by_followers) {
