List a small store before any peer has answered

An instance that no peer has answered within 25 ms now lists the store if the answer is at most 64 kB, small enough for even 810 instances to list it at once. If the headers announce a larger answer, GetConnection abandons it before the body, and the instance waits for its peers as before.

The bound covers two round trips and a listing or a copy.

--- a/source/core/roster/reading_plan.cc
+++ b/source/core/roster/reading_plan.cc
@@ -17,6 +17,8 @@
   switch (reading) {
     case StoreReading::kNone:
       return "none";
+    case StoreReading::kProbe:
+      return "probe";
     case StoreReading::kSubstitute:
       return "substitute";
     case StoreReading::kNeeded:
@@ -50,6 +52,7 @@
 
 void ReadingPlan::OnFailure(std::size_t members,
                             std::chrono::milliseconds now) {
+  this->store_failed = true;
   if (this->HasHeardPeers()) {
     const std::chrono::milliseconds start =
         this->NextSubstituteTime(this->MaxSubstituteDelay(members), now);
@@ -86,8 +89,12 @@
     return StoreReading::kNeeded;
   }
   if (!this->HasHeardPeers()) {
-    return now < this->list_without_peers_from ? StoreReading::kNone
-                                               : StoreReading::kNeeded;
+    if (now >= this->list_without_peers_from) {
+      return StoreReading::kNeeded;
+    }
+    return this->store_failed || now < this->limits.probe_after
+               ? StoreReading::kNone
+               : StoreReading::kProbe;
   }
   if (role.reader) {
     return StoreReading::kNeeded;
--- a/source/core/roster/reading_plan.h
+++ b/source/core/roster/reading_plan.h
@@ -21,6 +21,9 @@
 /// Why an instance reads the store itself.
 enum class StoreReading : std::uint8_t {
   kNone,
+  /// No peer has answered yet. The instance lists the store only if the answer
+  /// is small enough for all instances of the fleet to list it at once.
+  kProbe,
   /// Nobody has told it anything for a while. Its domain's readers are trying
   /// as well, and will tell it.
   kSubstitute,
@@ -89,6 +92,8 @@
   const SyncLimits limits;
   Jitter jitter;
   std::chrono::milliseconds list_without_peers_from;
+  /// Whether a call of the store has failed; prevents further probes.
+  bool store_failed{false};
   std::optional<std::chrono::milliseconds> last_digest_at;
   std::chrono::milliseconds listing_left_until{0};
   std::optional<std::chrono::milliseconds> substitute_from;
--- a/source/core/roster/sync_limits.h
+++ b/source/core/roster/sync_limits.h
@@ -37,6 +37,10 @@
   /// A first answer of the store takes 30 ms; who has waited this long asks
   /// its peers as well.
   std::chrono::milliseconds patience{150};
+  /// How long an instance without a view waits for a first digest before it
+  /// probes the store (StoreReading::kProbe). Covers two round trips between
+  /// failure domains, including processing.
+  std::chrono::milliseconds probe_after{25};
   /// Minimum time that an instance without a view waits for a first digest
   /// before it lists the store itself. The maximum is three times as long.
   /// Covers start times that differ by up to 300 ms.
--- a/source/front/front_process.cc
+++ b/source/front/front_process.cc
@@ -35,6 +35,10 @@
 /// How often the settings' file is looked at: one call each.
 constexpr milliseconds kSettingsCheck{2000};
 
+/// Delay from process start to the first decision whether to probe the store.
+/// Shorter than a tick, which would delay the first view.
+constexpr milliseconds kFirstReadingCheck{25};
+
 ev::tstamp Seconds(milliseconds time) {
   return std::chrono::duration<double>(time).count();
 }
@@ -90,6 +94,7 @@
         readiness([this] { return this->Ready(); }),
         metrics_handler([this] { return this->metrics.Text(this->State()); }),
         tick(this->loop),
+        first_reading_check(this->loop),
         term(this->loop),
         hup(this->loop) {}
 
@@ -102,6 +107,7 @@
   FrontState State() const;
   tl::expected<void, std::string> Open();
   void OnTick(ev::timer& watcher, int events);
+  void OnFirstReadingCheck(ev::timer& watcher, int events);
   void OnTerm(ev::sig& watcher, int signal);
   void OnHup(ev::sig& watcher, int signal);
   void ReadSettingsAgain();
@@ -136,6 +142,7 @@
   std::unique_ptr<http::Server> metrics_server;
   std::unique_ptr<FlowPort> flows;
   ev::timer tick;
+  ev::timer first_reading_check;
   ev::sig term;
   ev::sig hup;
   milliseconds settings_checked_at{0};
@@ -207,6 +214,9 @@
   this->exchange->Act(this->sync.OnStart(this->Now()));
   this->tick.set<FrontProcess, &FrontProcess::OnTick>(this);
   this->tick.start(Seconds(kTick), Seconds(kTick));
+  this->first_reading_check
+      .set<FrontProcess, &FrontProcess::OnFirstReadingCheck>(this);
+  this->first_reading_check.start(Seconds(kFirstReadingCheck));
   this->term.set<FrontProcess, &FrontProcess::OnTerm>(this);
   this->term.start(SIGTERM);
   this->hup.set<FrontProcess, &FrontProcess::OnHup>(this);
@@ -238,6 +248,10 @@
   this->lines.OnTick(now);
 }
 
+void FrontProcess::OnFirstReadingCheck(ev::timer& /*watcher*/, int /*events*/) {
+  this->ChooseReading();
+}
+
 void FrontProcess::OnTerm(ev::sig& /*watcher*/, int /*signal*/) {
   const milliseconds now = this->Now();
   this->stop.OnStop(now);
--- a/source/front/store_reader.cc
+++ b/source/front/store_reader.cc
@@ -100,8 +100,11 @@
       watches ? wait + this->limits.slack : this->limits.page_deadline;
   const std::chrono::milliseconds stall_timeout =
       watches ? deadline : this->limits.slack;
+  const std::size_t max_answer = this->reading == core::StoreReading::kProbe
+                                     ? this->limits.max_probe_answer
+                                     : this->limits.max_answer;
   this->connection.Get(
-      {this->store, path, deadline, this->limits.max_answer, stall_timeout});
+      {this->store, path, deadline, max_answer, stall_timeout});
 }
 
 void StoreReader::OnGetOutcome(
--- a/source/front/store_reader.h
+++ b/source/front/store_reader.h
@@ -46,6 +46,9 @@
   /// call brings them all. The two readers of a failure domain vary it apart,
   /// so that the domain rarely waits for the longest. Less than `wait`.
   std::chrono::milliseconds pace{800};
+  /// Greatest answer to a probe, in bytes. If 810 instances probe at once, the
+  /// answers total 53 MB, which the store's link carries in less than 0.5 s.
+  std::size_t max_probe_answer{64U << 10U};
   /// Greatest answer, in bytes: a page of 1 MB in base64, with its fields.
   std::size_t max_answer{2U << 20U};
 };
--- a/source/http/get_connection.cc
+++ b/source/http/get_connection.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <climits>
+#include <cstdint>
 #include <utility>
 
 namespace sassafrasdyke::http {
@@ -39,6 +41,16 @@
     return 0;
   }
 
+  /// Rejects an answer whose Content-Length exceeds the limit before its body
+  /// is received.
+  static int OnHeaders(http_parser* parser) {
+    constexpr std::uint64_t kNoContentLength = ULLONG_MAX;
+    GetConnection& connection = Of(parser);
+    connection.too_large = parser->content_length != kNoContentLength &&
+                           parser->content_length > connection.request.max_body;
+    return connection.too_large ? -1 : 0;
+  }
+
   static int OnComplete(http_parser* parser) {
     Of(parser).complete = true;
     // Stops at the answer's end: bytes behind it belong to no request.
@@ -50,6 +62,7 @@
     static const http_parser_settings settings = [] {
       http_parser_settings made;
       http_parser_settings_init(&made);
+      made.on_headers_complete = &OnHeaders;
       made.on_body = &OnBody;
       made.on_message_complete = &OnComplete;
       return made;
--- a/tests/core/roster/fleet_start.h
+++ b/tests/core/roster/fleet_start.h
@@ -20,6 +20,7 @@
 struct FleetStart {
   std::size_t instances{300};
   std::size_t domains{5};
+  bool large_view{true};      ///< Its listing exceeds the limit of a probe.
   std::size_t seeds_down{0};  ///< Of three.
   /// Latency of a call of the store, without the transfer.
   std::chrono::milliseconds store_latency{4};
@@ -80,6 +81,7 @@
     Time starts_at{0};
     bool started{false};
     bool refused{false};
+    bool reading_checked{false};  ///< After `kFirstReadingCheck`.
     std::optional<Time> usable_at;
     std::size_t pages{0};  ///< Of the listing, received so far.
     std::optional<Call> call;
--- a/tests/core/roster/fleet_start_test.cc
+++ b/tests/core/roster/fleet_start_test.cc
@@ -35,6 +35,10 @@
     {"a third of instances refused", {.instances_refused = 0.33}, 1500ms},
     {"two domains refused", {.refused_domains = 2}, 1500ms},
     {"eight instances", {.instances = 8, .domains = 3}, 1000ms},
+    // The bound covers two round trips and a listing or a copy.
+    {"eight instances with few targets",
+     {.instances = 8, .domains = 3, .large_view = false},
+     200ms},
     // Without peers, 300 listings saturate the store's link for 1.5 s.
     {"no seed is up", {.seeds_down = 3}, 3000ms},
 };
--- a/tests/front/store_reader_test.cc
+++ b/tests/front/store_reader_test.cc
@@ -145,6 +145,22 @@
   BOOST_TEST(scene.recorder.listings[0].items == 1U);
 }
 
+// Guards against all instances of a fleet receiving a large listing at once
+// when no peer has answered yet.
+BOOST_AUTO_TEST_CASE(a_probe_rejects_a_large_listing) {
+  StoreLimits limits = QuickLimits();
+  limits.max_probe_answer = 10;
+  Scene scene(limits);
+  scene.Answer(200, "5\na 1 x\nb 2 y\n");
+
+  scene.reader.SetReading(core::StoreReading::kProbe);
+  BOOST_REQUIRE(tests::RunUntil(
+      scene.loop, [&] { return !scene.recorder.failures.empty(); }));
+
+  BOOST_TEST(scene.recorder.failures[0] == "too-large");
+  BOOST_TEST(scene.recorder.listings.empty());
+}
+
 struct RetryRow {
   core::StoreReading reading;
   milliseconds first;
--- a/tests/http/http_test.cc
+++ b/tests/http/http_test.cc
@@ -73,6 +73,8 @@
     {"silence", "", false, GetFailure::kTimeout},
     {"half, then silence", kHead + "o", false, GetFailure::kTimeout},
     {"noise", "SSH-2.0\r\n\r\n", false, GetFailure::kMalformed},
+    {"too much, headers only", "HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n",
+     false, GetFailure::kTooLarge},
     {"too much",
      "HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n" + std::string(101, 'x'),
      false, GetFailure::kTooLarge},
