Make questions to peers, and the reading state, in one place

- PeerSync built a digest that asks for an answer in two places.
- A digest's age is looked at before the domain's readers are sorted; each digest paid for the sorting.
- The delay before a probe stood in front_process.cc and in the model as well as in SyncLimits.
- StoreReader worked out in three places whether it watches.
- Simpler branches in GetConnection::Feed, FrontProcess::OnPeerNews and PeerSync::ClearOwedUnlessPulling.

--- a/source/core/roster/peer_sync.cc
+++ b/source/core/roster/peer_sync.cc
@@ -27,19 +27,6 @@
 
 }  // namespace
 
-SyncLimits SyncLimitsFor(const NewsPace& pace) {
-  SyncLimits limits;
-  limits.ask_after = pace.Of(limits.ask_after);
-  limits.read_after = pace.Of(limits.read_after);
-  limits.ask_every = pace.Of(limits.ask_every);
-  // Time reserved for reading the store and passing the change on to peers.
-  constexpr std::chrono::milliseconds kReadAndRelayTime{300};
-  limits.max_first_substitute_delay =
-      std::max(pace.KnownWithin() - limits.read_after - kReadAndRelayTime,
-               pace.Of(kReadAndRelayTime));
-  return limits;
-}
-
 ViewMark PeerSync::Mark(std::chrono::milliseconds now) const {
   const StoreContact& contact = this->view.Contact();
   ViewMark mark{this->view.Items().Complete(), contact.Age(now), std::nullopt};
@@ -61,6 +48,13 @@
   return digest;
 }
 
+DigestOut PeerSync::MakeQuestion(const common::Endpoint& receiver,
+                                 std::chrono::milliseconds now) {
+  DigestOut question{receiver, this->MakeDigest(receiver, now)};
+  question.digest.wants_answer = true;
+  return question;
+}
+
 bool PeerSync::IsReader(std::chrono::milliseconds now) const {
   return !this->leaving && this->roster.Rank(now) < this->limits.readers;
 }
@@ -106,7 +100,7 @@
 void PeerSync::ClearOwedUnlessPulling() {
   // What was to be passed on isn't here. Its receivers hear of it from others
   // or ask when their views get old.
-  if (!this->pull.Running() && !this->pull.Pending()) {
+  if (!this->pull.Pending()) {
     this->owed.clear();
   }
 }
@@ -128,9 +122,7 @@
 SyncActions PeerSync::AskSeeds(std::chrono::milliseconds now) {
   SyncActions actions;
   for (const common::Endpoint& seed : this->roster.Seeds()) {
-    PeerDigest digest = this->MakeDigest(seed, now);
-    digest.wants_answer = true;
-    actions.digests.push_back({seed, std::move(digest)});
+    actions.digests.push_back(this->MakeQuestion(seed, now));
   }
   return actions;
 }
@@ -145,9 +137,7 @@
                        this->asked_readers.end();
     if (!asked && this->asked_readers.size() < kMostAsked) {
       this->asked_readers.push_back(reader);
-      PeerDigest digest = this->MakeDigest(reader, now);
-      digest.wants_answer = true;
-      actions.digests.push_back({reader, std::move(digest)});
+      actions.digests.push_back(this->MakeQuestion(reader, now));
     }
   }
   return actions;
@@ -197,12 +187,12 @@
 // view of a reader means that neither it nor its peers can reach the store.
 void PeerSync::NoteStoreAbsence(const PeerDigest& digest,
                                 std::chrono::milliseconds now) {
+  if (!digest.view.age || *digest.view.age <= this->limits.read_after) {
+    return;
+  }
   const std::vector<common::Endpoint> readers =
       this->roster.Readers(this->limits.readers, now);
-  const bool is_reader =
-      std::ranges::find(readers, digest.sender) != readers.end();
-  if (is_reader && digest.view.age &&
-      *digest.view.age > this->limits.read_after) {
+  if (std::ranges::find(readers, digest.sender) != readers.end()) {
     this->view.Contact().OnAbsence();
     this->plan.OnStoreAbsence(this->roster.DomainSize(now), now);
   }
--- a/source/core/roster/peer_sync.h
+++ b/source/core/roster/peer_sync.h
@@ -87,6 +87,9 @@
   SyncActions AskSeeds(std::chrono::milliseconds now);
   PeerDigest MakeDigest(const common::Endpoint& receiver,
                         std::chrono::milliseconds now);
+  /// A digest that the receiver shall answer.
+  DigestOut MakeQuestion(const common::Endpoint& receiver,
+                         std::chrono::milliseconds now);
   ReadingRole Role(std::chrono::milliseconds now) const;
   /// Asks each reader of the domain once for its view. A reader that has none
   /// yet learns of this instance and tells it when it has one.
--- a/source/front/front_process.cc
+++ b/source/front/front_process.cc
@@ -35,10 +35,6 @@
 /// How often the settings' file is looked at: one call each.
 constexpr milliseconds kSettingsCheck{2000};
 
-/// Delay from process start to the first decision whether to probe the store.
-/// Shorter than a tick, which would delay the first view.
-constexpr milliseconds kFirstReadingCheck{25};
-
 ev::tstamp Seconds(milliseconds time) {
   return std::chrono::duration<double>(time).count();
 }
@@ -216,7 +212,9 @@
   this->tick.start(Seconds(kTick), Seconds(kTick));
   this->first_reading_check
       .set<FrontProcess, &FrontProcess::OnFirstReadingCheck>(this);
-  this->first_reading_check.start(Seconds(kFirstReadingCheck));
+  // A tick would come too late for a probe, and delay the first view.
+  this->first_reading_check.start(
+      Seconds(core::SyncLimitsFor(PaceOf(this->settings)).probe_after));
   this->term.set<FrontProcess, &FrontProcess::OnTerm>(this);
   this->term.start(SIGTERM);
   this->hup.set<FrontProcess, &FrontProcess::OnHup>(this);
@@ -348,11 +346,11 @@
 }
 
 void FrontProcess::OnPeerNews() {
-  if (this->was_usable) {
-    this->LogViewChanges(core::ViewSource::kPeer);
+  const bool had_view = this->was_usable;
+  this->LogViewChanges(core::ViewSource::kPeer);
+  if (had_view) {
     return;
   }
-  this->LogViewChanges(core::ViewSource::kPeer);
   if (this->was_usable) {
     this->reader.HasRevision(this->view.Items().Complete());
   }
--- a/source/front/store_reader.cc
+++ b/source/front/store_reader.cc
@@ -65,7 +65,7 @@
 }
 
 void StoreReader::HasRevision(common::Revision revision) {
-  const bool is_listing = this->known.value == 0;
+  const bool is_listing = !this->Watches();
   if (revision.value == 0 || (is_listing && revision < this->listed_at)) {
     return;
   }
@@ -87,7 +87,7 @@
     return;
   }
   ++this->counts.calls;
-  const bool watches = this->known.value != 0 && this->listed_at.value == 0;
+  const bool watches = this->Watches();
   // A pause counts as waiting: those who depend on this instance hear from it
   // no less often for it.
   const std::chrono::milliseconds wait =
@@ -128,8 +128,7 @@
 }
 
 void StoreReader::OnServed(const std::string& body) {
-  const bool watches = this->known.value != 0 && this->listed_at.value == 0;
-  if (watches) {
+  if (this->Watches()) {
     this->OnChanges(body);
   } else {
     this->OnPage(body);
--- a/source/front/store_reader.h
+++ b/source/front/store_reader.h
@@ -98,6 +98,10 @@
   const StoreCounts& Counts() const { return this->counts; }
 
  private:
+  /// Whether calls watch for changes; they list before.
+  bool Watches() const {
+    return this->known.value != 0 && this->listed_at.value == 0;
+  }
   void OnTimer(ev::timer& timer, int events);
   void OnGetOutcome(
       const tl::expected<http::GetAnswer, http::GetFailure>& outcome) override;
--- a/source/http/get_connection.cc
+++ b/source/http/get_connection.cc
@@ -221,13 +221,11 @@
     this->Finish(tl::unexpected(GetFailure::kTooLarge));
     return;
   }
-  if (size > 0) {
-    this->RestartTimer();
-  }
   if (size == 0) {
     this->OnLost();
     return;
   }
+  this->RestartTimer();
   if (HTTP_PARSER_ERRNO(&this->parser) != HPE_OK) {
     this->Close();
     this->Finish(tl::unexpected(GetFailure::kMalformed));
--- a/tests/core/roster/fleet_start.cc
+++ b/tests/core/roster/fleet_start.cc
@@ -28,8 +28,6 @@
 constexpr double kSmallPageBytes = 20e3;
 constexpr double kCopyBytes = 92e3;
 constexpr double kSmallCopyBytes = 4e3;
-/// Time from an instance's start to its first decision whether to probe.
-constexpr milliseconds kFirstReadingCheck = 25ms;
 constexpr std::size_t kMostCopies = 3;
 constexpr std::size_t kSeeds = 3;
 constexpr std::uint32_t kFirstAddress = 0x0A000001;
@@ -96,7 +94,7 @@
     if (!node.started) {
       continue;
     }
-    if (this->now - node.starts_at >= kFirstReadingCheck &&
+    if (this->now - node.starts_at >= SyncLimits().probe_after &&
         !std::exchange(node.reading_checked, true)) {
       this->ChooseReading(node);
     }
