Name the target and the evidence in the line of each reset open flow

Cause: a `refused` line of an open flow held `"word":0` and no target when the reset was sent from the flow memory, so nobody could tell whose flow it was or which evidence had decided; and in the rush after a common end of targets such lines were left out with those of new flows.

Change: a refusal carries its target. The line says the target's phase, since when it is gone and whether another has its address, when a client last showed that it answers, and how the last trial connection ended. These lines have a budget of their own; the test pushes 5,000 refused SYNs before one.

--- a/source/core/steering/flow_packet.h
+++ b/source/core/steering/flow_packet.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <variant>
 
@@ -64,6 +65,8 @@
 /// Send the client a reset.
 struct Refuse {
   RefusalReason reason{RefusalReason::kNoRoute};
+  /// The target at which the flow was, if it was at a known one.
+  std::optional<TargetIndex> target = std::nullopt;
 };
 
 /// Drop the packet.
--- a/source/core/steering/flow_steering.cc
+++ b/source/core/steering/flow_steering.cc
@@ -149,7 +149,7 @@
   }
   if (packet.payload_bytes > 0) {
     if (this->watch.Silent(*index)) {
-      return Refuse{RefusalReason::kTargetSilent};
+      return Refuse{RefusalReason::kTargetSilent, *index};
     }
     this->watch.OnSent(*index, now);
   }
@@ -193,7 +193,7 @@
   if (lives || packet.payload_bytes == 0) {
     return SendToTarget{index, SteeringReason::kCarried};
   }
-  return Refuse{RefusalReason::kTargetGone};
+  return Refuse{RefusalReason::kTargetGone, index};
 }
 
 // Another instance may already use a target that this one hasn't heard of, so
--- a/source/core/steering/target_watch.cc
+++ b/source/core/steering/target_watch.cc
@@ -119,6 +119,8 @@
     return false;
   }
   State& state = found->second;
+  state.last_probe = outcome;
+  state.probed_at = now;
   if (outcome == ProbeOutcome::kAnswered) {
     ShowLife(state, now);
     // Alive, but perhaps slow: it isn't asked again at once.
@@ -221,6 +223,18 @@
                           : state->last_answered;
 }
 
+SignsOfLife TargetWatch::Signs(TargetIndex target) const {
+  const State* const state = this->Find(target);
+  if (state == nullptr) {
+    return {};
+  }
+  SignsOfLife signs{std::nullopt, state->last_probe, state->probed_at};
+  if (state->last_answered != std::chrono::milliseconds::min()) {
+    signs.answered_at = state->last_answered;
+  }
+  return signs;
+}
+
 const TargetWatch::State* TargetWatch::Find(TargetIndex target) const {
   const auto found = this->states.find(target);
   return found == this->states.end() ? nullptr : &found->second;
--- a/source/core/steering/target_watch.h
+++ b/source/core/steering/target_watch.h
@@ -32,6 +32,15 @@
 /// The log's word for an outcome.
 std::string_view Word(ProbeOutcome outcome);
 
+/// What is known of whether a target lives. Times are monotonic.
+struct SignsOfLife {
+  /// When a client last showed that the target answers.
+  std::optional<std::chrono::milliseconds> answered_at;
+  /// How the last trial connection ended, and when.
+  std::optional<ProbeOutcome> probe;
+  std::chrono::milliseconds probed_at{0};
+};
+
 /// Passive health, by target. Times are monotonic.
 class TargetWatch {
  public:
@@ -73,12 +82,15 @@
   std::chrono::milliseconds LastMissed(TargetIndex target) const;
   /// When a client last showed that the target answers.
   std::chrono::milliseconds LastAnswered(TargetIndex target) const;
+  SignsOfLife Signs(TargetIndex target) const;
 
  private:
   struct State {
     unsigned misses{0};
     std::chrono::milliseconds last_missed{0};
     std::chrono::milliseconds last_answered{std::chrono::milliseconds::min()};
+    std::optional<ProbeOutcome> last_probe;
+    std::chrono::milliseconds probed_at{0};
     std::chrono::milliseconds suspected_until{0};
     /// Packets sent since the target last showed life, and since when.
     unsigned unanswered{0};
--- a/source/front/flow_port.cc
+++ b/source/front/flow_port.cc
@@ -177,17 +177,29 @@
   if (const auto age = this->context.view.Contact().Age(now)) {
     this->context.metrics.OnViewUsed(*age);
   }
-  const core::TargetEntry* const target =
-      sent == nullptr ? nullptr
-                      : &this->context.view.Targets().At(sent->target);
   this->context.log.OnDecision(
-      packet, action, target,
+      packet, action, this->TargetOf(action),
       {this->context.view.Routes().Version(),
        this->context.view.Items().Complete(),
        this->context.view.Contact().Age(now), this->admission.Waiting()},
       now);
 }
 
+std::optional<DecisionTarget> FlowPort::TargetOf(
+    const core::SteeringAction& action) const {
+  std::optional<core::TargetIndex> index;
+  if (const auto* sent = std::get_if<core::SendToTarget>(&action)) {
+    index = sent->target;
+  } else if (const auto* refused = std::get_if<core::Refuse>(&action)) {
+    index = refused->target;
+  }
+  if (!index || !this->context.view.Targets().Has(*index)) {
+    return std::nullopt;
+  }
+  return DecisionTarget{this->context.view.Targets().At(*index),
+                        this->steering.Watch().Signs(*index)};
+}
+
 void FlowPort::StartProbes() {
   const milliseconds now = this->context.clock.Now();
   for (const core::TargetIndex target :
@@ -245,7 +257,7 @@
 
 void FlowPort::ResetFlowsOf(core::TargetIndex target,
                             core::RefusalReason reason) {
-  const core::SteeringAction action = core::Refuse{reason};
+  const core::SteeringAction action = core::Refuse{reason, target};
   for (const core::FlowPacket& packet : this->steering.TakeFlowsOf(target)) {
     this->Act(packet, action, {});
     this->LogDecision(packet, action);
--- a/source/front/flow_port.h
+++ b/source/front/flow_port.h
@@ -77,6 +77,8 @@
            std::span<const std::uint8_t> bytes);
   void LogDecision(const core::FlowPacket& packet,
                    const core::SteeringAction& action);
+  std::optional<DecisionTarget> TargetOf(
+      const core::SteeringAction& action) const;
   void StartProbes();
   /// The address of a target that has just shown life.
   std::optional<common::Endpoint> ControlFor(
--- a/source/front/flow_story.cc
+++ b/source/front/flow_story.cc
@@ -123,9 +123,11 @@
 
 /// The fields that decided, in the order of their importance.
 constexpr std::array kInputs{
-    "reason",     "target",      "repeats", "phase",   "outcome",
-    "silent_now", "why",         "for_ms",  "version", "configuration",
-    "revision",   "view_age_ms", "source",  "waiting"};
+    "reason",      "target",      "repeats",         "phase",
+    "replaced",    "gone_age_ms", "answered_age_ms", "probe",
+    "outcome",     "silent_now",  "probe_age_ms",    "why",
+    "for_ms",      "version",     "configuration",   "revision",
+    "view_age_ms", "source",      "waiting"};
 
 std::string Describe(const LogLine& line) {
   std::string text = line.event;
--- a/source/front/front_log.cc
+++ b/source/front/front_log.cc
@@ -48,11 +48,38 @@
       change);
 }
 
+/// Names the target of a flow that is reset, and what showed its end.
+void AddEvidence(LineFields& fields, const DecisionTarget& target,
+                 std::chrono::milliseconds now) {
+  fields["target"] = target.entry.name;
+  fields["phase"] = core::Word(target.entry.phase);
+  if (target.entry.phase == core::TargetPhase::kGone) {
+    fields["replaced"] = target.entry.replaced;
+    fields["gone_age_ms"] = (now - target.entry.gone_at).count();
+  }
+  if (target.signs.answered_at) {
+    fields["answered_age_ms"] = (now - *target.signs.answered_at).count();
+  }
+  if (target.signs.probe) {
+    fields["probe"] = core::Word(*target.signs.probe);
+    fields["probe_age_ms"] = (now - target.signs.probed_at).count();
+  }
+}
+
+/// Resets of open flows have a budget of their own: in the rush of new flows
+/// after a common end of targets, their lines would be left out.
+LineKind KindOf(const core::FlowPacket& packet,
+                const core::SteeringAction& action) {
+  const bool resets_open =
+      std::holds_alternative<core::Refuse>(action) && !packet.flags.syn;
+  return resets_open ? LineKind::kReset : LineKind::kFlow;
+}
+
 }  // namespace
 
 void FrontLog::OnDecision(const core::FlowPacket& packet,
                           const core::SteeringAction& action,
-                          const core::TargetEntry* target,
+                          const std::optional<DecisionTarget>& target,
                           const DecisionInputs& inputs,
                           std::chrono::milliseconds now) {
   LineFields fields{{"flow", packet.flow.ToString()}};
@@ -60,14 +87,17 @@
   if (const auto* sent = std::get_if<core::SendToTarget>(&action)) {
     event = "placed";
     fields["reason"] = Word(sent->reason);
-    fields["target"] = target->name;
-    fields["domain"] = target->published.domain;
+    fields["target"] = target->entry.name;
+    fields["domain"] = target->entry.published.domain;
     fields["repeats"] = packet.repeats;
   } else if (const auto* refused = std::get_if<core::Refuse>(&action)) {
     event = "refused";
     fields["reason"] = Word(refused->reason);
     fields["opening"] = packet.flags.syn;
     fields["word"] = packet.word.value;
+    if (target) {
+      AddEvidence(fields, *target, now);
+    }
   } else if (std::holds_alternative<core::HoldBack>(action)) {
     event = "held";
     fields["reason"] = "targets-busy";
@@ -84,7 +114,7 @@
   if (inputs.view_age) {
     fields["view_age_ms"] = inputs.view_age->count();
   }
-  this->lines.Write(LineKind::kFlow, event, fields, now);
+  this->lines.Write(KindOf(packet, action), event, fields, now);
 }
 
 void FrontLog::OnViewChange(const core::ViewChange& change,
--- a/source/front/front_log.h
+++ b/source/front/front_log.h
@@ -20,17 +20,23 @@
   std::size_t waiting{0};  ///< SYNs that are held back.
 };
 
+/// The target of a flow about which something was decided.
+struct DecisionTarget {
+  const core::TargetEntry& entry;
+  core::SignsOfLife signs;
+};
+
 /// Writes a line for each decision about a new or refused flow and for each
 /// change of the view. Packets of established flows write none.
 class FrontLog {
  public:
   explicit FrontLog(LineLog& lines) : lines(lines) {}
 
-  /// `target` is null unless the packet was sent to one.
+  /// `target` is empty when the flow has none, or one that isn't known.
   void OnDecision(const core::FlowPacket& packet,
                   const core::SteeringAction& action,
-                  const core::TargetEntry* target, const DecisionInputs& inputs,
-                  std::chrono::milliseconds now);
+                  const std::optional<DecisionTarget>& target,
+                  const DecisionInputs& inputs, std::chrono::milliseconds now);
   void OnViewChange(const core::ViewChange& change, core::ViewSource source,
                     common::Revision revision, std::chrono::milliseconds now);
   /// A trial connection that didn't find the target alive.
--- a/source/front/line_log.cc
+++ b/source/front/line_log.cc
@@ -20,6 +20,7 @@
 constexpr common::BucketLimits kViewLines{40, 1000};
 constexpr common::BucketLimits kPeerLines{10, 100};
 constexpr common::BucketLimits kFlowLines{40, 400};
+constexpr common::BucketLimits kResetLines{40, 400};
 
 std::int64_t WallClock() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -37,6 +38,7 @@
     case LineKind::kPeer:
       return "peer";
     case LineKind::kFlow:
+    case LineKind::kReset:
       return "flow";
   }
   return "unknown";
@@ -49,7 +51,8 @@
       budgets{Budget{common::TokenBucket(kProcessLines)},
               Budget{common::TokenBucket(kViewLines)},
               Budget{common::TokenBucket(kPeerLines)},
-              Budget{common::TokenBucket(kFlowLines)}},
+              Budget{common::TokenBucket(kFlowLines)},
+              Budget{common::TokenBucket(kResetLines)}},
       writable(loop) {
   const int flags = fcntl(descriptor, F_GETFL);
   fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
--- a/source/front/line_log.h
+++ b/source/front/line_log.h
@@ -22,7 +22,13 @@
 
 /// Lines by what they tell of; each kind has a budget of its own, so that a
 /// flood of one can't hide another.
-enum class LineKind : std::uint8_t { kProcess, kView, kPeer, kFlow };
+enum class LineKind : std::uint8_t {
+  kProcess,
+  kView,
+  kPeer,
+  kFlow,
+  kReset,  ///< Of an open flow; told in the channel of flows.
+};
 
 /// The log's word for a kind; the line's `channel`.
 std::string_view Word(LineKind kind);
@@ -49,7 +55,7 @@
   std::uint64_t Written() const { return this->written; }
 
  private:
-  static constexpr std::size_t kKinds = 4;
+  static constexpr std::size_t kKinds = 5;
 
   /// One kind's budget and what it has kept out.
   struct Budget {
--- /dev/null
+++ b/tests/front/front_log_test.cc
@@ -0,0 +1,135 @@
+/// What the lines about flows say.
+#include "front/front_log.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <ostream>
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include "front/log_pipe.h"
+
+namespace sassafrasdyke::front {
+namespace {
+
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+
+/// A packet of an established flow.
+core::FlowPacket OpenFlowsPacket() {
+  core::FlowPacket packet;
+  packet.flow = {*common::Endpoint::Parse("127.2.0.7:1033"),
+                 *common::Endpoint::Parse("198.18.0.1:443")};
+  packet.flags.ack = true;
+  return packet;
+}
+
+core::TargetEntry EntryIn(core::TargetPhase phase, bool replaced) {
+  core::TargetEntry entry;
+  entry.name = "target/a1";
+  entry.phase = phase;
+  entry.replaced = replaced;
+  entry.gone_at = 400ms;
+  return entry;
+}
+
+/// A log whose lines can be read back.
+struct Scene {
+  Scene() : lines(this->loop, this->pipe.WriteEnd(), {}), log(this->lines) {}
+
+  std::vector<Json> Written(std::chrono::milliseconds now) {
+    std::string all;
+    // A pipe holds less than a rush of lines.
+    for (std::string part = " "; !part.empty(); all += part) {
+      this->lines.OnTick(now);
+      part = this->pipe.ReadAll();
+    }
+    std::vector<Json> read;
+    std::istringstream text(all);
+    for (std::string line; std::getline(text, line);) {
+      read.push_back(Json::parse(line));
+    }
+    return read;
+  }
+
+  ev::dynamic_loop loop;
+  const LogPipe pipe;
+  LineLog lines;
+  FrontLog log;
+};
+
+struct Reset {
+  core::RefusalReason reason;
+  core::TargetEntry entry;
+  core::SignsOfLife signs;
+  /// The line's fields that name the evidence.
+  Json evidence;
+};
+
+std::ostream& operator<<(std::ostream& out, const Reset& row) {
+  return out << row.evidence;
+}
+
+const Reset kResets[] = {
+    {core::RefusalReason::kTargetGone,
+     EntryIn(core::TargetPhase::kGone, true),
+     {},
+     {{"target", "target/a1"},
+      {"phase", "gone"},
+      {"replaced", true},
+      {"gone_age_ms", 600}}},
+    {core::RefusalReason::kTargetSilent,
+     EntryIn(core::TargetPhase::kServing, false),
+     {200ms, core::ProbeOutcome::kSilent, 990ms},
+     {{"target", "target/a1"},
+      {"phase", "serving"},
+      {"answered_age_ms", 800},
+      {"probe", "silent"},
+      {"probe_age_ms", 10}}},
+};
+
+// Guards against a reset of an open flow that nobody can explain: its line
+// names neither the target nor what showed that it had ended.
+BOOST_DATA_TEST_CASE(a_reset_names_its_target_and_evidence, kResets, row) {
+  Scene scene;
+
+  scene.log.OnDecision(OpenFlowsPacket(),
+                       core::Refuse{row.reason, core::TargetIndex{1}},
+                       DecisionTarget{row.entry, row.signs}, {}, 1000ms);
+
+  const std::vector<Json> written = scene.Written(1000ms);
+  BOOST_REQUIRE(written.size() == 1U);
+  for (const auto& [name, value] : row.evidence.items()) {
+    BOOST_TEST(written[0].value(name, Json()) == value, name);
+  }
+  BOOST_TEST(!written[0].contains("probe") == !row.evidence.contains("probe"));
+}
+
+// Guards against resets of open flows that are left out of the log: a rush of
+// new flows spends the budget of its channel.
+BOOST_AUTO_TEST_CASE(a_rush_of_new_flows_hides_no_reset) {
+  Scene scene;
+  core::FlowPacket syn = OpenFlowsPacket();
+  syn.flags = {};
+  syn.flags.syn = true;
+  for (int i = 0; i < 5000; ++i) {
+    scene.log.OnDecision(syn, core::Refuse{core::RefusalReason::kNoRoute}, {},
+                         {}, 1000ms);
+  }
+  const std::size_t before = scene.Written(1000ms).size();
+
+  scene.log.OnDecision(OpenFlowsPacket(),
+                       core::Refuse{core::RefusalReason::kTargetGone}, {}, {},
+                       1000ms);
+
+  BOOST_TEST(before < 5000U);
+  const std::vector<Json> written = scene.Written(1000ms);
+  BOOST_REQUIRE(!written.empty());
+  BOOST_TEST(written.front()["reason"] == "target-gone");
+  BOOST_TEST(written.front()["channel"] == "flow");
+}
+
+}  // namespace
+}  // namespace sassafrasdyke::front
--- a/tests/front/line_log_test.cc
+++ b/tests/front/line_log_test.cc
@@ -1,54 +1,24 @@
 /// The log under load and with a reader that stops.
 #include "front/line_log.h"
 
-#include <fcntl.h>
-#include <unistd.h>
-
-#include <array>
 #include <boost/test/unit_test.hpp>
+#include <sstream>
 #include <string>
 
+#include "front/log_pipe.h"
+
 namespace sassafrasdyke::front {
 namespace {
 
 using namespace std::chrono_literals;
 
-/// A pipe whose reader reads when told to.
-class Pipe {
- public:
-  Pipe() {
-    BOOST_REQUIRE(pipe2(this->ends.data(), O_CLOEXEC) == 0);
-    fcntl(this->ends[0], F_SETFL, O_NONBLOCK);
-  }
-  ~Pipe() {
-    close(this->ends[0]);
-    close(this->ends[1]);
-  }
-  Pipe(const Pipe&) = delete;
-  Pipe& operator=(const Pipe&) = delete;
-
-  int WriteEnd() const { return this->ends[1]; }
-  std::string ReadAll() const {
-    std::string text;
-    std::array<char, 4096> bytes;
-    ssize_t size = 0;
-    while ((size = read(this->ends[0], bytes.data(), bytes.size())) > 0) {
-      text.append(bytes.data(), static_cast<std::size_t>(size));
-    }
-    return text;
-  }
-
- private:
-  std::array<int, 2> ends{};
-};
-
 std::size_t Lines(const std::string& text) {
   return static_cast<std::size_t>(std::count(text.begin(), text.end(), '\n'));
 }
 
 BOOST_AUTO_TEST_CASE(a_line_holds_identity_event_and_fields) {
   ev::dynamic_loop loop;
-  const Pipe pipe;
+  const LogPipe pipe;
   LineLog log(loop, pipe.WriteEnd(), {{"instance", "north-1"}});
   log.Write(LineKind::kFlow, "placed", {{"target", "t\xFF"}}, 5ms);
   log.OnTick(5ms);
@@ -65,7 +35,7 @@
 // them, says how many were left out, and leaves the other kinds theirs.
 BOOST_AUTO_TEST_CASE(a_flood_costs_a_bounded_number_of_lines) {
   ev::dynamic_loop loop;
-  const Pipe pipe;
+  const LogPipe pipe;
   LineLog log(loop, pipe.WriteEnd(), {});
   std::string text;
   for (int second = 0; second < 10; ++second) {
@@ -89,7 +59,7 @@
 // waited would stop every flow of the instance.
 BOOST_AUTO_TEST_CASE(a_reader_that_stops_stops_nothing) {
   ev::dynamic_loop loop;
-  const Pipe pipe;
+  const LogPipe pipe;
   LineLog log(loop, pipe.WriteEnd(), {});
   const std::string long_text(1000, 'x');
   for (int second = 0; second < 200; ++second) {
