Tell the successor at an address by revision, not by order

Cause: of two entries at one address, the one taken later was held to be the successor. An instance that starts takes both at once, sorted by key, while the crashed target's entry is still published; where the successor's key is the lower one, it was marked gone and replaced, and its flows were reset on their next packet.

That instance's log: 115 ms after its start, in one copy of the view, `target/i-5cecab9e6d` `serving` and 2 ms later `gone`; no other change of it, no probe. Ruled out: trial connections, an unknown word, the route, the view's age.

Why it works: the entry of a target that has ended changes no more, so the successor's revision is higher, whatever the order. The rule is in the table, so listings, copies and deltas follow it. The same search found that a target which had moved was ended by the next one at its former address.

the_successor_at_an_address_lives failed in two of four rows before, and a_target_that_moved_outlives_the_next_at_its_address failed.

--- a/source/core/view/item_store.cc
+++ b/source/core/view/item_store.cc
@@ -85,6 +85,12 @@
   return exists ? &*found->second.value : nullptr;
 }
 
+common::Revision ItemStore::RevisionOf(const std::string& key) const {
+  const auto found = this->entries.find(key);
+  return found == this->entries.end() ? common::Revision{}
+                                      : found->second.revision;
+}
+
 void ItemStore::CompleteTo(common::Revision revision) {
   this->complete = std::max(this->complete, revision);
 }
--- a/source/core/view/item_store.h
+++ b/source/core/view/item_store.h
@@ -46,6 +46,8 @@
   std::vector<std::string> Apply(ItemDelta delta);
   /// The item's value; null when it was removed or was never known.
   const std::string* ValueOf(const std::string& key) const;
+  /// The revision of the item's last change; 0 when it was never known.
+  common::Revision RevisionOf(const std::string& key) const;
   /// Every change up to `revision` has been merged.
   void CompleteTo(common::Revision revision);
 
--- a/source/core/view/live_view.cc
+++ b/source/core/view/live_view.cc
@@ -29,7 +29,7 @@
                     std::chrono::milliseconds now) {
   for (const std::string& key : changed) {
     if (const std::string* const value = this->items.ValueOf(key)) {
-      this->TakeItem(key, *value, now);
+      this->TakeItem(key, *value, this->items.RevisionOf(key), now);
     } else {
       this->TakeRemoval(key, now);
     }
@@ -50,6 +50,7 @@
 }
 
 void LiveView::TakeItem(const std::string& key, const std::string& value,
+                        common::Revision revision,
                         std::chrono::milliseconds now) {
   auto read = this->publication.ReadItem(key, value);
   if (!read) {
@@ -57,7 +58,8 @@
     this->changes.push_back(ItemUnreadable{key, read.error()});
     return;
   }
-  if (const auto* target = std::get_if<PublishedTarget>(&*read)) {
+  if (auto* const target = std::get_if<PublishedTarget>(&*read)) {
+    target->revision = revision;
     this->targets.Publish(key, *target, now);
     return;
   }
--- a/source/core/view/live_view.h
+++ b/source/core/view/live_view.h
@@ -79,7 +79,7 @@
             std::chrono::milliseconds now);
   void TakeRemoval(const std::string& key, std::chrono::milliseconds now);
   void TakeItem(const std::string& key, const std::string& value,
-                std::chrono::milliseconds now);
+                common::Revision revision, std::chrono::milliseconds now);
   void TakeConfiguration(PublishedConfiguration configuration,
                          std::chrono::milliseconds now);
 
--- a/source/core/view/published.h
+++ b/source/core/view/published.h
@@ -25,6 +25,8 @@
   common::Endpoint address;
   std::uint32_t slots{1};  ///< Requests it serves at once.
   bool draining{false};    ///< Keeps its flows and takes no new ones.
+  /// Of the entry's last change; the view sets it.
+  common::Revision revision = {};
 
   friend bool operator==(const PublishedTarget&,
                          const PublishedTarget&) = default;
--- a/source/core/view/target_table.cc
+++ b/source/core/view/target_table.cc
@@ -42,7 +42,6 @@
 void TargetTable::Publish(const std::string& name,
                           const PublishedTarget& target,
                           std::chrono::milliseconds now) {
-  this->EndPredecessor(target, name, now);
   const TargetIndex index = this->IndexFor(name, target);
   TargetEntry& entry = this->entries.at(index);
   // Before the entry changes: its list is found by the service and domain that
@@ -50,9 +49,13 @@
   this->Unlist(index, entry);
   entry.published = target;
   entry.removal_due.reset();
-  entry.replaced = false;
-  this->by_address[target.address] = index;
-  this->SetPhase(index, entry, this->PhaseOf(index, entry));
+  const TargetPhase phase = this->PhaseOf(index, entry);
+  entry.replaced = !this->ClaimAddress(index, now);
+  if (entry.replaced) {
+    this->Retire(index, entry, now);
+  } else {
+    this->SetPhase(index, entry, phase);
+  }
 }
 
 TargetPhase TargetTable::PhaseOf(TargetIndex index, const TargetEntry& entry) {
@@ -72,20 +75,28 @@
 }
 
 // An address is used again only after its target has ended. The entry of a
-// target that went without a word stays published for some heartbeats; its
-// flows would wait for nobody until then, though the newcomer proves the end.
-void TargetTable::EndPredecessor(const PublishedTarget& target,
-                                 const std::string& name,
-                                 std::chrono::milliseconds now) {
-  const auto found = this->by_address.find(target.address);
-  if (found == this->by_address.end()) {
-    return;
+// target that crashed stays published for some heartbeats; its flows would wait
+// for nobody until then, though the successor proves the end. A listing holds
+// both entries in any order, so their revisions tell which is the successor.
+bool TargetTable::ClaimAddress(TargetIndex index,
+                               std::chrono::milliseconds now) {
+  const PublishedTarget& target = this->At(index).published;
+  const auto [holder, added] =
+      this->by_address.try_emplace(target.address, index);
+  if (added || holder->second == index) {
+    return true;
   }
-  TargetEntry& entry = this->entries.at(found->second);
-  if (entry.name != name && entry.phase != TargetPhase::kGone) {
-    entry.replaced = true;
-    this->Retire(found->second, entry, now);
+  TargetEntry& other = this->entries.at(holder->second);
+  const bool moved = other.published.address != target.address;
+  if (!moved && other.phase != TargetPhase::kGone) {
+    if (other.published.revision > target.revision) {
+      return false;
+    }
+    other.replaced = true;
+    this->Retire(holder->second, other, now);
   }
+  holder->second = index;
+  return true;
 }
 
 void TargetTable::MarkUnreadable(const std::string& name) {
--- a/source/core/view/target_table.h
+++ b/source/core/view/target_table.h
@@ -112,8 +112,9 @@
   TargetPhase PhaseOf(TargetIndex index, const TargetEntry& entry);
   void SetPhase(TargetIndex index, TargetEntry& entry, TargetPhase phase);
   void Unlist(TargetIndex index, const TargetEntry& entry);
-  void EndPredecessor(const PublishedTarget& target, const std::string& name,
-                      std::chrono::milliseconds now);
+  /// Of two targets at one address the entry that changed last names the one
+  /// that lives. Returns whether that is the target at `index`.
+  bool ClaimAddress(TargetIndex index, std::chrono::milliseconds now);
   void Retire(TargetIndex index, TargetEntry& entry,
               std::chrono::milliseconds now);
   void Forget(TargetIndex index);
--- a/tests/core/view/live_view_test.cc
+++ b/tests/core/view/live_view_test.cc
@@ -1,10 +1,13 @@
 /// What an instance believes while targets, the store and peers come and go.
 #include "core/view/live_view.h"
 
+#include <algorithm>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <ostream>
+#include <string>
+#include <vector>
 
 #include "core/view/sample_publication.h"
 
@@ -152,6 +155,68 @@
   BOOST_TEST((scene.PhaseOf(0xB2) == TargetPhase::kServing));
 }
 
+/// Two entries at one address, as an instance that has just started gets them:
+/// sorted by key, whichever target came first.
+struct Reuse {
+  const char* crashed;    ///< The key of the target that has ended.
+  const char* successor;  ///< The key of the one that has its address now.
+  bool from_peer;
+};
+
+std::ostream& operator<<(std::ostream& out, const Reuse& row) {
+  return out << row.crashed << " before " << row.successor
+             << (row.from_peer ? ", from a peer" : ", from the store");
+}
+
+const Reuse kReuses[] = {{"target/b1", "target/c2", false},
+                         {"target/c2", "target/b1", false},
+                         {"target/b1", "target/c2", true},
+                         {"target/c2", "target/b1", true}};
+
+std::uint32_t WordOf(const std::string& key) {
+  return static_cast<std::uint32_t>(
+      std::stoul(key.substr(key.find('/') + 1), nullptr, 16));
+}
+
+// Guards against a reset of flows whose target lives: an instance that starts
+// takes the target for replaced, as its predecessor's entry is listed after it.
+BOOST_DATA_TEST_CASE(the_successor_at_an_address_lives, kReuses, row) {
+  Scene scene;
+  std::vector<Item> items{
+      {"configuration", {1}, "1 198.18.0.1:443=diary"},
+      {row.crashed, {3}, TargetText("diary", "north", "10.0.0.2:80")},
+      {row.successor, {4}, TargetText("handover", "north", "10.0.0.2:80")}};
+  std::ranges::sort(items, {}, &Item::key);
+
+  if (row.from_peer) {
+    scene.view.OnPeerItems({{0}, {5}, true, items}, 100ms);
+  } else {
+    scene.view.OnListing(items, {5}, 100ms);
+  }
+
+  BOOST_TEST((scene.PhaseOf(WordOf(row.successor)) == TargetPhase::kServing));
+  BOOST_TEST((scene.PhaseOf(WordOf(row.crashed)) == TargetPhase::kGone));
+  BOOST_TEST(scene.view.Targets().Find({WordOf(row.crashed)})->replaced);
+  BOOST_TEST(scene.view.Targets().ServingCount() == 1U);
+}
+
+// Guards against a target that is taken for replaced though it has moved: its
+// former address goes to another target.
+BOOST_AUTO_TEST_CASE(a_target_that_moved_outlives_the_next_at_its_address) {
+  Scene scene;
+  scene.view.OnChanges(
+      {{{"target/a1", {3}, TargetText("diary", "north", "10.0.0.9:80")}}, {3}},
+      100ms);
+
+  scene.view.OnChanges(
+      {{{"target/b2", {4}, TargetText("handover", "north", "10.0.0.1:80")}},
+       {4}},
+      200ms);
+
+  BOOST_TEST((scene.PhaseOf(0xA1) == TargetPhase::kServing));
+  BOOST_TEST((scene.PhaseOf(0xB2) == TargetPhase::kServing));
+}
+
 // Two ids may give the same word. The later one must not take new flows: their
 // packets would go to the earlier one.
 BOOST_AUTO_TEST_CASE(the_later_of_two_targets_with_one_word_takes_no_flows) {
