Keep handed-over flows whose target isn't known yet

Cause: the new owner's configuration doesn't name the flow's target yet, so the hand-over makes no record; the copy stayed in the sender's set. The sender forgets what is confirmed, and its next answer to a question is an empty set that replaces the one before.

Why it works: such flows are kept apart from the sets, for as long as copies are kept, become records when a configuration names their target, and are passed on by the next hand-over.

--- a/source/core/exchange/copy_gatherer.cc
+++ b/source/core/exchange/copy_gatherer.cc
@@ -11,8 +11,9 @@
 }
 
 CopyGatherer::CopyGatherer(FlowWorld& world, const CopyStore& store,
+                           const UnresolvedFlows& unresolved,
                            CopySender& sender)
-    : world(world), store(store), sender(sender) {}
+    : world(world), store(store), unresolved(unresolved), sender(sender) {}
 
 void CopyGatherer::Gather(std::chrono::milliseconds now) {
   const std::map<PartitionKey, Gathering> wanted = this->sender.Wanted();
@@ -74,12 +75,12 @@
 
 std::vector<FlowException> CopyGatherer::CopiesToReturn(
     PartitionIndex partition, const OutgoingSet& outgoing) const {
-  std::vector<FlowException> flows;
   if (outgoing.purpose != CopyPurpose::kHandOver) {
-    return flows;
+    return {};
   }
-  for (const CopySet& set :
-       this->store.SetsOf(this->world.Directory().KeyOf(partition))) {
+  const PartitionKey& key = this->world.Directory().KeyOf(partition);
+  std::vector<FlowException> flows = this->unresolved.Of(key);
+  for (const CopySet& set : this->store.SetsOf(key)) {
     if (KnowsItself(outgoing.destination, set)) {
       continue;
     }
--- a/source/core/exchange/copy_gatherer.h
+++ b/source/core/exchange/copy_gatherer.h
@@ -7,6 +7,7 @@
 
 #include "core/exchange/copy_sender.h"
 #include "core/exchange/copy_store.h"
+#include "core/exchange/unresolved_flows.h"
 #include "core/flow/flow_world.h"
 #include "core/messages.h"
 
@@ -19,7 +20,8 @@
 class CopyGatherer {
  public:
   /// All must outlive it.
-  CopyGatherer(FlowWorld& world, const CopyStore& store, CopySender& sender);
+  CopyGatherer(FlowWorld& world, const CopyStore& store,
+               const UnresolvedFlows& unresolved, CopySender& sender);
 
   /// Loads the sender with the flows of each partition that it asks for.
   void Gather(std::chrono::milliseconds now);
@@ -42,6 +44,7 @@
 
   FlowWorld& world;
   const CopyStore& store;
+  const UnresolvedFlows& unresolved;
   CopySender& sender;
 };
 
--- a/source/core/exchange/copy_store.cc
+++ b/source/core/exchange/copy_store.cc
@@ -15,18 +15,12 @@
   }
 }
 
-void EraseUnlessAt(CopiedFlows& flows,
-                   const std::function<bool(common::TargetId)>& keeps) {
+void EraseAt(CopiedFlows& flows, common::TargetId target) {
   for (auto flow = flows.begin(); flow != flows.end();) {
-    flow = keeps(flow->second) ? std::next(flow) : flows.erase(flow);
+    flow = flow->second == target ? flows.erase(flow) : std::next(flow);
   }
 }
 
-void EraseAt(CopiedFlows& flows, common::TargetId target) {
-  EraseUnlessAt(flows,
-                [target](common::TargetId other) { return other != target; });
-}
-
 ExceptionCopyAck AckOf(const ExceptionCopy& copy, std::uint64_t sequence,
                        bool resend_whole) {
   return {copy.partition, copy.incarnation, copy.generation, sequence,
@@ -156,8 +150,7 @@
 }
 
 void CopyStore::EraseFlows(const PartitionKey& partition,
-                           common::InstanceId from,
-                           const std::function<bool(common::TargetId)>& keeps) {
+                           common::InstanceId from) {
   const auto found = this->partitions.find(partition);
   if (found == this->partitions.end()) {
     return;
@@ -166,8 +159,8 @@
   // look like a gap and cost a whole set.
   for (CopySet& set : found->second) {
     if (set.from == from) {
-      EraseUnlessAt(set.flows, keeps);
-      EraseUnlessAt(set.arriving_flows, keeps);
+      set.flows.clear();
+      set.arriving_flows.clear();
     }
   }
 }
--- a/source/core/exchange/copy_store.h
+++ b/source/core/exchange/copy_store.h
@@ -70,10 +70,8 @@
   /// Forgets one flow; it has ended, or a newer word about it is known.
   void EraseFlow(const PartitionKey& partition, common::Fingerprint flow);
 
-  /// Forgets the flows that a sender has copied of a partition, but for those
-  /// at a target that `keeps` accepts.
-  void EraseFlows(const PartitionKey& partition, common::InstanceId from,
-                  const std::function<bool(common::TargetId)>& keeps);
+  /// Forgets the flows that a sender has copied of a partition.
+  void EraseFlows(const PartitionKey& partition, common::InstanceId from);
 
   /// The hand-overs of a partition that were received are history: their
   /// senders may come to know more than they told.
--- a/source/core/exchange/exchange.cc
+++ b/source/core/exchange/exchange.cc
@@ -43,7 +43,7 @@
       world(world),
       sender(incarnation),
       fallbacks(world, this->store),
-      gatherer(world, this->store, this->sender),
+      gatherer(world, this->store, this->unresolved, this->sender),
       inquiry(self, world) {}
 
 void Exchange::OnConfiguration(const std::vector<common::TargetId>& ended,
@@ -58,6 +58,7 @@
                          LimitsFor(std::max<std::size_t>(rest, 1000)));
   for (const common::TargetId target : ended) {
     this->store.EraseTarget(target);
+    this->unresolved.EraseTarget(target);
   }
   if (!this->world.IsReady()) {
     return;
@@ -69,6 +70,9 @@
     }
   }
   this->Reconcile(now, outbox);
+  for (std::uint32_t i = 0; i < this->world.Partitions().size(); ++i) {
+    this->AbsorbResolved(PartitionIndex{i}, now);
+  }
 }
 
 void Exchange::OnView(const FleetView& before, std::chrono::milliseconds now,
@@ -417,6 +421,7 @@
                            !set->arriving;
   if (copied_back) {
     state.Forget();
+    this->unresolved.ErasePartition(copy.partition);
   }
 }
 
@@ -441,6 +446,7 @@
   // else the death of the new owner right now would lose them.
   if (this->world.Owners().At(*partition).standby != this->self) {
     state.Forget();
+    this->unresolved.ErasePartition(ack.partition);
   }
 }
 
@@ -542,16 +548,29 @@
 
 void Exchange::Absorb(PartitionIndex partition, const CopySet& set,
                       std::chrono::milliseconds now) {
-  const common::InstanceId from = set.from;
+  const PartitionKey& key = this->world.Directory().KeyOf(partition);
   for (const auto& [flow, target] : AllFlows(set)) {
-    this->AbsorbFlow(partition, {flow, target}, now);
+    if (this->world.Targets().Find(target)) {
+      this->AbsorbFlow(partition, {flow, target}, now);
+    } else {
+      this->unresolved.Add(key, {flow, target}, now);
+    }
+  }
+  this->store.EraseFlows(key, set.from);
+}
+
+void Exchange::AbsorbResolved(PartitionIndex partition,
+                              std::chrono::milliseconds now) {
+  if (!this->world.StateOf(partition).owned) {
+    return;
+  }
+  const auto is_known = [this](common::TargetId target) {
+    return this->world.Targets().Find(target).has_value();
+  };
+  for (const FlowException& exception : this->unresolved.TakeKnown(
+           this->world.Directory().KeyOf(partition), is_known)) {
+    this->AbsorbFlow(partition, exception, now);
   }
-  // A target that this instance's configuration doesn't name yet makes no
-  // record. The copy stays, or the flow would be taken for one at the fallback.
-  this->store.EraseFlows(this->world.Directory().KeyOf(partition), from,
-                         [this](common::TargetId target) {
-                           return !this->world.Targets().Find(target);
-                         });
 }
 
 void Exchange::AbsorbAll(PartitionIndex partition,
@@ -617,7 +636,7 @@
 std::optional<TargetSlot> Exchange::FindCopy(common::Fingerprint flow,
                                              PartitionIndex partition) const {
   const PartitionKey& key = this->world.Directory().KeyOf(partition);
-  const auto target = this->store.Find(key, flow);
+  const auto target = this->NamedTarget(flow, partition);
   const auto slot = target ? this->world.Targets().Find(*target) : std::nullopt;
   if (!slot || this->world.Targets().At(*slot).target.service != key.service) {
     return std::nullopt;
@@ -625,6 +644,13 @@
   return slot;
 }
 
+std::optional<common::TargetId> Exchange::NamedTarget(
+    common::Fingerprint flow, PartitionIndex partition) const {
+  const PartitionKey& key = this->world.Directory().KeyOf(partition);
+  const auto copied = this->store.Find(key, flow);
+  return copied ? copied : this->unresolved.Find(key, flow);
+}
+
 bool Exchange::AwaitsTarget(common::Fingerprint flow, PartitionIndex partition,
                             std::chrono::milliseconds now) const {
   const bool soon = now - this->world.StateOf(partition).owned_since <
@@ -632,13 +658,14 @@
   if (!soon) {
     return false;
   }
-  const auto target =
-      this->store.Find(this->world.Directory().KeyOf(partition), flow);
+  const auto target = this->NamedTarget(flow, partition);
   return target && !this->world.Targets().Find(*target);
 }
 
 void Exchange::EraseCopy(common::Fingerprint flow, PartitionIndex partition) {
-  this->store.EraseFlow(this->world.Directory().KeyOf(partition), flow);
+  const PartitionKey& key = this->world.Directory().KeyOf(partition);
+  this->store.EraseFlow(key, flow);
+  this->unresolved.Erase(key, flow);
 }
 
 double Exchange::Reluctance(std::chrono::milliseconds now) {
@@ -654,6 +681,7 @@
     return;
   }
   this->cleaned_at = now;
+  this->unresolved.EraseOlder(now - kKeepCopies);
   this->store.EraseUnless(
       [this, now](const PartitionKey& key, const CopySet& set) {
         const auto partition = this->world.Directory().Find(key);
--- a/source/core/exchange/exchange.h
+++ b/source/core/exchange/exchange.h
@@ -14,6 +14,7 @@
 #include "core/exchange/copy_store.h"
 #include "core/exchange/fallbacks.h"
 #include "core/exchange/owner_inquiry.h"
+#include "core/exchange/unresolved_flows.h"
 #include "core/flow/flow_world.h"
 #include "core/messages.h"
 
@@ -86,7 +87,9 @@
   /// How reluctant placement should be to make exceptions: 1 or more.
   double Reluctance(std::chrono::milliseconds now);
 
-  std::size_t CopiesHeld() const { return this->store.Size(); }
+  std::size_t CopiesHeld() const {
+    return this->store.Size() + this->unresolved.Size();
+  }
   std::size_t CopiesWaiting() const;
   bool IsHandingOver() const;
 
@@ -125,6 +128,11 @@
   void AbsorbAll(PartitionIndex partition, std::chrono::milliseconds now);
   void AbsorbFlow(PartitionIndex partition, const FlowException& exception,
                   std::chrono::milliseconds now);
+  /// Makes records of the flows whose targets the configuration names now.
+  void AbsorbResolved(PartitionIndex partition, std::chrono::milliseconds now);
+  /// The target that a copy names for the flow, known here or not.
+  std::optional<common::TargetId> NamedTarget(common::Fingerprint flow,
+                                              PartitionIndex partition) const;
   void SettleFallback(PartitionIndex partition, std::chrono::milliseconds now);
   void FlipFallbacks(std::chrono::milliseconds now, Outbox& outbox);
 
@@ -142,6 +150,7 @@
   FlowWorld& world;
   CopySender sender;
   CopyStore store;
+  UnresolvedFlows unresolved;
   Fallbacks fallbacks;
   CopyGatherer gatherer;
   OwnerInquiry inquiry;
--- a/tests/core/owner_change_test.cc
+++ b/tests/core/owner_change_test.cc
@@ -165,25 +165,30 @@
   BOOST_TEST(placed_by_joiner > 0);
 }
 
+/// A configuration whose last target is new and the only one that takes flows.
+Configuration WithOnlyNewTarget(Configuration configuration) {
+  ++configuration.revision.value;
+  Target added = configuration.targets.front();
+  added.id = {added.id.value + 50};
+  added.tunnel.port = static_cast<std::uint16_t>(added.tunnel.port + 50);
+  for (Target& target : configuration.targets) {
+    target.state = TargetState::kDraining;
+  }
+  configuration.targets.push_back(added);
+  return configuration;
+}
+
 // Guards against a flow that a hand-over names and nobody has: its target is in
 // a later configuration than the new owner's.
 BOOST_AUTO_TEST_CASE(a_flow_at_a_target_unknown_yet_is_kept) {
   int tried = 0;
   for (std::uint32_t caller = 0; caller < 100; ++caller) {
     Fleet fleet;
-    Configuration later = fleet.configuration;
-    ++later.revision.value;
-    Target added = later.targets.front();
-    added.id = {added.id.value + 50};
-    added.tunnel.port = static_cast<std::uint16_t>(added.tunnel.port + 50);
-    for (Target& target : later.targets) {
-      target.state = TargetState::kDraining;
-    }
-    later.targets.push_back(added);
+    const Configuration later = WithOnlyNewTarget(fleet.configuration);
     fleet.Configure(kLeaver, later);
     const common::FlowKey flow = FlowOf(caller);
     const common::TargetId placed = fleet.Send(kLeaver, Syn(flow));
-    if (placed != added.id) {
+    if (placed != later.targets.back().id) {
       continue;  // The heir's partition.
     }
     ++tried;
@@ -202,5 +207,38 @@
   BOOST_TEST(tried > 0);
 }
 
+// Guards against an empty copy set that removes such a flow from the new owner:
+// the one before has forgotten it, and is asked about others meanwhile.
+BOOST_AUTO_TEST_CASE(a_flow_at_a_target_unknown_yet_outlives_a_denial) {
+  constexpr std::uint32_t kCallers = 20;
+  constexpr std::uint32_t kStrangers = 200;
+  int tried = 0;
+  for (std::uint32_t caller = 0; caller < kCallers; ++caller) {
+    Fleet fleet;
+    const Configuration later = WithOnlyNewTarget(fleet.configuration);
+    fleet.Configure(kLeaver, later);
+    const common::FlowKey flow = FlowOf(caller);
+    const common::TargetId placed = fleet.Send(kLeaver, Syn(flow));
+    if (placed != later.targets.back().id) {
+      continue;  // The heir's partition.
+    }
+    ++tried;
+    fleet.Send(kLeaver, Data(flow, 1));
+    for (const std::uint32_t id : {kLeaver, kHeir}) {
+      fleet.Believe(id, {kLeaver, kHeir}, true);
+    }
+    fleet.Pass(1s);
+    for (std::uint32_t other = 0; other < kStrangers; ++other) {
+      fleet.Send(kHeir, Data(FlowOf(kCallers + other), 2));
+    }
+    fleet.Pass(2s);
+    fleet.Configure(kHeir, later);
+    fleet.Pass(1s);
+
+    BOOST_TEST(fleet.Send(kHeir, Data(flow, 2)) == placed);
+  }
+  BOOST_TEST(tried > 0);
+}
+
 }  // namespace
 }  // namespace sassafrasdyke::core
