Let an heir refuse what its predecessor could

Cause: "not run" may only be said by whoever knows of every SYN that was forwarded within the life of a SYN's record. An owner judged that by its own time as the owner, though a hand-over names every flow of which only a SYN was seen, so each change of owner began the half minute anew.

Change: the end of a hand-over says for how long the giver has known of every SYN (`openings-known`, version 2 of the protocol between instances; not sent to a peer of version 1). The heir inherits that when the partition was given to it directly, and refuses after a lease. A flow that was handed over at a target that isn't known yet is not refused.

an_heir_refuses_what_its_predecessor_could/_0 failed before, and a_syn_at_a_target_unknown_yet_is_not_refused fails without that check.

`duplicates`: which messages are for flows is said in one place.

--- a/source/app/control_task.cc
+++ b/source/app/control_task.cc
@@ -174,9 +174,11 @@
 
 void ControlTask::OnPeerMessage(common::InstanceId from,
                                 const core::PeerMessage& message) {
-  const bool for_flows =
-      std::holds_alternative<core::ExceptionCopy>(message) ||
-      std::holds_alternative<core::ExceptionCopyAck>(message);
+  const bool for_flows = std::visit(
+      []<typename Message>(const Message& /*message*/) {
+        return core::kIsForFlows<Message>;
+      },
+      message);
   if (for_flows) {
     this->data->Offer(PeerWord{from, message});
   } else {
--- a/source/core/exchange/copy_sender.cc
+++ b/source/core/exchange/copy_sender.cc
@@ -88,6 +88,15 @@
   }
 }
 
+void CopySender::SetOpeningsKnown(
+    const PartitionKey& partition,
+    std::optional<std::chrono::milliseconds> since) {
+  if (const auto found = this->sets.find(partition);
+      found != this->sets.end()) {
+    found->second.openings_known_since = since;
+  }
+}
+
 const OutgoingSet* CopySender::Find(const PartitionKey& partition) const {
   const auto found = this->sets.find(partition);
   return found == this->sets.end() ? nullptr : &found->second;
@@ -218,8 +227,13 @@
     if (set.acknowledged == set.next_sequence) {
       set.sent_at = now;  // Nothing was on its way: wait from here.
     }
-    outbox.messages.push_back(
-        {set.destination.to, this->NextMessage(partition, set)});
+    ExceptionCopy copy = this->NextMessage(partition, set);
+    if (copy.last && set.openings_known_since) {
+      outbox.messages.push_back(
+          {set.destination.to,
+           OpeningsKnown{partition, now - *set.openings_known_since}});
+    }
+    outbox.messages.push_back({set.destination.to, std::move(copy)});
   }
 }
 
--- a/source/core/exchange/copy_sender.h
+++ b/source/core/exchange/copy_sender.h
@@ -49,6 +49,9 @@
   std::uint64_t acknowledged{0};
   /// Nothing more will be learned: a hand-over may end.
   bool complete{true};
+  /// Since when this instance knew of every SYN; told with the end of a
+  /// hand-over.
+  std::optional<std::chrono::milliseconds> openings_known_since;
   /// Messages of a whole set are still to be sent.
   bool in_whole{false};
   std::deque<FlowException> added;
@@ -79,6 +82,11 @@
   /// the end of a hand-over waits for that.
   void SetComplete(const PartitionKey& partition, bool complete);
 
+  /// Since when this instance knew of every SYN of the partition, to be told
+  /// with the end of the hand-over; nothing when it can't vouch for that.
+  void SetOpeningsKnown(const PartitionKey& partition,
+                        std::optional<std::chrono::milliseconds> since);
+
   void Stop(const PartitionKey& partition) { this->sets.erase(partition); }
 
   /// Null when the partition isn't being copied.
--- a/source/core/exchange/exchange.cc
+++ b/source/core/exchange/exchange.cc
@@ -172,6 +172,7 @@
     // The heir went, too: the next one is told everything, at once. Its end may
     // have to wait until this instance has learned all.
     state.given_up_to = owner;
+    state.openings_known_since.reset();
     state.handed_over = false;
     this->sender.Stop(PartitionKey(this->world.Directory().KeyOf(partition)));
     this->StartHandOver(partition);
@@ -222,6 +223,7 @@
   const common::InstanceId before = this->PreviousOf(partition);
   state.owned = true;
   state.owned_since = now;
+  state.predecessor = before;
   state.given_up_to = {};
   state.handed_over = false;
   state.stood_in = false;
@@ -246,8 +248,8 @@
   if (state.fallback == kNoSlot && !owners.At(partition).adopted) {
     state.fallback = this->world.DefaultTarget(partition);
   }
-  const bool told = set != nullptr && set->handed_over;
-  if (before.value != 0 && owners.IsAnswering(before) && !told) {
+  state.told = set != nullptr && set->handed_over;
+  if (before.value != 0 && owners.IsAnswering(before) && !state.told) {
     this->AskFor(partition, before, now + kAskLimit);
   } else {
     this->AbsorbAll(partition, now);
@@ -278,6 +280,8 @@
 void Exchange::GiveUp(PartitionIndex partition, Outbox& outbox) {
   PartitionState& state = this->world.StateOf(partition);
   const common::InstanceId owner = this->world.Owners().At(partition).owner;
+  state.openings_known_since = state.OpeningsKnownSince();
+  state.claim.reset();
   state.owned = false;
   state.remembers = true;
   state.handed_over = false;
@@ -299,8 +303,10 @@
                        this->ClaimFor(partition, *destination));
     // "Everything is handed over" would not be true while this instance itself
     // still learns from the one before it.
-    this->sender.SetComplete(
-        key, this->world.StateOf(partition).previous.value == 0);
+    const PartitionState& state = this->world.StateOf(partition);
+    this->sender.SetComplete(key, state.previous.value == 0);
+    this->sender.SetOpeningsKnown(
+        key, state.IsHandingOver() ? state.openings_known_since : std::nullopt);
   }
 }
 
@@ -404,6 +410,7 @@
     this->fallbacks.Adopt(*partition, set->fallback);
   }
   if (outcome.handed_over && learns) {
+    state.told = state.told || from == state.predecessor;
     this->Absorb(*partition, *set, now);
     if (state.previous == from) {
       state.previous = {};
@@ -450,6 +457,17 @@
   }
 }
 
+void Exchange::OnOpeningsKnown(common::InstanceId from,
+                               const OpeningsKnown& known,
+                               std::chrono::milliseconds now) {
+  const auto partition = this->world.IsReady()
+                             ? this->world.Directory().Find(known.partition)
+                             : std::nullopt;
+  if (partition) {
+    this->world.StateOf(*partition).claim = {from, now - known.known_for};
+  }
+}
+
 void Exchange::OnOpened(common::Fingerprint flow, PartitionIndex partition,
                         const FlowRecord& record,
                         std::chrono::milliseconds now) {
@@ -608,8 +626,9 @@
   record.copied = (state.owned || state.IsHandingOver()) &&
                   !this->fallbacks.Finds(record, partition);
   if (this->world.OpenFlow(exception.flow, partition, record,
-                           Admission::kEstablishedFlow) != nullptr &&
-      record.copied) {
+                           Admission::kEstablishedFlow) == nullptr) {
+    this->world.StateOf(partition).told = false;
+  } else if (record.copied) {
     this->sender.Add(key, exception, now);
   }
 }
@@ -651,6 +670,23 @@
   return copied ? copied : this->unresolved.Find(key, flow);
 }
 
+// An instance with another view may place flows until its lease ends, and one
+// that died told nobody of its SYNs: a SYN that it forwarded with payload may
+// have run, while its caller repeats it without any.
+bool Exchange::IsSurelyNew(common::Fingerprint flow, PartitionIndex partition,
+                           std::chrono::milliseconds now) const {
+  const PartitionState& state = this->world.StateOf(partition);
+  const ServiceDirectory& directory = this->world.Directory();
+  const std::chrono::milliseconds outdated =
+      directory.At(directory.ServiceOf(partition)).policy.syn_idle;
+  const std::chrono::milliseconds settled =
+      std::min(this->world.InForce().policy.lease, outdated);
+  return state.owned && state.previous.value == 0 &&
+         !this->NamedTarget(flow, partition) &&
+         now - state.owned_since >= settled &&
+         now - state.OpeningsKnownSince() >= outdated;
+}
+
 bool Exchange::AwaitsTarget(common::Fingerprint flow, PartitionIndex partition,
                             std::chrono::milliseconds now) const {
   const bool soon = now - this->world.StateOf(partition).owned_since <
--- a/source/core/exchange/exchange.h
+++ b/source/core/exchange/exchange.h
@@ -40,6 +40,8 @@
               std::chrono::milliseconds now, Outbox& outbox);
   void OnAck(common::InstanceId from, const ExceptionCopyAck& ack,
              std::chrono::milliseconds now, Outbox& outbox);
+  void OnOpeningsKnown(common::InstanceId from, const OpeningsKnown& known,
+                       std::chrono::milliseconds now);
 
   /// A record was made; it is copied when it is an exception that lasts.
   void OnOpened(common::Fingerprint flow, PartitionIndex partition,
@@ -77,6 +79,11 @@
   bool AwaitsTarget(common::Fingerprint flow, PartitionIndex partition,
                     std::chrono::milliseconds now) const;
 
+  /// Whether no SYN of a flow that has no record was forwarded, by this
+  /// instance or by one before it.
+  bool IsSurelyNew(common::Fingerprint flow, PartitionIndex partition,
+                   std::chrono::milliseconds now) const;
+
   void EraseCopy(common::Fingerprint flow, PartitionIndex partition);
 
   /// Where an established flow that nobody remembers is presumed to be.
--- a/source/core/fleet/live_fleet.cc
+++ b/source/core/fleet/live_fleet.cc
@@ -77,8 +77,7 @@
     std::visit(
         [&](const auto& body) {
           using Body = std::decay_t<decltype(body)>;
-          if constexpr (!std::is_same_v<Body, ExceptionCopy> &&
-                        !std::is_same_v<Body, ExceptionCopyAck>) {
+          if constexpr (!kIsForFlows<Body>) {
             this->Take(sender, body, turn);
           }
         },
--- a/source/core/fleet/message_size.cc
+++ b/source/core/fleet/message_size.cc
@@ -108,6 +108,12 @@
          Size(message.version) + kSmallBytes;
 }
 
+std::size_t Size(const OpeningsKnown& message) {
+  return Size(message.partition.service.value) +
+         Size(message.partition.partition.value) +
+         Size(static_cast<std::uint64_t>(message.known_for.count()));
+}
+
 }  // namespace
 
 std::size_t EstimatedBytes(const PeerMessage& message) {
--- a/source/core/flow/partition_state.h
+++ b/source/core/flow/partition_state.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include "common/ids.h"
@@ -18,6 +19,12 @@
   std::uint32_t flows{0};
 };
 
+/// A former owner's word that it knew of every SYN of a partition.
+struct OpeningsClaim {
+  common::InstanceId from;
+  std::chrono::milliseconds since{0};  ///< By this instance's clock.
+};
+
 /// One partition as this instance sees it.
 struct PartitionState {
   /// This instance is the owner.
@@ -39,6 +46,16 @@
   /// Records of an earlier tenure are void.
   std::uint16_t tenure{0};
   std::chrono::milliseconds owned_since{0};
+  /// The owner before this instance, in its own view when it took the
+  /// partition.
+  common::InstanceId predecessor;
+  /// The predecessor's hand-over has ended, and every flow of it has a record.
+  bool told{false};
+  /// What a former owner says of the SYNs that it knows.
+  std::optional<OpeningsClaim> claim;
+  /// Since when this instance knew of every SYN, when it gave the partition up;
+  /// nothing once that may be with another owner than the present one.
+  std::optional<std::chrono::milliseconds> openings_known_since;
   /// The instance to ask about unknown flows, until `ask_until`; 0 for none.
   common::InstanceId previous;
   std::chrono::milliseconds ask_until{0};
@@ -66,6 +83,10 @@
   /// being handed over, or placed in the owner's stead.
   bool KnowsFlows() const { return this->IsHandingOver() || this->stood_in; }
 
+  /// Since when this instance, or the one that handed over to it, has known of
+  /// every SYN of the partition.
+  std::chrono::milliseconds OpeningsKnownSince() const;
+
   /// Voids all records of the partition.
   void Forget();
 
--- a/source/core/flow_balancer.cc
+++ b/source/core/flow_balancer.cc
@@ -392,15 +392,9 @@
 }
 
 PacketAction FlowBalancer::Refuse(const Context& context, DropReason reason) {
-  const PartitionState& state = this->world.StateOf(context.partition);
-  const ServicePolicy& policy =
-      this->world.Directory().At(context.service).policy;
-  // "Not run" must be true. An owner that has just come may not know that an
-  // earlier one forwarded this SYN; after the life of a SYN's record it does.
-  const bool surely_new = state.owned && this->world.HoldsLease() &&
-                          state.previous.value == 0 &&
-                          context.now - state.owned_since >= policy.syn_idle;
-  if (surely_new) {
+  if (this->world.HoldsLease() &&
+      this->exchange.IsSurelyNew(context.flow, context.partition,
+                                 context.now)) {
     this->Note(context, FlowReset{ResetReason::kNotRun});
     return ResetCaller{ResetReason::kNotRun};
   }
@@ -469,6 +463,8 @@
     this->exchange.OnCopy(from, *copy, now, outbox);
   } else if (const auto* const ack = std::get_if<ExceptionCopyAck>(&message)) {
     this->exchange.OnAck(from, *ack, now, outbox);
+  } else if (const auto* const known = std::get_if<OpeningsKnown>(&message)) {
+    this->exchange.OnOpeningsKnown(from, *known, now);
   } else if (const auto* const health =
                  std::get_if<TargetHealthChange>(&message)) {
     this->world.Targets().OnHealth(*health, now);
--- a/source/core/messages.h
+++ b/source/core/messages.h
@@ -2,9 +2,11 @@
 /// them into bytes; the core never sees bytes.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <type_traits>
 #include <variant>
 #include <vector>
 
@@ -173,11 +175,29 @@
   bool resend_whole{false};  ///< Something is missing.
 };
 
-/// Every message between instances.
+/// Sent with the end of a hand-over, by an owner that gives up to the receiver
+/// directly. The receiver may then say of a flow that it doesn't know whether a
+/// SYN of it was forwarded. Without the message it has to wait until all
+/// earlier SYNs are outdated.
+struct OpeningsKnown {
+  PartitionKey partition;
+  /// For how long the sender has known of every SYN of the partition.
+  std::chrono::milliseconds known_for{0};
+};
+
+/// Every message between instances. The position is the kind's number on the
+/// wire, so new kinds go to the end.
 using PeerMessage =
     std::variant<Heartbeat, MemberReport, DocumentRequest, DocumentDelta,
                  DocumentCopy, TargetHealthChange, ExceptionCopy,
-                 ExceptionCopyAck, ReachabilityReport>;
+                 ExceptionCopyAck, ReachabilityReport, OpeningsKnown>;
+
+/// Whether the messages of a kind are for the balancer of flows; all others are
+/// for the fleet.
+template <typename Message>
+inline constexpr bool kIsForFlows = std::is_same_v<Message, ExceptionCopy> ||
+                                    std::is_same_v<Message, ExceptionCopyAck> ||
+                                    std::is_same_v<Message, OpeningsKnown>;
 
 /// A message with its destination.
 struct OutgoingMessage {
--- a/source/peer/message_fields.h
+++ b/source/peer/message_fields.h
@@ -93,6 +93,11 @@
                m.resend_whole);
 }
 
+template <typename Visit, Is<core::OpeningsKnown> Message>
+auto VisitFields(Message& m, Visit& visit) {
+  return visit(m.partition, m.known_for);
+}
+
 /// The greatest number that stands for a value of the enumeration.
 template <typename Enum>
 inline constexpr std::underlying_type_t<Enum> kGreatest = 0;
--- a/source/peer/outgoing_link.cc
+++ b/source/peer/outgoing_link.cc
@@ -7,6 +7,7 @@
 #include "peer/frame_splitter.h"
 #include "peer/hello.h"
 #include "peer/peer_codec.h"
+#include "peer/peer_kinds.h"
 #include "peer/socket.h"
 
 namespace sassafrasdyke::peer {
@@ -111,8 +112,7 @@
   if (this->state != State::kUp) {
     return false;  // Nothing but the hello before the peer has answered.
   }
-  const std::optional<QueuedMessage> message =
-      this->queue.Pop(this->context.Now());
+  const std::optional<QueuedMessage> message = this->NextSpoken();
   if (!message) {
     return false;
   }
@@ -125,6 +125,14 @@
   return true;
 }
 
+std::optional<QueuedMessage> OutgoingLink::NextSpoken() {
+  std::optional<QueuedMessage> message;
+  do {
+    message = this->queue.Pop(this->context.Now());
+  } while (message && FirstVersionOf(message->kind) > *this->version);
+  return message;
+}
+
 void OutgoingLink::OnEnded(CutReason reason) { this->End(reason); }
 
 void OutgoingLink::End(CutReason reason) {
--- a/source/peer/outgoing_link.h
+++ b/source/peer/outgoing_link.h
@@ -58,6 +58,8 @@
   void OnTimer(ev::timer& timer, int events);
   void OnPingTime();
   bool FillFrame();
+  /// The oldest message of a kind that the peer's version has.
+  std::optional<QueuedMessage> NextSpoken();
   std::string HelloFrame() const;
 
   PeerContext& context;
--- a/source/peer/peer_codec.cc
+++ b/source/peer/peer_codec.cc
@@ -1,6 +1,8 @@
 #include "peer/peer_codec.h"
 
+#include <algorithm>
 #include <array>
+#include <chrono>
 #include <limits>
 #include <msgpack.hpp>
 #include <type_traits>
@@ -15,6 +17,8 @@
 
 constexpr std::size_t kItemsLimit = 65'536;
 constexpr std::size_t kDepthLimit = 8;
+/// A hundred years: sums of two such times can't overflow.
+constexpr std::uint64_t kLongestTimeMs = 3'155'760'000'000;
 constexpr std::uint32_t kEnvelopeItems = 2;
 
 using Packer = msgpack::packer<msgpack::sbuffer>;
@@ -35,6 +39,12 @@
   packer.pack(id.value);
 }
 
+/// A negative time travels as none.
+void Pack(Packer& packer, std::chrono::milliseconds time) {
+  packer.pack(static_cast<std::uint64_t>(
+      std::max(time, std::chrono::milliseconds{0}).count()));
+}
+
 template <typename Item>
 void Pack(Packer& packer, const std::vector<Item>& items);
 
@@ -101,6 +111,15 @@
   return Unpack(object, id.value);
 }
 
+bool Unpack(const msgpack::object& object, std::chrono::milliseconds& time) {
+  std::uint64_t count = 0;
+  if (!Unpack(object, count) || count > kLongestTimeMs) {
+    return false;
+  }
+  time = std::chrono::milliseconds{static_cast<std::int64_t>(count)};
+  return true;
+}
+
 template <typename Item>
 bool Unpack(const msgpack::object& object, std::vector<Item>& items);
 
--- a/source/peer/peer_kinds.cc
+++ b/source/peer/peer_kinds.cc
@@ -16,6 +16,7 @@
   words[kKindOf<core::ExceptionCopy>] = "exception-copy";
   words[kKindOf<core::ExceptionCopyAck>] = "exception-copy-ack";
   words[kKindOf<core::ReachabilityReport>] = "reachability-report";
+  words[kKindOf<core::OpeningsKnown>] = "openings-known";
   return words;
 }
 
--- a/source/peer/peer_kinds.h
+++ b/source/peer/peer_kinds.h
@@ -8,6 +8,7 @@
 #include <variant>
 
 #include "core/messages.h"
+#include "peer/hello.h"
 
 namespace sassafrasdyke::peer {
 
@@ -28,6 +29,12 @@
 template <typename Message>
 inline constexpr std::size_t kKindOf = PositionOf<Message>();
 
+/// The first version of the protocol that has the kind. A message of a later
+/// one than a stream's isn't sent there: the peer would end the stream.
+constexpr ProtocolVersion FirstVersionOf(std::size_t kind) {
+  return kind == kKindOf<core::OpeningsKnown> ? 2 : 1;
+}
+
 /// The metrics' word for a kind; "unknown" for another number.
 std::string_view KindWord(std::size_t kind);
 
--- a/tests/core/differential/differential_test.cc
+++ b/tests/core/differential/differential_test.cc
@@ -37,6 +37,12 @@
     // A record that a hand-over named and nobody had.
     {Mix::kPlanned, 1006, 60},
     {Mix::kPlanned, 2007, 60},
+    // A flow that was handed over at a target that isn't known yet.
+    {Mix::kPlanned, 70113, 60},
+    {Mix::kPlanned, 70176, 60},
+    // All targets drain, and callers of an owner that has just come hear nothing.
+    {Mix::kPlanned, 70249, 60},
+    {Mix::kPlanned, 70329, 60},
 };
 
 // Targets drain and return, instances leave and join, configurations arrive
--- a/tests/core/owner_change_test.cc
+++ b/tests/core/owner_change_test.cc
@@ -92,8 +92,8 @@
       }
     }
   }
-  /// The target that the packet reaches from `entry`; 0 for none.
-  common::TargetId Send(std::uint32_t entry, PacketArrived packet) {
+  /// What becomes of the packet that comes in at `entry`.
+  PacketAction Decide(std::uint32_t entry, PacketArrived packet) {
     for (std::uint32_t at = entry;;) {
       Outbox outbox;
       const PacketAction action =
@@ -101,12 +101,16 @@
       this->Take(at, outbox);
       const auto* const redirect = std::get_if<RedirectToInstance>(&action);
       if (redirect == nullptr) {
-        return testing::ForwardedTo(action);
+        return action;
       }
       packet = Handed(packet, *redirect);
       at = redirect->instance.value;
     }
   }
+  /// The target that the packet reaches from `entry`; 0 for none.
+  common::TargetId Send(std::uint32_t entry, const PacketArrived& packet) {
+    return testing::ForwardedTo(this->Decide(entry, packet));
+  }
 
   Configuration configuration =
       testing::SampleConfiguration({.services = 1, .partitions = 8});
@@ -171,6 +175,7 @@
   Target added = configuration.targets.front();
   added.id = {added.id.value + 50};
   added.tunnel.port = static_cast<std::uint16_t>(added.tunnel.port + 50);
+  added.state = TargetState::kServing;
   for (Target& target : configuration.targets) {
     target.state = TargetState::kDraining;
   }
@@ -240,5 +245,88 @@
   BOOST_TEST(tried > 0);
 }
 
+/// How the heir comes to own the leaver's partitions, and what it may say.
+struct Inheritance {
+  const char* name;
+  std::chrono::milliseconds owned;  ///< By the leaver, before it leaves.
+  bool hands_over;                  ///< It leaves; else it dies.
+  bool refuses;                     ///< SYNs, soon after.
+};
+
+std::ostream& operator<<(std::ostream& out, const Inheritance& row) {
+  return out << row.name;
+}
+
+const Inheritance kInheritances[] = {
+    {"from an old owner", 40s, true, true},
+    {"from an owner that came lately", 10s, true, false},
+    {"from one that died", 40s, false, false}};
+
+// Guards against a caller that hears nothing for half a minute: no target takes
+// flows, and the owner has just come, though the one before told it all.
+BOOST_DATA_TEST_CASE(an_heir_refuses_what_its_predecessor_could, kInheritances,
+                     row) {
+  Fleet fleet;
+  fleet.Pass(row.owned);
+  Configuration drained = fleet.configuration;
+  ++drained.revision.value;
+  for (Target& target : drained.targets) {
+    target.state = TargetState::kDraining;
+  }
+  for (const std::uint32_t id : {kLeaver, kHeir}) {
+    fleet.Configure(id, drained);
+  }
+  if (row.hands_over) {
+    for (const std::uint32_t id : {kLeaver, kHeir}) {
+      fleet.Believe(id, {kLeaver, kHeir}, true);
+    }
+    fleet.Pass(1s);
+  }
+  fleet.balancers.erase(kLeaver);
+  fleet.Believe(kHeir, {kHeir}, false);
+  fleet.Pass(6s);
+
+  std::size_t refused = 0;
+  for (std::uint32_t caller = 100; caller < 200; ++caller) {
+    refused += std::holds_alternative<ResetCaller>(
+                   fleet.Decide(kHeir, Syn(FlowOf(caller))))
+                   ? 1
+                   : 0;
+  }
+  BOOST_TEST((refused == 100U) == row.refuses);
+}
+
+// Guards against a false "not run": the heir can't make a record of a SYN that
+// was handed over, as its configuration doesn't name the target yet.
+BOOST_AUTO_TEST_CASE(a_syn_at_a_target_unknown_yet_is_not_refused) {
+  int tried = 0;
+  for (std::uint32_t caller = 0; caller < 20; ++caller) {
+    Fleet fleet;
+    fleet.Pass(40s);
+    Configuration drained = fleet.configuration;
+    ++drained.revision.value;
+    for (Target& target : drained.targets) {
+      target.state = TargetState::kDraining;
+    }
+    fleet.Configure(kHeir, drained);
+    const Configuration later = WithOnlyNewTarget(drained);
+    fleet.Configure(kLeaver, later);
+    const common::FlowKey flow = FlowOf(caller);
+    if (fleet.Send(kLeaver, Syn(flow)) != later.targets.back().id) {
+      continue;  // The heir's partition.
+    }
+    ++tried;
+    for (const std::uint32_t id : {kLeaver, kHeir}) {
+      fleet.Believe(id, {kLeaver, kHeir}, true);
+    }
+    fleet.Pass(6s);
+
+    const PacketAction action = fleet.Decide(kHeir, Syn(flow));
+
+    BOOST_TEST(!std::holds_alternative<ResetCaller>(action));
+  }
+  BOOST_TEST(tried > 0);
+}
+
 }  // namespace
 }  // namespace sassafrasdyke::core
--- a/tests/peer/protocol_version_test.cc
+++ b/tests/peer/protocol_version_test.cc
@@ -5,9 +5,11 @@
 #include <optional>
 #include <ostream>
 #include <string>
+#include <variant>
 
 #include "peer/hello.h"
 #include "peer/peer_fixture.h"
+#include "peer/peer_kinds.h"
 
 namespace sassafrasdyke::peer {
 namespace {
@@ -65,5 +67,27 @@
   BOOST_TEST((two.links->VersionFrom({1}) == row.common));
 }
 
+// Guards against streams that an older release ends in the midst of an upgrade:
+// it is sent a kind of message that it doesn't know.
+BOOST_AUTO_TEST_CASE(an_older_peer_is_sent_no_newer_kind) {
+  PeerFixture fixture;
+  TestInstance& one = fixture.Open(1);
+  fixture.versions = {1, 1};
+  TestInstance& two = fixture.Open(2);
+  const core::InstanceList list = PeerFixture::ListOf({&one, &two});
+  one.links->SetInstances(list, PeerFixture::kFleet);
+  two.links->SetInstances(list, PeerFixture::kFleet);
+
+  one.links->Send({2}, core::OpeningsKnown{});
+  one.links->Send({2}, core::Heartbeat{});
+  BOOST_TEST(
+      fixture.RunUntil([&two] { return !two.recorder.messages.empty(); }));
+
+  BOOST_TEST(std::holds_alternative<core::Heartbeat>(
+      two.recorder.messages.front().second));
+  BOOST_TEST(one.links->Counts().sent[kKindOf<core::OpeningsKnown>].messages ==
+             0U);
+}
+
 }  // namespace
 }  // namespace sassafrasdyke::peer
--- a/tests/peer/sample_messages.h
+++ b/tests/peer/sample_messages.h
@@ -37,6 +37,7 @@
                           {{88}}},
       core::ExceptionCopyAck{{{2}, {0}}, {1}, 2, 3, true},
       core::ReachabilityReport{{2}, {5}, 6, true},
+      core::OpeningsKnown{{{1}, {63}}, std::chrono::milliseconds{45'000}},
   };
 }
 
