Judge congestion by most of sixteen answers

Cause: a round of eight answers of which 0.35 took more than half of what callers allow was taken for congestion.

Change: sixteen answers, 0.65 of them. With a queue at all targets nearly all answers take long, so the callers of an outage are held back as before.

--- a/source/core/steering/opening_gate.cc
+++ b/source/core/steering/opening_gate.cc
@@ -16,11 +16,11 @@
 /// is room again.
 constexpr double kLeastLimit = 1.0;
 /// Late answers below this part of all come from work that is long by itself,
-/// or from a target that is slow; fewer requests for all targets mend neither.
-constexpr double kFewLate = 0.35;
+/// or from targets that are slow; fewer requests for all targets mend neither.
+constexpr double kFewLate = 0.65;
 /// A round has this many answers, or as many as the limit if that is less. Of
-/// fewer, two that are long by themselves would seem congestion.
-constexpr double kEnoughAnswers = 8.0;
+/// fewer, some that are long by themselves would seem congestion.
+constexpr double kEnoughAnswers = 16.0;
 /// What is left of the limit when all answers were late.
 constexpr double kAfterAllLate = 0.3;
 /// The part of the limit at which congestion began; from there on it grows
--- a/tests/core/differential/differential_test.cc
+++ b/tests/core/differential/differential_test.cc
@@ -40,7 +40,8 @@
     // A flow that was handed over at a target that isn't known yet.
     {Mix::kPlanned, 70113, 60},
     {Mix::kPlanned, 70176, 60},
-    // All targets drain, and callers of an owner that has just come hear nothing.
+    // All targets drain, and callers of an owner that has just come hear
+    // nothing.
     {Mix::kPlanned, 70249, 60},
     {Mix::kPlanned, 70329, 60},
 };
--- a/tests/core/steering/opening_gate_test.cc
+++ b/tests/core/steering/opening_gate_test.cc
@@ -41,6 +41,29 @@
       }
     }
   }
+  /// Rounds of `at_once` requests at once, of which `long_ones` take a target
+  /// 140 ms and the others 20.
+  void MixedAnswers(int rounds, int at_once, int long_ones) {
+    const TargetIndex target = this->IndexOf(0xA1);
+    const auto answer = [&](int flow) {
+      const auto timing = this->pending.OnAnswer(Flow(flow), true, this->now);
+      BOOST_REQUIRE(timing.has_value());
+      this->gate.OnAnswer(target, this->RouteOf(), *timing, this->now);
+    };
+    for (int round = 0; round < rounds; ++round) {
+      for (int flow = 0; flow < at_once; ++flow) {
+        this->pending.OnRequest(Flow(flow), target, this->now);
+      }
+      this->now += 20ms;
+      for (int flow = long_ones; flow < at_once; ++flow) {
+        answer(flow);
+      }
+      this->now += 120ms;
+      for (int flow = 0; flow < long_ones; ++flow) {
+        answer(flow);
+      }
+    }
+  }
   /// Adds requests at `word`'s target until its domain is full.
   int Capacity(std::uint32_t word, const std::string& domain) {
     for (int count = 0;; ++count) {
@@ -161,25 +184,20 @@
 BOOST_AUTO_TEST_CASE(some_long_answers_leave_the_gate_open) {
   constexpr int kAtOnce = 10;
   GateScene scene;
-  const TargetIndex target = scene.IndexOf(0xA1);
-  const auto answer = [&](int flow) {
-    const auto timing =
-        scene.pending.OnAnswer(GateScene::Flow(flow), true, scene.now);
-    BOOST_REQUIRE(timing.has_value());
-    scene.gate.OnAnswer(target, scene.RouteOf(), *timing, scene.now);
-  };
-  for (int round = 0; round < 60; ++round) {
-    for (int flow = 0; flow < kAtOnce; ++flow) {
-      scene.pending.OnRequest(GateScene::Flow(flow), target, scene.now);
-    }
-    scene.now += 20ms;
-    for (int flow = 2; flow < kAtOnce; ++flow) {
-      answer(flow);
-    }
-    scene.now += 120ms;
-    answer(0);
-    answer(1);
-  }
+  scene.MixedAnswers(60, kAtOnce, 2);
+
+  BOOST_TEST(scene.Capacity(0xA1, "north") >= kAtOnce);
+}
+
+const int kLongOfTen[] = {4, 5};
+
+// Guards against callers that wait while targets idle: where the objective is
+// little more than twice the work, a half of ordinary answers seem late.
+BOOST_DATA_TEST_CASE(work_that_varies_leaves_the_gate_open, kLongOfTen,
+                     long_ones) {
+  constexpr int kAtOnce = 10;
+  GateScene scene;
+  scene.MixedAnswers(60, kAtOnce, long_ones);
 
   BOOST_TEST(scene.Capacity(0xA1, "north") >= kAtOnce);
 }
--- a/tests/rig/load_model_test.cc
+++ b/tests/rig/load_model_test.cc
@@ -14,7 +14,9 @@
 const std::uint64_t kDrawn[] = {1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 29, 39, 50154,
                                 // Held back while targets idled.
                                 11, 16, 26, 28, 33, 36, 56, 97, 101, 109, 119,
-                                123, 133, 166, 182, 50297};
+                                123, 133, 166, 182, 50297,
+                                // Answers that are long by themselves.
+                                188, 50452, 90105, 90875, 800446, 800964};
 
 // A deployment differs from those that the policies were made with: its targets
 // have many slots, its work is slow or varies much, its callers are far away.
--- a/tests/rig/load_open_faults_test.cc
+++ b/tests/rig/load_open_faults_test.cc
@@ -11,7 +11,7 @@
 namespace sassafrasdyke::rig {
 namespace {
 
-const std::uint64_t kDrawn[] = {167, 188, 50452, 50501, 90105, 90875};
+const std::uint64_t kDrawn[] = {167, 50501};
 
 // Guards against callers that are held back where plain placing serves them:
 // ordinary answers take more than half of what callers allow and seem late, or
