Forget a closing flow whose caller reuses its port in a hand-over

What callers saw (balance): a new flow from a port that had just been used was reset while its partition passed to another instance.

Cause: the former owner let the SYN pass to the new owner, but kept the record of the closing flow. Its hand-over named that one's target, which replaced the new record, and its own record caught the next packet that entered there.

Why it works: the record ends with the SYN that replaces the flow, so neither the hand-over nor a packet finds it.

--- a/source/core/flow_balancer.cc
+++ b/source/core/flow_balancer.cc
@@ -115,7 +115,9 @@
   }
   const bool is_syn = IsNewSyn(context.packet);
   if (is_syn && record->state == FlowState::kClosing) {
-    return std::nullopt;  // The caller reuses the port.
+    // The caller reuses the port. The hand-over must not name the old flow.
+    this->EndFlow(context);
+    return std::nullopt;
   }
   const bool gone = this->local.Targets().At(record->target).gone;
   const bool may_be_elsewhere =
--- a/tests/core/owner_change_test.cc
+++ b/tests/core/owner_change_test.cc
@@ -254,5 +254,54 @@
   BOOST_TEST(tried > 0);
 }
 
+// Guards against a flow that moves to the target of the one before it: its
+// caller reuses the port of a flow that the leaver has seen closing, while the
+// leaver hands over.
+BOOST_AUTO_TEST_CASE(a_reused_port_keeps_its_new_target) {
+  constexpr std::uint32_t kCallers = 100;
+  constexpr std::uint32_t kNewSequence = 5000;
+  int tried = 0;
+  for (std::uint32_t caller = 0; caller < kCallers; ++caller) {
+    Fleet fleet;
+    const std::size_t targets = fleet.configuration.targets.size();
+    const common::FlowKey flow = FlowOf(caller);
+    // The first flow is at another target than its default.
+    const Configuration first =
+        WithDrained(fleet.configuration, caller % targets);
+    for (const std::uint32_t id : {kLeaver, kSuccessor}) {
+      fleet.Configure(id, first);
+    }
+    const common::TargetId before = fleet.Send(kLeaver, Syn(flow));
+    fleet.Send(kLeaver, Data(flow));
+    fleet.Send(kLeaver, testing::Fin(flow));
+    Configuration next = first;
+    ++next.revision.value;
+    for (Target& target : next.targets) {
+      target.state =
+          target.id == before ? TargetState::kDraining : TargetState::kServing;
+    }
+    for (const std::uint32_t id : {kLeaver, kSuccessor}) {
+      fleet.Configure(id, next);
+    }
+    fleet.Advance(1s);
+    for (const std::uint32_t id : {kLeaver, kSuccessor}) {
+      fleet.SetView(id, {kLeaver, kSuccessor}, true);
+    }
+    const common::TargetId placed =
+        fleet.Send(kSuccessor, Syn(flow, kNewSequence));
+    if (placed.value == 0 || placed == before) {
+      continue;
+    }
+    ++tried;
+    const common::TargetId at_leaver =
+        fleet.Send(kLeaver, Data(flow, kNewSequence + 1));
+    fleet.Advance(2s);
+
+    BOOST_TEST((at_leaver.value == 0 || at_leaver == placed));
+    BOOST_TEST(fleet.Send(kSuccessor, Data(flow, kNewSequence + 1)) == placed);
+  }
+  BOOST_TEST(tried > 0);
+}
+
 }  // namespace
 }  // namespace sassafrasdyke::core
