Take a failed instance's partition at once only with its copies

What callers saw (balance): a flow placed by two instances, after an instance that had just joined died before the owner granted it the ownership: the next designated one held the joiner for the failed owner and took the partition at once, while the owner lived.

Change: it takes the partition at once only if it holds copies that the failed one made as the owner; otherwise it searches.

--- a/source/core/exchange/ownership.cc
+++ b/source/core/exchange/ownership.cc
@@ -133,9 +133,12 @@
   }
   this->local.StateOf(partition).AddLikelyOwner(likely_owner);
   const OwnerMap& owners = this->local.Owners();
-  const bool failed =
-      owners.Find(likely_owner) != nullptr && !owners.IsAnswering(likely_owner);
-  if (likely_owner.value == 0 || failed) {
+  // Its copies show that it was the owner, and not only designated.
+  const bool owner_failed =
+      owners.Find(likely_owner) != nullptr &&
+      !owners.IsAnswering(likely_owner) &&
+      this->exchange.HoldsCopiesOf(likely_owner, partition);
+  if (likely_owner.value == 0 || owner_failed) {
     this->Take(partition, likely_owner, now, outbox);
     return;
   }
