Extend a search also when the last one to answer leaves the view

Whoever is asked last may leave the view before it answers. The rest, if they are all new themselves, were then taken as proof that a partition has no owner; now more are asked, as after an answer. new_instances_are_no_proof_without_the_rest guards it.

--- a/source/core/exchange/owner_search.cc
+++ b/source/core/exchange/owner_search.cc
@@ -244,7 +244,8 @@
     }
     const auto partition = this->local.Directory().Find(key);
     if (!partition || now - search.owner_heard_at >= lease ||
-        this->IsExhausted(search, now)) {
+        (this->IsExhausted(search, now) &&
+         !this->Extend(key, search, now, outbox))) {
       without_owner.push_back(key);
       continue;
     }
--- a/tests/core/exchange/owner_search_test.cc
+++ b/tests/core/exchange/owner_search_test.cc
@@ -143,6 +143,28 @@
   BOOST_TEST(searcher.Reply(last, OwnerKnowledge::kNone));
 }
 
+// Guards against two owners when the last one that had to answer leaves the
+// view: the others are new themselves.
+BOOST_AUTO_TEST_CASE(new_instances_are_no_proof_without_the_rest) {
+  Searcher searcher;
+  searcher.search.StartAtLikelyOwners(kPartition, searcher.now,
+                                      searcher.outbox);
+  const std::vector<common::InstanceId> first = searcher.TakeAsked();
+  for (std::size_t i = 0; i + 1 < first.size(); ++i) {
+    BOOST_TEST(!searcher.Reply(first[i], OwnerKnowledge::kNone));
+  }
+  FleetView view = testing::SampleView(kSelf.value, kInstances);
+  std::erase_if(view.instances, [&first](const InstanceView& instance) {
+    return instance.id == first.back();
+  });
+  searcher.local.SetView(view);
+
+  const auto unowned =
+      searcher.search.OnTick(searcher.now + 500ms, searcher.outbox);
+
+  BOOST_TEST(unowned.empty());
+}
+
 // Guards against packets that wait at a designated instance: they are
 // redirected to the owner as soon as an answer tells who that is.
 BOOST_AUTO_TEST_CASE(an_answer_names_the_owner) {
