Let tests of the core run for longer under sanitizers

core_ownership_order_tests, 20 s of one core, hadn't ended after 400 s of processor time under sanitizers; beside other load the runner's 1,500 s might not do.

--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -17,12 +17,17 @@
   target_link_libraries(${name} PRIVATE ${TESTS_LINKS} Boost::unit_test_framework)
 endfunction()
 
+# In seconds. Sanitizers make the random histories and forced orders of the core
+# some thirty times longer.
+set(TEST_TIMEOUT 3000)
+
 # The program and test for each folder of tests/; takes what add_test_program
 # takes.
 function(add_module_tests name)
   add_test_program(${name} ${ARGN})
   add_test(NAME ${name} COMMAND ${name} --log_level=test_suite --report_level=short
            WORKING_DIRECTORY ${PROJECT_SOURCE_DIR})
+  set_tests_properties(${name} PROPERTIES TIMEOUT ${TEST_TIMEOUT})
 endfunction()
 
 # The same for open faults, whose cases KNOWN-RED.txt lists one by one. Red once
