Redirect to the owner by its id alone

The hop that HopToOwner returned carried the grant's number, which nobody read: Redirect looks it up for every receiver. OwnerHop goes; no behaviour changes.

--- a/source/core/exchange/ownership.cc
+++ b/source/core/exchange/ownership.cc
@@ -408,27 +408,27 @@
   }
 }
 
-std::optional<OwnerHop> Ownership::HopToOwner(
+std::optional<common::InstanceId> Ownership::HopToOwner(
     PartitionIndex partition, const Arrival& arrival,
     std::chrono::milliseconds now) const {
   const PartitionState& state = this->local.StateOf(partition);
-  const PartitionKey& key = this->local.Directory().KeyOf(partition);
   // The receiver of a grant may not know of it and send the packet back here.
-  if (const common::GrantNumber grant =
-          this->grants.NumberFor(key, state.given_up_to);
-      grant.value != 0 && this->IsReceiverUp(partition)) {
-    return OwnerHop{state.given_up_to, grant};
+  if (this->GrantFor(partition, state.given_up_to).value != 0 &&
+      this->IsReceiverUp(partition)) {
+    return state.given_up_to;
   }
   const bool granted_lately =
       now - state.given_up_at < this->local.CurrentConfiguration().policy.lease;
   const common::InstanceId ways[] = {
       granted_lately ? state.given_up_to : common::InstanceId{},
-      state.designated, this->search.LikelyOwner(key, now), state.given_up_to};
+      state.designated,
+      this->search.LikelyOwner(this->local.Directory().KeyOf(partition), now),
+      state.given_up_to};
   for (const common::InstanceId id : ways) {
     const bool came_from = arrival.hops > 0 && id == arrival.from;
     if (id.value != 0 && id != this->self && !came_from &&
         this->local.Owners().IsAnswering(id)) {
-      return OwnerHop{id, this->grants.NumberFor(key, id)};
+      return id;
     }
   }
   return std::nullopt;
--- a/source/core/exchange/ownership.h
+++ b/source/core/exchange/ownership.h
@@ -16,13 +16,6 @@
 
 namespace sassafrasdyke::core {
 
-/// Where to redirect a packet that another instance decides about.
-struct OwnerHop {
-  common::InstanceId to;
-  /// This instance's grant to it that it may not know of yet; 0 for none.
-  common::GrantNumber grant;
-};
-
 /// A partition has one owner, which alone places its flows. Views only
 /// designate owners: while they differ, two instances may be designated at a
 /// time. So an owner remains the owner until it grants the ownership to the
@@ -64,9 +57,9 @@
 
   /// The next instance on the packet's way to the owner of its partition, which
   /// isn't this one. Empty if this instance knows none that may answer.
-  std::optional<OwnerHop> HopToOwner(PartitionIndex partition,
-                                     const Arrival& arrival,
-                                     std::chrono::milliseconds now) const;
+  std::optional<common::InstanceId> HopToOwner(
+      PartitionIndex partition, const Arrival& arrival,
+      std::chrono::milliseconds now) const;
 
   /// This instance's unfinished grant of the partition to `receiver`; 0 for
   /// none.
--- a/source/core/flow_balancer.cc
+++ b/source/core/flow_balancer.cc
@@ -78,7 +78,7 @@
   }
   const auto hop =
       this->ownership.HopToOwner(context.partition, arrival, context.now);
-  return hop ? this->Redirect(context, hop->to, DropReason::kUnreachable)
+  return hop ? this->Redirect(context, *hop, DropReason::kUnreachable)
              : DropPacket{DropReason::kUnreachable};
 }
 
