Keep new flows from evacuated failure domains

LiveView puts one in force and takes it back at once, also after an outage of the store: the operator's items don't expire. Bytes that are no object change nothing and get a log line. The target table withholds the domain's targets from new flows and leaves their phases alone, so one that joins gets nothing either, and one that was draining is draining after. A retransmitted SYN goes elsewhere. When all domains are evacuated, flows are refused at once.

The limiter gives an instance without targets in its own domain the limit of these in equal parts at the others; with the limit for relief, one request each, its callers would have waited until answers raised it.

Operators: lines evacuation-in-force and evacuation-lifted, the reason evacuated of placed and refused flows, a gauge, a walk.

--- a/source/core/steering/concurrency_limiter.cc
+++ b/source/core/steering/concurrency_limiter.cc
@@ -148,25 +148,27 @@
       return limit->second;
     }
   }
-  return {domain == this->domain ? this->InitialLimit(service)
-                                 : kInitialRemoteLimit};
+  return {this->InitialLimit(service, domain)};
 }
 
-double ConcurrencyLimiter::InitialLimit(const std::string& service) const {
+double ConcurrencyLimiter::InitialLimit(const std::string& service,
+                                        const std::string& domain) const {
   const ServingTargets& serving = this->targets.ServingByDomain(service);
-  const auto local = serving.find(this->domain);
-  if (local == serving.end()) {
-    return kMinLimit;
+  const bool has_local = serving.contains(this->domain);
+  const auto targets = serving.find(domain);
+  if (targets == serving.end() || (has_local && domain != this->domain)) {
+    return kInitialRemoteLimit;
   }
   double all = 0;
   double largest = 0;
-  for (const TargetIndex index : local->second) {
+  for (const TargetIndex index : targets->second) {
     const auto slots =
         static_cast<double>(this->targets.At(index).published.slots);
     all += slots;
     largest = std::max(largest, slots);
   }
-  return std::max(all, kInitialSlotsFactor * largest);
+  const double parts = has_local ? 1.0 : static_cast<double>(serving.size());
+  return std::max(all, kInitialSlotsFactor * largest) / parts;
 }
 
 // Requests at a suspected or silent target won't be answered and must not keep
@@ -189,7 +191,7 @@
     }
     const TargetEntry& entry = this->targets.At(index);
     const auto domain = pending.find(entry.published.domain);
-    if (entry.phase == TargetPhase::kServing &&
+    if (this->targets.AcceptsFlows(index) &&
         entry.published.service == service && domain != pending.end()) {
       domain->second += static_cast<double>(count);
     }
--- a/source/core/steering/concurrency_limiter.h
+++ b/source/core/steering/concurrency_limiter.h
@@ -91,11 +91,17 @@
   using Limits = std::map<std::string, Limit, std::less<>>;
 
   Limit LimitOf(const std::string& service, const std::string& domain) const;
-  /// Limit of the own domain before any answer: the requests that its targets
-  /// process concurrently. With few instances, less would leave targets idle
-  /// for several answer times, and callers that return after an outage would be
-  /// served late at half the load. With many instances, each has few callers.
-  double InitialLimit(const std::string& service) const;
+  /// Limit of a domain before any answer. For the own domain: the requests that
+  /// its targets process concurrently. With few instances, less would leave
+  /// targets idle for several answer times, and callers that return after an
+  /// outage would be served late at half the load. With many instances, each
+  /// has few callers.
+  ///
+  /// Without targets in the own domain, as while it is evacuated, the other
+  /// domains take its place in equal parts; at the limit for relief its callers
+  /// would wait until answers have raised it.
+  double InitialLimit(const std::string& service,
+                      const std::string& domain) const;
   /// Requests pending at each domain that has usable targets of the service.
   std::map<std::string, double> PendingByDomain(
       const std::string& service, std::chrono::milliseconds now) const;
--- a/source/core/steering/flow_packet.cc
+++ b/source/core/steering/flow_packet.cc
@@ -12,6 +12,8 @@
       return "spilled";
     case SteeringReason::kRelieved:
       return "relieved";
+    case SteeringReason::kEvacuated:
+      return "evacuated";
     case SteeringReason::kSuspected:
       return "suspected-only";
     case SteeringReason::kRepeated:
@@ -28,6 +30,8 @@
       return "no-route";
     case RefusalReason::kNoTarget:
       return "no-target";
+    case RefusalReason::kEvacuated:
+      return "evacuated";
     case RefusalReason::kTargetGone:
       return "target-gone";
     case RefusalReason::kTargetSilent:
--- a/source/core/steering/flow_packet.h
+++ b/source/core/steering/flow_packet.h
@@ -33,6 +33,7 @@
   kLocal,      ///< New: a target of the own failure domain.
   kSpilled,    ///< New: no usable target in the own failure domain.
   kRelieved,   ///< New: the own failure domain is at its limit.
+  kEvacuated,  ///< New: the own failure domain is evacuated.
   kSuspected,  ///< New: all targets are suspected; the likeliest to be back.
   kRepeated,   ///< A retransmitted SYN, to the same target again.
   kRetried,    ///< A retransmitted SYN, to another target than the first.
@@ -42,6 +43,7 @@
 enum class RefusalReason : std::uint8_t {
   kNoRoute,       ///< Nothing is published at this address.
   kNoTarget,      ///< No target of the route's services takes new flows.
+  kEvacuated,     ///< All that would are in evacuated failure domains.
   kTargetGone,    ///< The flow's target has ended.
   kTargetSilent,  ///< Probes have confirmed that the target doesn't answer.
 };
--- a/source/core/steering/flow_steering.cc
+++ b/source/core/steering/flow_steering.cc
@@ -76,7 +76,7 @@
   const auto chosen = this->choice.Choose(
       {*route, common::FingerprintOf(packet.flow, 0), {}, grant.domain, now});
   if (!chosen) {
-    return this->OnNoTarget(now);
+    return this->OnNoTarget(*route, now);
   }
   this->choice.OnPlaced(chosen->target);
   this->watch.OnSent(chosen->target, now);
@@ -88,11 +88,17 @@
 // An instance that started while store entries were lapsed has never seen the
 // targets that are about to register again, so it can't tell that none is
 // serving.
-SteeringAction FlowSteering::OnNoTarget(std::chrono::milliseconds now) const {
+SteeringAction FlowSteering::OnNoTarget(const Route& route,
+                                        std::chrono::milliseconds now) const {
   if (this->view.contact.LapseLikely(now)) {
     return SilentDrop{SilentDropReason::kStaleView};
   }
-  return Refuse{RefusalReason::kNoTarget};
+  const bool evacuated =
+      std::ranges::any_of(route.shares, [this](const ServiceShare& share) {
+        return this->view.targets.HasEvacuatedTargets(share.service);
+      });
+  return Refuse{evacuated ? RefusalReason::kEvacuated
+                          : RefusalReason::kNoTarget};
 }
 
 // A crashed target leaves SYNs unanswered until its entry lapses, two to four
@@ -105,11 +111,10 @@
                                            HalfOpenFlow& half_open,
                                            const Route& route,
                                            std::chrono::milliseconds now) {
-  const bool serving =
-      this->view.targets.At(half_open.target).phase == TargetPhase::kServing;
+  const bool accepts = this->view.targets.AcceptsFlows(half_open.target);
   const bool is_retransmission =
       now - half_open.sent_at >= kMinRetransmitInterval;
-  if (serving && (!is_retransmission || half_open.retried)) {
+  if (accepts && (!is_retransmission || half_open.retried)) {
     return SendToTarget{half_open.target, SteeringReason::kRepeated};
   }
   if (is_retransmission) {
@@ -122,7 +127,7 @@
                            {},
                            now});
   if (!chosen) {
-    return this->OnNoTarget(now);
+    return this->OnNoTarget(route, now);
   }
   this->choice.OnPlaced(chosen->target);
   half_open = {chosen->target, now, true};
--- a/source/core/steering/flow_steering.h
+++ b/source/core/steering/flow_steering.h
@@ -99,7 +99,8 @@
                               std::chrono::milliseconds now);
   SteeringAction OnUnknownTarget(const FlowPacket& packet,
                                  std::chrono::milliseconds now);
-  SteeringAction OnNoTarget(std::chrono::milliseconds now) const;
+  SteeringAction OnNoTarget(const Route& route,
+                            std::chrono::milliseconds now) const;
   SteeringAction OnUnknownRoute(std::chrono::milliseconds now) const;
   bool ViewIsFresh(std::chrono::milliseconds now) const;
 
--- a/source/core/steering/target_choice.cc
+++ b/source/core/steering/target_choice.cc
@@ -107,7 +107,8 @@
         [&](TargetIndex index) { return this->Usable(index, query); });
   }
   if (!local.empty() && query.preferred_domain) {
-    return Choice{this->LeastLoaded(local, query), SteeringReason::kRelieved};
+    return Choice{this->LeastLoaded(local, query),
+                  this->ReasonToLeave(SteeringReason::kRelieved)};
   }
   // Fast path of most flows, which skips the targets of other domains: no more
   // of those are usable than serving, so the domain's ratio is at least this.
@@ -147,7 +148,8 @@
     return Choice{this->LeastLoaded(local, query), SteeringReason::kLocal};
   }
   if (!remote.empty()) {
-    return Choice{this->LeastLoaded(remote, query), SteeringReason::kSpilled};
+    return Choice{this->LeastLoaded(remote, query),
+                  this->ReasonToLeave(SteeringReason::kSpilled)};
   }
   if (!suspected.empty()) {
     return Choice{this->LeastSuspected(suspected), SteeringReason::kSuspected};
@@ -155,6 +157,11 @@
   return std::nullopt;
 }
 
+SteeringReason TargetChoice::ReasonToLeave(SteeringReason reason) const {
+  return this->targets.IsEvacuated(this->domain) ? SteeringReason::kEvacuated
+                                                 : reason;
+}
+
 TargetIndex TargetChoice::LeastLoaded(const std::vector<TargetIndex>& options,
                                       const ChoiceQuery& query) const {
   TargetIndex best = options.front();
--- a/source/core/steering/target_choice.h
+++ b/source/core/steering/target_choice.h
@@ -72,6 +72,8 @@
                                     const std::vector<TargetIndex>& local,
                                     const ChoiceQuery& query) const;
   bool Usable(TargetIndex index, const ChoiceQuery& query) const;
+  /// Why a flow leaves the own domain: `reason`, or its evacuation.
+  SteeringReason ReasonToLeave(SteeringReason reason) const;
   TargetIndex LeastLoaded(const std::vector<TargetIndex>& options,
                           const ChoiceQuery& query) const;
   TargetIndex LeastSuspected(const std::vector<TargetIndex>& options) const;
--- a/source/core/view/live_view.cc
+++ b/source/core/view/live_view.cc
@@ -41,8 +41,14 @@
 // at once, new flows would find no target and open ones would be reset until
 // the targets have registered again. So they are deferred for the time that
 // targets may take to do so.
+//
+// Evacuations are published by the operator and never expire, so their removal
+// always takes effect at once.
 void LiveView::ApplyRemoval(const std::string& key,
                             std::chrono::milliseconds now) {
+  if (this->LiftEvacuation(key)) {
+    return;
+  }
   if (this->contact.LapseLikely(now)) {
     this->targets.Remove(key, now, this->contact.RemovalEffectiveAt(now));
   } else {
@@ -64,10 +70,36 @@
     this->targets.Publish(key, *target, now);
     return;
   }
+  if (const auto* const evacuation = std::get_if<PublishedEvacuation>(&*read)) {
+    this->ApplyEvacuation(key, evacuation->domain, revision);
+    return;
+  }
   this->ApplyConfiguration(std::get<PublishedConfiguration>(std::move(*read)),
                            now);
 }
 
+void LiveView::ApplyEvacuation(const std::string& key,
+                               const std::string& domain,
+                               common::Revision revision) {
+  if (!this->evacuations.try_emplace(key, domain).second) {
+    return;  // Published again.
+  }
+  const std::size_t affected = this->targets.SetEvacuated(domain, true);
+  this->changes.emplace_back(
+      EvacuationChange{domain, true, affected, revision});
+}
+
+bool LiveView::LiftEvacuation(const std::string& key) {
+  const auto lifted = this->evacuations.extract(key);
+  if (!lifted) {
+    return false;
+  }
+  const std::string& domain = lifted.mapped();
+  const std::size_t affected = this->targets.SetEvacuated(domain, false);
+  this->changes.emplace_back(EvacuationChange{domain, false, affected, {}});
+  return true;
+}
+
 void LiveView::ApplyConfiguration(PublishedConfiguration configuration,
                                   std::chrono::milliseconds now) {
   const std::uint64_t version = configuration.version;
--- a/source/core/view/live_view.h
+++ b/source/core/view/live_view.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <variant>
 #include <vector>
@@ -31,16 +32,24 @@
   std::uint64_t in_force{0};
 };
 
-/// An item can't be decoded. A configuration in force stays in force, and a
-/// target keeps its open flows.
+/// An item can't be decoded. A configuration or evacuation in force stays in
+/// force, and a target keeps its open flows.
 struct ItemUnreadable {
   std::string key;
   ItemFault fault;
 };
 
+/// The evacuation of a failure domain took effect, or was lifted.
+struct EvacuationChange {
+  std::string domain;
+  bool in_force{false};
+  std::size_t targets{0};     ///< Serving targets in the domain at that moment.
+  common::Revision revision;  ///< Of the published item; 0 once it is removed.
+};
+
 /// A change of the view, for the log.
 using ViewChange = std::variant<ConfigurationInForce, ConfigurationRefused,
-                                ItemUnreadable, TargetChange>;
+                                ItemUnreadable, TargetChange, EvacuationChange>;
 
 /// Keeps the route and target tables consistent with the published items. Times
 /// are monotonic.
@@ -85,12 +94,18 @@
                  common::Revision revision, std::chrono::milliseconds now);
   void ApplyConfiguration(PublishedConfiguration configuration,
                           std::chrono::milliseconds now);
+  void ApplyEvacuation(const std::string& key, const std::string& domain,
+                       common::Revision revision);
+  /// Returns false if no evacuation was published under this key.
+  bool LiftEvacuation(const std::string& key);
 
   const Publication& publication;
   ItemStore items;
   RouteTable routes;
   TargetTable targets;
   StoreContact contact;
+  /// Evacuated domains by the keys of their published items.
+  std::map<std::string, std::string> evacuations;
   std::vector<ViewChange> changes;
 };
 
--- a/source/core/view/publication.h
+++ b/source/core/view/publication.h
@@ -40,7 +40,8 @@
 using ItemFault = std::string;
 
 /// A decoded item.
-using PublishedItem = std::variant<PublishedConfiguration, PublishedTarget>;
+using PublishedItem =
+    std::variant<PublishedConfiguration, PublishedTarget, PublishedEvacuation>;
 
 /// Request paths and response formats of the platform's store.
 class Publication {
--- a/source/core/view/published.h
+++ b/source/core/view/published.h
@@ -1,5 +1,5 @@
 /// The decoded form of what the platform publishes: targets, routes and their
-/// limits.
+/// limits, and evacuations.
 #pragma once
 
 #include <chrono>
@@ -56,4 +56,10 @@
   std::vector<PublishedRoute> routes;
 };
 
+/// The operator's request that a failure domain's targets get no new flows. In
+/// force as long as it is published.
+struct PublishedEvacuation {
+  std::string domain;
+};
+
 }  // namespace sassafrasdyke::core
--- a/source/core/view/target_table.cc
+++ b/source/core/view/target_table.cc
@@ -233,8 +233,7 @@
   entry.phase = phase;
   this->RemoveFromServing(index, entry);
   if (phase == TargetPhase::kServing) {
-    this->serving[entry.published.service][entry.published.domain].push_back(
-        index);
+    this->AddToServing(index, entry);
   }
   if (!same) {
     this->changes.push_back(
@@ -242,13 +241,23 @@
   }
 }
 
+void TargetTable::AddToServing(TargetIndex index, const TargetEntry& entry) {
+  const PublishedTarget& target = entry.published;
+  ServingByService& lists =
+      this->IsEvacuated(target.domain) ? this->evacuated : this->serving;
+  lists[target.service][target.domain].push_back(index);
+}
+
 void TargetTable::RemoveFromServing(TargetIndex index,
                                     const TargetEntry& entry) {
-  const auto service = this->serving.find(entry.published.service);
-  if (service == this->serving.end()) {
+  const PublishedTarget& target = entry.published;
+  ServingByService& lists =
+      this->IsEvacuated(target.domain) ? this->evacuated : this->serving;
+  const auto service = lists.find(target.service);
+  if (service == lists.end()) {
     return;
   }
-  const auto domain = service->second.find(entry.published.domain);
+  const auto domain = service->second.find(target.domain);
   if (domain == service->second.end()) {
     return;
   }
@@ -256,6 +265,42 @@
   if (domain->second.empty()) {
     service->second.erase(domain);
   }
+  if (service->second.empty()) {
+    lists.erase(service);
+  }
+}
+
+std::size_t TargetTable::SetEvacuated(const std::string& domain,
+                                      bool evacuated) {
+  if (evacuated == this->IsEvacuated(domain)) {
+    return 0;
+  }
+  if (evacuated) {
+    this->evacuated_domains.insert(domain);
+    return MoveDomain(domain, this->serving, this->evacuated);
+  }
+  this->evacuated_domains.erase(domain);
+  return MoveDomain(domain, this->evacuated, this->serving);
+}
+
+std::size_t TargetTable::MoveDomain(const std::string& domain,
+                                    ServingByService& from,
+                                    ServingByService& to) {
+  std::size_t moved = 0;
+  for (auto& [service, domains] : from) {
+    if (auto list = domains.extract(domain)) {
+      moved += list.mapped().size();
+      to[service].insert(std::move(list));
+    }
+  }
+  std::erase_if(from, [](const auto& lists) { return lists.second.empty(); });
+  return moved;
+}
+
+bool TargetTable::AcceptsFlows(TargetIndex index) const {
+  const TargetEntry& entry = this->At(index);
+  return entry.phase == TargetPhase::kServing &&
+         !this->IsEvacuated(entry.published.domain);
 }
 
 void TargetTable::Erase(TargetIndex index) {
--- a/source/core/view/target_table.h
+++ b/source/core/view/target_table.h
@@ -6,7 +6,9 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -61,7 +63,7 @@
   bool replaced{false};  ///< See TargetEntry.
 };
 
-/// Targets of one service that accept new flows, by failure domain. No list is
+/// Targets of one service in phase kServing, by failure domain. No list is
 /// empty.
 using ServingTargets =
     std::map<std::string, std::vector<TargetIndex>, std::less<>>;
@@ -84,6 +86,9 @@
   /// time, unless the entry is published again before.
   void Remove(const std::string& name, std::chrono::milliseconds now,
               std::optional<std::chrono::milliseconds> due);
+  /// Withholds new flows from all targets of a domain, or ends that; targets
+  /// keep their phases. Returns how many serving targets it affects.
+  std::size_t SetEvacuated(const std::string& domain, bool evacuated);
   /// Applies deferred removals that were due when the view was last confirmed,
   /// and erases targets that ended long ago. An instance that has been
   /// disconnected since the removal can't know whether the target has
@@ -98,6 +103,19 @@
     return this->entries.at(index);
   }
   bool Has(TargetIndex index) const { return this->entries.contains(index); }
+  /// Whether the target is serving and its domain isn't evacuated.
+  bool AcceptsFlows(TargetIndex index) const;
+  bool IsEvacuated(std::string_view domain) const {
+    return this->evacuated_domains.contains(domain);
+  }
+  std::size_t EvacuatedDomainCount() const {
+    return this->evacuated_domains.size();
+  }
+  /// Whether only evacuations keep some target of the service from accepting
+  /// new flows.
+  bool HasEvacuatedTargets(const std::string& service) const {
+    return this->evacuated.contains(service);
+  }
   std::optional<TargetIndex> IndexOf(TargetWord word) const;
   /// Targets of the service that accept new flows, by domain: placing a
   /// new flow examines each of up to thousands of targets, and hardly ever
@@ -117,7 +135,15 @@
   TargetIndex IndexFor(const std::string& name, const PublishedTarget& target);
   TargetPhase PhaseOf(TargetIndex index, const TargetEntry& entry);
   void SetPhase(TargetIndex index, TargetEntry& entry, TargetPhase phase);
+  using ServingByService = std::unordered_map<std::string, ServingTargets>;
+
+  /// Adds the target to the list of its service and domain.
+  void AddToServing(TargetIndex index, const TargetEntry& entry);
   void RemoveFromServing(TargetIndex index, const TargetEntry& entry);
+  /// Moves the domain's lists of all services, and returns how many targets
+  /// they hold.
+  static std::size_t MoveDomain(const std::string& domain,
+                                ServingByService& from, ServingByService& to);
   /// Resolves two targets with the same address: the one whose entry changed
   /// last is alive, the other has ended. Returns whether the target at `index`
   /// is alive.
@@ -131,7 +157,11 @@
   std::unordered_map<std::string, TargetIndex> by_name;
   std::unordered_map<TargetWord, TargetIndex> by_word;
   std::unordered_map<common::Endpoint, TargetIndex, EndpointHash> by_address;
-  std::unordered_map<std::string, ServingTargets> serving;
+  /// Serving targets that accept new flows, by service. No element is empty.
+  ServingByService serving;
+  /// Serving targets in evacuated domains, by service. No element is empty.
+  ServingByService evacuated;
+  std::set<std::string, std::less<>> evacuated_domains;
   /// Targets that are gone or whose removal is deferred. Kept apart, so that
   /// Expire(), called ten times a second, needn't scan thousands of others.
   std::unordered_set<TargetIndex> expiring;
--- a/source/front/flow_story.cc
+++ b/source/front/flow_story.cc
@@ -72,6 +72,9 @@
     Meaning{"placed", "relieved",
             "Its SYN went to another failure domain, as the own targets had "
             "enough to do."},
+    Meaning{"placed", "evacuated",
+            "Its SYN went to another failure domain, as the operator had "
+            "evacuated the own."},
     Meaning{"placed", "suspected-only",
             "Every target had lately left SYNs unanswered; it went to the one "
             "whose failure was longest ago."},
@@ -89,6 +92,9 @@
     Meaning{"refused", "no-target",
             "It was refused: no target of the route's services took new flows. "
             "Nothing has run."},
+    Meaning{"refused", "evacuated",
+            "It was refused: the targets that take new flows were all in "
+            "evacuated failure domains. Nothing has run."},
     Meaning{"refused", "target-gone",
             "It was cut: its target had ended. A request on it may have run."},
     Meaning{"refused", "target-silent",
@@ -123,11 +129,11 @@
 
 /// The fields that decided, in the order of their importance.
 constexpr std::array kInputs{
-    "reason",      "target",      "repeats",         "phase",
-    "replaced",    "gone_age_ms", "answered_age_ms", "probe",
-    "outcome",     "silent_now",  "probe_age_ms",    "why",
-    "for_ms",      "version",     "configuration",   "revision",
-    "view_age_ms", "source",      "waiting"};
+    "reason",  "target",    "repeats",       "phase",        "evacuated",
+    "targets", "published", "replaced",      "gone_age_ms",  "answered_age_ms",
+    "probe",   "outcome",   "silent_now",    "probe_age_ms", "why",
+    "for_ms",  "version",   "configuration", "revision",     "view_age_ms",
+    "source",  "waiting"};
 
 std::string Describe(const LogLine& line) {
   std::string text = line.event;
@@ -144,7 +150,9 @@
 /// Whether the line may explain a decision about a flow that `targets` got.
 bool MayExplain(const LogLine& line, const std::set<std::string>& targets) {
   if (line.channel == "process" || line.event == "lines-left-out" ||
-      line.event == "configuration-in-force") {
+      line.event == "configuration-in-force" ||
+      line.event == "evacuation-in-force" ||
+      line.event == "evacuation-lifted") {
     return true;
   }
   return line.channel == "view" && targets.contains(line.target);
--- a/source/front/front_log.cc
+++ b/source/front/front_log.cc
@@ -44,6 +44,16 @@
                                    {{"target", target.name},
                                     {"service", target.service},
                                     {"phase", core::Word(target.phase)}}};
+                 },
+                 [](const core::EvacuationChange& evacuation) {
+                   ViewLine line{evacuation.in_force ? "evacuation-in-force"
+                                                     : "evacuation-lifted",
+                                 {{"evacuated", evacuation.domain},
+                                  {"targets", evacuation.targets}}};
+                   if (evacuation.in_force) {
+                     line.fields["published"] = evacuation.revision.value;
+                   }
+                   return line;
                  }},
       change);
 }
@@ -118,11 +128,16 @@
 }
 
 void FrontLog::OnViewChange(const core::ViewChange& change,
-                            core::ViewSource source, common::Revision revision,
+                            core::ViewSource source,
+                            const DecisionInputs& inputs,
                             std::chrono::milliseconds now) {
   ViewLine line = LineOf(change);
   line.fields["source"] = Word(source);
-  line.fields["revision"] = revision.value;
+  line.fields["revision"] = inputs.revision.value;
+  if (inputs.view_age &&
+      std::holds_alternative<core::EvacuationChange>(change)) {
+    line.fields["view_age_ms"] = inputs.view_age->count();
+  }
   this->lines.Write(LineKind::kView, line.event, line.fields, now);
 }
 
--- a/source/front/front_log.h
+++ b/source/front/front_log.h
@@ -38,7 +38,8 @@
                   const std::optional<DecisionTarget>& target,
                   const DecisionInputs& inputs, std::chrono::milliseconds now);
   void OnViewChange(const core::ViewChange& change, core::ViewSource source,
-                    common::Revision revision, std::chrono::milliseconds now);
+                    const DecisionInputs& inputs,
+                    std::chrono::milliseconds now);
   /// A trial connection that didn't find the target alive.
   void OnProbe(const std::string& target, core::ProbeOutcome outcome,
                bool silent_now, std::chrono::milliseconds now);
--- a/source/front/front_metrics.cc
+++ b/source/front/front_metrics.cc
@@ -131,6 +131,9 @@
   }
   page.Gauge("sassafrasdyke_targets_serving", "Targets that take new flows.",
              static_cast<double>(state.targets_serving));
+  page.Gauge("sassafrasdyke_evacuated_domains",
+             "Failure domains whose targets get no new flows.",
+             static_cast<double>(state.evacuated_domains));
   page.Gauge("sassafrasdyke_routes", "Routes in force.",
              static_cast<double>(state.routes));
   page.Gauge("sassafrasdyke_members", "Other instances that are known.",
--- a/source/front/front_metrics.h
+++ b/source/front/front_metrics.h
@@ -31,6 +31,7 @@
   std::uint64_t revision{0};
   std::optional<std::chrono::milliseconds> view_age;
   std::size_t targets_serving{0};
+  std::size_t evacuated_domains{0};
   std::size_t routes{0};
   std::size_t members{0};
   std::size_t openings{0};
--- a/source/front/front_process.cc
+++ b/source/front/front_process.cc
@@ -162,6 +162,7 @@
   state.revision = this->view.Items().Complete().value;
   state.view_age = this->view.Contact().Age(this->Now());
   state.targets_serving = this->view.Targets().ServingCount();
+  state.evacuated_domains = this->view.Targets().EvacuatedDomainCount();
   state.routes = this->view.Routes().Size();
   state.members = this->sync.Members().Size();
   state.openings = this->flows->Steering().HalfOpenFlows();
@@ -369,8 +370,10 @@
 
 void FrontProcess::LogViewChanges(core::ViewSource source) {
   const milliseconds now = this->Now();
+  const DecisionInputs inputs{.revision = this->view.Items().Complete(),
+                              .view_age = this->view.Contact().Age(now)};
   for (const core::ViewChange& change : this->view.TakeChanges()) {
-    this->log.OnViewChange(change, source, this->view.Items().Complete(), now);
+    this->log.OnViewChange(change, source, inputs, now);
     if (const auto* target = std::get_if<core::TargetChange>(&change)) {
       this->flows->OnTargetChange(*target);
     }
--- a/tests/core/roster/peer_sync_test.cc
+++ b/tests/core/roster/peer_sync_test.cc
@@ -220,6 +220,56 @@
   return died;
 }
 
+/// How the store misbehaves while a domain is evacuated and taken back.
+struct EvacuationRow {
+  const char* name;
+  std::size_t refuse_every;   ///< The store refuses one of this many instances.
+  std::uint64_t lose_every;   ///< One of this many datagrams is lost; 0: none.
+  milliseconds known_within;  ///< The platform's bound.
+};
+
+std::ostream& operator<<(std::ostream& out, const EvacuationRow& row) {
+  return out << row.name;
+}
+
+const EvacuationRow kEvacuations[] = {
+    {"calm", 1000, 0, 3000ms},
+    {"a third refused", 3, 0, 3000ms},
+    {"a third refused, datagrams lost", 3, 5, 5000ms},
+    {"all but one in 40 refused, datagrams lost", 1, 10, 5000ms},
+};
+
+// Guards against instances that go on placing flows in an evacuated domain, or
+// keep away from it after it is taken back, because they have their view from
+// peers only.
+BOOST_DATA_TEST_CASE(every_instance_knows_of_an_evacuation_in_time,
+                     kEvacuations, row) {
+  constexpr std::size_t kInstances = 120;
+  constexpr std::size_t kServedAlways = 40;
+  Fleet fleet(kInstances, 3, row.known_within);
+  PublishInitialItems(fleet);
+  fleet.Run(10s);
+  for (std::size_t i = 0; i < kInstances; ++i) {
+    fleet.At(i).refused = i % row.refuse_every == 0 && i % kServedAlways != 1;
+  }
+  fleet.SetDatagramLoss(row.lose_every);
+  fleet.Run(5s);
+  const auto evacuated = [&fleet] {
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < kInstances; ++i) {
+      count += fleet.At(i).view.Targets().IsEvacuated("north") ? 1 : 0;
+    }
+    return count;
+  };
+
+  fleet.Write("evacuation/north", "{}");
+  fleet.Run(row.known_within);
+  BOOST_TEST(evacuated() == kInstances);
+  fleet.Write("evacuation/north", std::nullopt);
+  fleet.Run(row.known_within);
+  BOOST_TEST(evacuated() == 0U);
+}
+
 struct FleetSize {
   std::size_t instances;
   std::size_t domains;
--- a/tests/core/steering/steering_scene.h
+++ b/tests/core/steering/steering_scene.h
@@ -23,6 +23,12 @@
   void Remove(const std::string& id, std::chrono::milliseconds now) {
     this->Change("target/" + id, std::nullopt, now);
   }
+  void Evacuate(const std::string& domain, std::chrono::milliseconds now) {
+    this->Change("evacuation/" + domain, "{}", now);
+  }
+  void Lift(const std::string& domain, std::chrono::milliseconds now) {
+    this->Change("evacuation/" + domain, std::nullopt, now);
+  }
   void Configure(const std::string& value, std::chrono::milliseconds now) {
     this->Change("configuration", value, now);
   }
--- a/tests/core/view/live_view_test.cc
+++ b/tests/core/view/live_view_test.cc
@@ -288,6 +288,128 @@
   BOOST_TEST(fixture.view.Targets().TakeErased().size() == 1U);
 }
 
+/// How an instance learns that an evacuation has been lifted.
+struct LiftRow {
+  std::string name;
+  bool by_listing;  ///< A listing lacks it; else its removal is watched.
+  bool store_away;  ///< The store was away before, so entries may expire.
+  bool from_peer;
+};
+
+std::ostream& operator<<(std::ostream& out, const LiftRow& row) {
+  return out << row.name;
+}
+
+const LiftRow kLifts[] = {
+    {"watched", false, false, false},
+    {"listed, as the history is gone", true, false, false},
+    {"watched after an outage", false, true, false},
+    {"listed after an outage", true, true, false},
+    {"a peer's changes", false, false, true},
+    {"a peer's copy after an outage", true, true, true},
+};
+
+// Guards against an evacuation that is taken for an expired entry and kept in
+// force after it was lifted, and against one that is dropped in an outage.
+BOOST_DATA_TEST_CASE(an_evacuation_lasts_until_a_view_lacks_it, kLifts, row) {
+  const auto now = 10'000ms;
+  const std::vector<Item> left{
+      {"configuration", {1}, "1 198.18.0.1:443=diary"},
+      {"target/a1", {2}, TargetText("diary", "north", "10.0.0.1:80")}};
+  ViewFixture fixture;
+  fixture.view.OnChanges({{{"evacuation/north", {3}, "{}"}}, {3}}, 10ms);
+  if (row.store_away) {
+    fixture.view.Contact().OnFailure();
+    fixture.view.OnTick(now - 1000ms);
+  }
+  BOOST_TEST(fixture.view.Targets().IsEvacuated("north"));
+  BOOST_TEST(fixture.view.Targets().ServingCount() == 0U);
+  BOOST_TEST((fixture.PhaseOf(0xA1) == TargetPhase::kServing));
+
+  fixture.view.Contact().OnAnswer(now);
+  if (row.from_peer) {
+    std::vector<Item> items = left;
+    if (!row.by_listing) {
+      items = {{"evacuation/north", {4}, std::nullopt}};
+    }
+    fixture.view.OnPeerItems({{3}, {4}, row.by_listing, items}, now);
+  } else if (row.by_listing) {
+    fixture.view.OnListing(left, {4}, now);
+  } else {
+    fixture.view.OnChanges({{{"evacuation/north", {4}, std::nullopt}}, {4}},
+                           now);
+  }
+
+  BOOST_TEST(!fixture.view.Targets().IsEvacuated("north"));
+  BOOST_TEST(fixture.view.Targets().ServingCount() == 1U);
+}
+
+// Guards against an evacuation that only instances with a complete history
+// know: one that starts gets it from a listing or a peer's copy, in any order
+// of the items, and items may be listed twice.
+BOOST_AUTO_TEST_CASE(a_starting_instance_learns_of_evacuations) {
+  const std::vector<Item> items{
+      {"configuration", {1}, "1 198.18.0.1:443=diary"},
+      {"evacuation/north", {3}, "{}"},
+      {"evacuation/north", {3}, "{}"},
+      {"target/a1", {2}, TargetText("diary", "north", "10.0.0.1:80")},
+      {"target/b1", {4}, TargetText("diary", "south", "10.0.0.2:80")}};
+  for (const bool from_peer : {false, true}) {
+    SamplePublication publication;
+    LiveView view(publication, kFlowLife);
+    if (from_peer) {
+      view.OnPeerItems({{0}, {5}, true, items}, 10ms);
+    } else {
+      view.OnListing(items, {5}, 10ms);
+    }
+
+    BOOST_TEST(view.Targets().ServingCount() == 1U);
+    BOOST_TEST(!view.Targets().ServingByDomain("diary").contains("north"));
+  }
+}
+
+// Guards against another writer's bytes that evacuate a domain, or lift an
+// evacuation that is in force.
+BOOST_AUTO_TEST_CASE(an_unreadable_evacuation_changes_nothing) {
+  ViewFixture fixture;
+  fixture.view.OnChanges({{{"evacuation/north", {3}, "bytes"}}, {3}}, 10ms);
+  BOOST_TEST(fixture.view.Targets().ServingCount() == 1U);
+
+  fixture.view.OnChanges({{{"evacuation/north", {4}, "{}"}}, {4}}, 20ms);
+  fixture.view.TakeChanges();
+  fixture.view.OnChanges({{{"evacuation/north", {5}, "bytes"}}, {5}}, 30ms);
+  BOOST_TEST(fixture.view.Targets().ServingCount() == 0U);
+  const std::vector<ViewChange> changes = fixture.view.TakeChanges();
+  BOOST_REQUIRE(changes.size() == 1U);
+  BOOST_TEST(std::get<ItemUnreadable>(changes[0]).key == "evacuation/north");
+
+  fixture.view.OnChanges({{{"evacuation/north", {6}, std::nullopt}}, {6}},
+                         40ms);
+  BOOST_TEST(fixture.view.Targets().ServingCount() == 1U);
+}
+
+// Guards against an evacuation that nobody can find in the log.
+BOOST_AUTO_TEST_CASE(an_evacuation_is_reported_once) {
+  ViewFixture fixture;
+  fixture.view.TakeChanges();
+
+  fixture.view.OnChanges({{{"evacuation/north", {3}, "{}"}}, {3}}, 10ms);
+  fixture.view.OnChanges({{{"evacuation/north", {4}, "{}"}}, {4}}, 20ms);
+  fixture.view.OnChanges({{{"evacuation/north", {5}, std::nullopt}}, {5}},
+                         30ms);
+
+  const std::vector<ViewChange> changes = fixture.view.TakeChanges();
+  BOOST_REQUIRE(changes.size() == 2U);
+  const auto& begun = std::get<EvacuationChange>(changes[0]);
+  BOOST_TEST(begun.in_force);
+  BOOST_TEST(begun.domain == "north");
+  BOOST_TEST(begun.targets == 1U);
+  BOOST_TEST(begun.revision.value == 3U);
+  const auto& lifted = std::get<EvacuationChange>(changes[1]);
+  BOOST_TEST(!lifted.in_force);
+  BOOST_TEST(lifted.targets == 1U);
+}
+
 struct NumberRow {
   std::uint64_t number;
   std::uint32_t word;
--- a/tests/core/view/sample_publication.h
+++ b/tests/core/view/sample_publication.h
@@ -1,7 +1,8 @@
 /// A Publication with a simple text format, so that tests of the core don't
 /// depend on a platform's adapter. A configuration is
 /// "VERSION ADDRESS=SERVICE[,SERVICE]...", a target is
-/// "SERVICE DOMAIN ADDRESS [draining]". Other texts can't be decoded.
+/// "SERVICE DOMAIN ADDRESS [draining]", and an evacuation is "{}" under the key
+/// "evacuation/DOMAIN". Other texts can't be decoded.
 #pragma once
 
 #include <optional>
@@ -63,7 +64,14 @@
   }
   tl::expected<PublishedItem, ItemFault> ReadItem(
       const std::string& key, const std::string& value) const override {
+    constexpr std::string_view kEvacuation = "evacuation/";
     std::istringstream words(value);
+    if (key.starts_with(kEvacuation)) {
+      if (value != "{}") {
+        return tl::unexpected(ItemFault("no object"));
+      }
+      return PublishedEvacuation{key.substr(kEvacuation.size())};
+    }
     return key == "configuration" ? ReadConfiguration(words)
                                   : ReadTarget(key, words);
   }
--- a/tests/front/flow_story_test.cc
+++ b/tests/front/flow_story_test.cc
@@ -77,6 +77,13 @@
       FlowLine(1080, "placed", R"(,"reason":"relieved","target":"t4")")},
      {"held reason=targets-busy waiting=12", "placed reason=relieved"},
      "enough to do"},
+    {"sent away by an evacuation",
+     {Line(500, "front-1", "view", "evacuation-in-force",
+           R"(,"evacuated":"north","targets":40,"published":7)"),
+      FlowLine(1000, "placed", R"(,"reason":"evacuated","target":"t4")")},
+     {"evacuation-in-force evacuated=north targets=40 published=7",
+      "placed reason=evacuated"},
+     "the operator had evacuated"},
 };
 
 // A user complains about one request. Whoever is on call has the instances'
@@ -124,12 +131,14 @@
     {"placed", Word(SteeringReason::kLocal)},
     {"placed", Word(SteeringReason::kSpilled)},
     {"placed", Word(SteeringReason::kRelieved)},
+    {"placed", Word(SteeringReason::kEvacuated)},
     {"placed", Word(SteeringReason::kSuspected)},
     {"placed", Word(SteeringReason::kRepeated)},
     {"placed", Word(SteeringReason::kRetried)},
     {"held", "targets-busy"},
     {"refused", Word(RefusalReason::kNoRoute)},
     {"refused", Word(RefusalReason::kNoTarget)},
+    {"refused", Word(RefusalReason::kEvacuated)},
     {"refused", Word(RefusalReason::kTargetGone)},
     {"refused", Word(RefusalReason::kTargetSilent)},
     {"dropped", Word(SilentDropReason::kNoView)},
--- a/tests/front/front_log_test.cc
+++ b/tests/front/front_log_test.cc
@@ -107,6 +107,30 @@
   BOOST_TEST(!written[0].contains("probe") == !row.evidence.contains("probe"));
 }
 
+// Guards against an evacuation of which the log doesn't say from when on, by
+// whom it was heard and how old the view was.
+BOOST_AUTO_TEST_CASE(an_evacuation_names_its_source_and_age) {
+  Scene scene;
+
+  scene.log.OnViewChange(core::EvacuationChange{"north", true, 40, {7}},
+                         core::ViewSource::kPeer,
+                         {.revision = {9}, .view_age = 250ms}, 1000ms);
+  scene.log.OnViewChange(core::EvacuationChange{"north", false, 39, {}},
+                         core::ViewSource::kStore,
+                         {.revision = {12}, .view_age = std::nullopt}, 2000ms);
+
+  const std::vector<Json> written = scene.Written(2000ms);
+  BOOST_REQUIRE(written.size() == 2U);
+  BOOST_TEST(written[0]["event"] == "evacuation-in-force");
+  BOOST_TEST(written[0]["evacuated"] == "north");
+  BOOST_TEST(written[0]["targets"] == 40);
+  BOOST_TEST(written[0]["published"] == 7);
+  BOOST_TEST(written[0]["source"] == "peer");
+  BOOST_TEST(written[0]["view_age_ms"] == 250);
+  BOOST_TEST(written[1]["event"] == "evacuation-lifted");
+  BOOST_TEST(!written[1].contains("published"));
+}
+
 // Guards against resets of open flows that are left out of the log: a rush of
 // new flows spends the budget of its channel.
 BOOST_AUTO_TEST_CASE(a_rush_of_new_flows_hides_no_reset) {
--- a/tests/platform/store_codec_test.cc
+++ b/tests/platform/store_codec_test.cc
@@ -142,6 +142,46 @@
   BOOST_TEST(!StoreCodec().ReadItem("configuration", value).has_value());
 }
 
+struct EvacuationRow {
+  std::string value;
+  bool readable;
+};
+
+std::ostream& operator<<(std::ostream& out, const EvacuationRow& row) {
+  return out << row.value;
+}
+
+const EvacuationRow kEvacuations[] = {
+    {"{}", true},    {R"({"why":"power"})", true},
+    {"", false},     {"[]", false},
+    {"null", false}, {"{", false},
+    {"7", false}};
+
+// Guards against bytes of another writer that evacuate a domain.
+BOOST_DATA_TEST_CASE(an_evacuation_is_an_object, kEvacuations, row) {
+  const auto item = StoreCodec().ReadItem("evacuation/north-a", row.value);
+
+  BOOST_REQUIRE(item.has_value() == row.readable);
+  if (row.readable) {
+    BOOST_TEST(std::get<core::PublishedEvacuation>(*item).domain == "north-a");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(keys_of_evacuations_are_read) {
+  const auto batch = StoreCodec().ReadChanges(
+      R"({"events":[{"key":"op/evacuate/north-a","value":"e30=","revision":7},)"
+      R"({"key":"op/evacuate/","value":"e30=","revision":8},)"
+      R"({"key":"op/evacuate/b c","revision":9,"tombstone":true}],)"
+      R"("store-revision":9})");
+
+  BOOST_REQUIRE(batch.has_value());
+  BOOST_REQUIRE(batch->changes.size() == 2U);
+  BOOST_TEST(batch->changes[0].key == "evacuation/north-a");
+  BOOST_TEST(*batch->changes[0].value == "{}");
+  BOOST_TEST(batch->changes[1].key == "evacuation/b c");
+  BOOST_TEST(!batch->changes[1].value.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(a_page_of_a_listing_is_read) {
   const auto page = StoreCodec().ReadPage(
       R"({"items":[{"key":"op/config","value":"e30=","revision":2,)"
