Keep flows in the home regions of their route

Change: the adapter decodes the list; one that can't be read makes the configuration unreadable, as flows might leave their home. The settings name the region of each failure domain. Placing, spill, relief and the limiter leave out the domains that a route doesn't allow; a domain of unknown region is none of them and gets a log line. When nobody in the allowed regions takes new flows, the flow is refused, during an outage of the store too if each allowed domain is evacuated. The bound for evacuations, times.evacuate_ms, now paces the spread of changes like those for configuration and draining.

--- a/rig/load/balancer_variant.cc
+++ b/rig/load/balancer_variant.cc
@@ -24,7 +24,7 @@
       : holds_back(holds_back),
         view(publication, kFlowLife),
         steering(domain, {this->view.Routes(), this->view.Targets(),
-                          this->view.Contact()}),
+                          this->view.Contact(), this->view.Regions()}),
         admission(this->view.Routes(), this->steering) {}
 
   void OnItems(core::ChangeBatch batch, milliseconds now) override {
--- a/source/config/front_settings.cc
+++ b/source/config/front_settings.cc
@@ -8,6 +8,7 @@
 constexpr std::uint64_t kNameLimit = 255;
 /// Addresses listed at most; the platform names three.
 constexpr std::size_t kMostSeeds = 64;
+constexpr std::size_t kMostDomains = 1024;
 
 /// A list of addresses.
 struct EndpointList {
@@ -36,6 +37,29 @@
   }
 };
 
+/// The regions of failure domains, by domain.
+struct RegionNames {
+  using Regions = core::RegionMap::RegionByDomain;
+
+  bool Read(const Json& json, Regions& value) const {
+    if (!json.is_object() || json.size() > kMostDomains) {
+      return false;
+    }
+    Regions read;
+    for (const auto& [domain, region] : json.items()) {
+      if (!Text{1, kNameLimit}.Read(region, read[domain])) {
+        return false;
+      }
+    }
+    value = std::move(read);
+    return true;
+  }
+  FormatReference Describe() const {
+    return {"object of texts", "up to 1024 failure domains", ""};
+  }
+  Json Write(const Regions& value) const { return Json(value); }
+};
+
 /// A time up to a day, with a fraction if need be: the platform may fill in any
 /// number, and an instance that doesn't start for one serves nobody.
 struct PublishedTime {
@@ -94,7 +118,11 @@
                "Within this a change of the configuration must be in force.")
           .Add("drain_ms", &FrontTimeSettings::drain, kMilliseconds,
                KeyUse::kOptional,
-               "Within this a target that leaves must get no new flows.");
+               "Within this a target that leaves must get no new flows.")
+          .Add("evacuate_ms", &FrontTimeSettings::evacuate, kMilliseconds,
+               KeyUse::kOptional,
+               "Within this an evacuated failure domain must get no new "
+               "flows.");
   return table;
 }
 
@@ -107,6 +135,8 @@
            KeyUse::kRequired, "Its failure domain.")
       .Add("region", &FrontSettings::region, Text{0, kNameLimit},
            KeyUse::kOptional, "The region of that domain.")
+      .Add("regions", &FrontSettings::regions, RegionNames{}, KeyUse::kOptional,
+           "The regions of all failure domains.")
       .AddSection("listen", &FrontSettings::listen, ListenKeys(),
                   KeyUse::kRequired, "Where this instance is reached.")
       .Add("store", &FrontSettings::store, EndpointText{}, KeyUse::kRequired,
--- a/source/config/front_settings.h
+++ b/source/config/front_settings.h
@@ -10,6 +10,7 @@
 #include "common/address.h"
 #include "config/key_table.h"
 #include "core/fleet/fleet.h"
+#include "core/view/region_map.h"
 
 namespace sassafrasdyke::config {
 
@@ -31,6 +32,8 @@
   std::chrono::milliseconds apply{3000};
   /// Within this time a target that leaves must get no new flows.
   std::chrono::milliseconds drain{3000};
+  /// Within this time an evacuated failure domain must get no new flows.
+  std::chrono::milliseconds evacuate{3000};
 };
 
 /// All settings of the process.
@@ -38,6 +41,8 @@
   std::string instance;  ///< Its name, for logs.
   std::string domain;    ///< Its failure domain.
   std::string region;
+  /// Regions of all failure domains, by domain.
+  core::RegionMap::RegionByDomain regions;
   FrontListenSettings listen;
   common::Endpoint store;
   /// Instances to ask first for others; some may be down.
--- a/source/core/steering/concurrency_limiter.cc
+++ b/source/core/steering/concurrency_limiter.cc
@@ -117,7 +117,10 @@
 std::optional<AdmissionGrant> ConcurrencyLimiter::GrantFor(
     const Route& route, std::chrono::milliseconds now) const {
   const std::string& service = MainService(route);
-  const auto pending = this->PendingByDomain(service, now);
+  auto pending = this->PendingByDomain(service, now);
+  std::erase_if(pending, [&](const auto& domain) {
+    return !this->regions.Allows(route, domain.first);
+  });
   if (pending.empty() || !this->pending.MostAnswersSeen()) {
     return AdmissionGrant{};
   }
--- a/source/core/steering/concurrency_limiter.h
+++ b/source/core/steering/concurrency_limiter.h
@@ -25,6 +25,7 @@
 
 #include "core/steering/pending_requests.h"
 #include "core/steering/target_watch.h"
+#include "core/view/region_map.h"
 #include "core/view/route_table.h"
 #include "core/view/target_table.h"
 
@@ -41,9 +42,11 @@
  public:
   /// `domain` is the own failure domain.
   ConcurrencyLimiter(std::string domain, const TargetTable& targets,
-                     const TargetWatch& watch, const PendingRequests& pending)
+                     const RegionMap& regions, const TargetWatch& watch,
+                     const PendingRequests& pending)
       : domain(std::move(domain)),
         targets(targets),
+        regions(regions),
         watch(watch),
         pending(pending) {}
 
@@ -108,6 +111,7 @@
 
   const std::string domain;
   const TargetTable& targets;
+  const RegionMap& regions;
   const TargetWatch& watch;
   const PendingRequests& pending;
   std::unordered_map<std::string, Limits> limits;
--- a/source/core/steering/flow_steering.cc
+++ b/source/core/steering/flow_steering.cc
@@ -90,7 +90,8 @@
 // serving.
 SteeringAction FlowSteering::OnNoTarget(const Route& route,
                                         std::chrono::milliseconds now) const {
-  if (this->view.contact.LapseLikely(now)) {
+  if (this->view.contact.LapseLikely(now) &&
+      !this->EveryDomainExcluded(route)) {
     return SilentDrop{SilentDropReason::kStaleView};
   }
   const bool evacuated =
@@ -101,6 +102,15 @@
                           : RefusalReason::kNoTarget};
 }
 
+bool FlowSteering::EveryDomainExcluded(const Route& route) const {
+  const auto& domains = this->view.regions.Domains();
+  return !domains.empty() &&
+         std::ranges::all_of(domains, [&](const auto& domain) {
+           return this->view.targets.IsEvacuated(domain.first) ||
+                  !this->view.regions.Allows(route, domain.first);
+         });
+}
+
 // A crashed target leaves SYNs unanswered until its entry lapses, two to four
 // seconds later. Sending the retransmissions there as well would fail the
 // attempt after 1.4 s; another target opens the flow 200 ms after the first
--- a/source/core/steering/flow_steering.h
+++ b/source/core/steering/flow_steering.h
@@ -18,6 +18,7 @@
 #include "core/steering/pending_requests.h"
 #include "core/steering/target_choice.h"
 #include "core/steering/target_watch.h"
+#include "core/view/region_map.h"
 #include "core/view/route_table.h"
 #include "core/view/store_contact.h"
 #include "core/view/target_table.h"
@@ -30,6 +31,7 @@
   const RouteTable& routes;
   const TargetTable& targets;
   const StoreContact& contact;
+  const RegionMap& regions;
 };
 
 /// Steers client packets to targets. Times are monotonic, since process start.
@@ -38,9 +40,9 @@
   FlowSteering(const std::string& domain, SteeringView view)
       : view(view),
         domain(domain),
-        choice(domain, view.targets, this->watch, this->pending,
+        choice(domain, view.targets, view.regions, this->watch, this->pending,
                this->answer_times),
-        limiter(domain, view.targets, this->watch, this->pending),
+        limiter(domain, view.targets, view.regions, this->watch, this->pending),
         memory(view.routes.FlowLife()) {}
 
   /// Decides what to do with `packet`. `grant` says where a flow that the
@@ -101,6 +103,10 @@
                                  std::chrono::milliseconds now);
   SteeringAction OnNoTarget(const Route& route,
                             std::chrono::milliseconds now) const;
+  /// Whether an outage of the store can't have hidden a target that the route
+  /// may use: each domain that the settings name is evacuated, or in a region
+  /// that the route doesn't allow.
+  bool EveryDomainExcluded(const Route& route) const;
   SteeringAction OnUnknownRoute(std::chrono::milliseconds now) const;
   bool ViewIsFresh(std::chrono::milliseconds now) const;
 
--- a/source/core/steering/target_choice.cc
+++ b/source/core/steering/target_choice.cc
@@ -95,9 +95,14 @@
   const ServingTargets& serving = this->targets.ServingByDomain(service);
   std::vector<TargetIndex> local;
   std::size_t remote_serving = 0;
+  std::size_t domains = 0;
   const std::string& preferred =
       query.preferred_domain ? *query.preferred_domain : this->domain;
   for (const auto& [domain, indexes] : serving) {
+    if (!this->regions.Allows(query.route, domain)) {
+      continue;
+    }
+    ++domains;
     if (domain != preferred) {
       remote_serving += indexes.size();
       continue;
@@ -112,7 +117,7 @@
   }
   // Fast path of most flows, which skips the targets of other domains: no more
   // of those are usable than serving, so the domain's ratio is at least this.
-  const UsableCounts at_least{local.size(), remote_serving, serving.size()};
+  const UsableCounts at_least{local.size(), remote_serving, domains};
   if (!local.empty() && FairShareRatio(at_least) >= kMinLocalRatio) {
     return Choice{this->LeastLoaded(local, query), SteeringReason::kLocal};
   }
@@ -127,7 +132,12 @@
   const ServingTargets& serving = this->targets.ServingByDomain(service);
   const std::string& preferred =
       query.preferred_domain ? *query.preferred_domain : this->domain;
+  std::size_t domains = 0;
   for (const auto& [domain, indexes] : serving) {
+    if (!this->regions.Allows(query.route, domain)) {
+      continue;
+    }
+    ++domains;
     const bool is_local = domain == preferred;
     for (const TargetIndex index : indexes) {
       if (!this->Usable(index, query)) {
@@ -140,7 +150,7 @@
   // While the few local targets suffice, spilling would only add network time.
   // Where that matters little, flows spill anyway: by the time that answers
   // show a queue, hundreds of requests may wait in it.
-  const UsableCounts share{local.size(), remote.size(), serving.size()};
+  const UsableCounts share{local.size(), remote.size(), domains};
   const bool stays_local =
       !ShouldSpill(share, query.flow) ||
       this->answer_times.RemoteDetourCostsMore(service, query.now);
--- a/source/core/steering/target_choice.h
+++ b/source/core/steering/target_choice.h
@@ -13,6 +13,7 @@
 #include "core/steering/flow_packet.h"
 #include "core/steering/pending_requests.h"
 #include "core/steering/target_watch.h"
+#include "core/view/region_map.h"
 #include "core/view/route_table.h"
 #include "core/view/target_table.h"
 
@@ -48,10 +49,11 @@
  public:
   /// `domain` is the own failure domain. The tables must outlive this.
   TargetChoice(std::string domain, const TargetTable& targets,
-               const TargetWatch& watch, const PendingRequests& pending,
-               const AnswerTimes& answer_times)
+               const RegionMap& regions, const TargetWatch& watch,
+               const PendingRequests& pending, const AnswerTimes& answer_times)
       : domain(std::move(domain)),
         targets(targets),
+        regions(regions),
         watch(watch),
         pending(pending),
         answer_times(answer_times) {}
@@ -80,6 +82,7 @@
 
   const std::string domain;
   const TargetTable& targets;
+  const RegionMap& regions;
   const TargetWatch& watch;
   const PendingRequests& pending;
   const AnswerTimes& answer_times;
--- a/source/core/view/live_view.cc
+++ b/source/core/view/live_view.cc
@@ -34,6 +34,25 @@
       this->ApplyRemoval(key, now);
     }
   }
+  this->ReportUnknownRegions();
+}
+
+void LiveView::SetRegions(RegionMap regions) {
+  this->regions = std::move(regions);
+  this->reported_domains.clear();
+  this->ReportUnknownRegions();
+}
+
+void LiveView::ReportUnknownRegions() {
+  if (!this->routes.RestrictsRegions()) {
+    return;
+  }
+  for (const std::string& domain : this->targets.ServingDomains()) {
+    if (!this->regions.Knows(domain) &&
+        this->reported_domains.insert(domain).second) {
+      this->changes.emplace_back(RegionUnknown{domain});
+    }
+  }
 }
 
 // While the store is unreachable, targets can't renew their entries, so the
--- a/source/core/view/live_view.h
+++ b/source/core/view/live_view.h
@@ -5,12 +5,14 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
 
 #include "core/view/item_store.h"
 #include "core/view/publication.h"
+#include "core/view/region_map.h"
 #include "core/view/route_table.h"
 #include "core/view/store_contact.h"
 #include "core/view/target_table.h"
@@ -47,9 +49,16 @@
   common::Revision revision;  ///< Of the published item; 0 once it is removed.
 };
 
+/// Routes that allow certain regions only can't use this domain, as the
+/// settings don't name its region.
+struct RegionUnknown {
+  std::string domain;
+};
+
 /// A change of the view, for the log.
-using ViewChange = std::variant<ConfigurationInForce, ConfigurationRefused,
-                                ItemUnreadable, TargetChange, EvacuationChange>;
+using ViewChange =
+    std::variant<ConfigurationInForce, ConfigurationRefused, ItemUnreadable,
+                 TargetChange, EvacuationChange, RegionUnknown>;
 
 /// Keeps the route and target tables consistent with the published items. Times
 /// are monotonic.
@@ -60,6 +69,8 @@
   LiveView(const Publication& publication, std::chrono::milliseconds flow_life)
       : publication(publication), routes(flow_life), targets(flow_life) {}
 
+  /// Replaces the regions of the failure domains.
+  void SetRegions(RegionMap regions);
   /// Applies a complete listing of the store at revision `at`.
   void OnListing(std::vector<Item> items, common::Revision at,
                  std::chrono::milliseconds now);
@@ -78,6 +89,7 @@
 
   const ItemStore& Items() const { return this->items; }
   const RouteTable& Routes() const { return this->routes; }
+  const RegionMap& Regions() const { return this->regions; }
   TargetTable& Targets() { return this->targets; }
   const TargetTable& Targets() const { return this->targets; }
   StoreContact& Contact() { return this->contact; }
@@ -96,16 +108,21 @@
                           std::chrono::milliseconds now);
   void ApplyEvacuation(const std::string& key, const std::string& domain,
                        common::Revision revision);
+  /// Reports domains of unknown region once, if a route depends on regions.
+  void ReportUnknownRegions();
   /// Returns false if no evacuation was published under this key.
   bool LiftEvacuation(const std::string& key);
 
   const Publication& publication;
   ItemStore items;
   RouteTable routes;
+  RegionMap regions;
   TargetTable targets;
   StoreContact contact;
   /// Evacuated domains by the keys of their published items.
   std::map<std::string, std::string> evacuations;
+  /// Domains that have been reported as of unknown region.
+  std::set<std::string> reported_domains;
   std::vector<ViewChange> changes;
 };
 
--- a/source/core/view/published.h
+++ b/source/core/view/published.h
@@ -48,6 +48,8 @@
   std::optional<std::chrono::milliseconds> objective = std::nullopt;
   /// Priority: routes of a lower rank are more urgent.
   std::uint32_t rank{0};
+  /// Regions whose targets may get its flows; empty: all of them.
+  std::vector<std::string> allowed_regions = {};
 };
 
 /// One configuration that the platform has accepted.
--- a/source/core/view/route_table.cc
+++ b/source/core/view/route_table.cc
@@ -56,11 +56,14 @@
   }
   std::unordered_map<common::Endpoint, Route, EndpointHash> next;
   next.reserve(configuration.routes.size());
+  bool restricts = false;
   for (PublishedRoute& published : configuration.routes) {
     Route& route = next[published.address];
     route.shares = std::move(published.shares);
     route.objective = published.objective;
     route.rank = published.rank;
+    route.allowed_regions = std::move(published.allowed_regions);
+    restricts = restricts || !route.allowed_regions.empty();
     route.total_weight = 0;
     for (const ServiceShare& share : route.shares) {
       route.total_weight += share.weight;
@@ -71,6 +74,7 @@
     }
   }
   this->routes = std::move(next);
+  this->restricts_regions = restricts;
   this->version = configuration.version;
   return ConfigurationOutcome::kInForce;
 }
--- a/source/core/view/route_table.h
+++ b/source/core/view/route_table.h
@@ -34,9 +34,10 @@
 struct Route {
   std::vector<ServiceShare> shares;
   std::uint32_t total_weight{0};
-  /// These two as published; see PublishedRoute.
+  /// These three as published; see PublishedRoute.
   std::optional<std::chrono::milliseconds> objective;
   std::uint32_t rank{0};
+  std::vector<std::string> allowed_regions;
   /// Services that the route no longer uses, each with the time until which
   /// flows to its targets may still be open.
   std::vector<std::pair<std::string, std::chrono::milliseconds>> former;
@@ -64,6 +65,8 @@
   bool Loaded() const { return this->version != 0; }
   std::uint64_t Version() const { return this->version; }
   std::size_t Size() const { return this->routes.size(); }
+  /// Whether some route allows certain regions only.
+  bool RestrictsRegions() const { return this->restricts_regions; }
   std::chrono::milliseconds FlowLife() const { return this->flow_life; }
   /// The route of this address; null if there is none.
   const Route* Find(const common::Endpoint& address) const;
@@ -71,6 +74,7 @@
  private:
   std::chrono::milliseconds flow_life;
   std::uint64_t version{0};
+  bool restricts_regions{false};
   std::unordered_map<common::Endpoint, Route, EndpointHash> routes;
 };
 
--- a/source/core/view/target_table.cc
+++ b/source/core/view/target_table.cc
@@ -192,6 +192,16 @@
   return all;
 }
 
+std::set<std::string> TargetTable::ServingDomains() const {
+  std::set<std::string> names;
+  for (const auto& [service, domains] : this->serving) {
+    for (const auto& [domain, targets] : domains) {
+      names.insert(domain);
+    }
+  }
+  return names;
+}
+
 std::size_t TargetTable::ServingCount() const {
   std::size_t count = 0;
   for (const auto& [service, domains] : this->serving) {
--- a/source/core/view/target_table.h
+++ b/source/core/view/target_table.h
@@ -123,6 +123,8 @@
   const ServingTargets& ServingByDomain(const std::string& service) const;
   /// Targets of the service that accept new flows, in all domains.
   std::vector<TargetIndex> Serving(const std::string& service) const;
+  /// Domains with targets that accept new flows.
+  std::set<std::string> ServingDomains() const;
   /// The number of targets of all services that accept new flows.
   std::size_t ServingCount() const;
 
--- a/source/front/front_log.cc
+++ b/source/front/front_log.cc
@@ -24,37 +24,41 @@
 
 ViewLine LineOf(const core::ViewChange& change) {
   return std::visit(
-      Overloaded{[](const core::ConfigurationInForce& in_force) {
-                   return ViewLine{"configuration-in-force",
-                                   {{"version", in_force.version},
-                                    {"routes", in_force.routes}}};
-                 },
-                 [](const core::ConfigurationRefused& refused) {
-                   return ViewLine{"configuration-older",
-                                   {{"version", refused.version},
-                                    {"in_force", refused.in_force}}};
-                 },
-                 [](const core::ItemUnreadable& unreadable) {
-                   return ViewLine{
-                       "item-unreadable",
-                       {{"key", unreadable.key}, {"why", unreadable.fault}}};
-                 },
-                 [](const core::TargetChange& target) {
-                   return ViewLine{"target",
-                                   {{"target", target.name},
-                                    {"service", target.service},
-                                    {"phase", core::Word(target.phase)}}};
-                 },
-                 [](const core::EvacuationChange& evacuation) {
-                   ViewLine line{evacuation.in_force ? "evacuation-in-force"
-                                                     : "evacuation-lifted",
-                                 {{"evacuated", evacuation.domain},
-                                  {"targets", evacuation.targets}}};
-                   if (evacuation.in_force) {
-                     line.fields["published"] = evacuation.revision.value;
-                   }
-                   return line;
-                 }},
+      Overloaded{
+          [](const core::ConfigurationInForce& in_force) {
+            return ViewLine{
+                "configuration-in-force",
+                {{"version", in_force.version}, {"routes", in_force.routes}}};
+          },
+          [](const core::ConfigurationRefused& refused) {
+            return ViewLine{
+                "configuration-older",
+                {{"version", refused.version}, {"in_force", refused.in_force}}};
+          },
+          [](const core::ItemUnreadable& unreadable) {
+            return ViewLine{
+                "item-unreadable",
+                {{"key", unreadable.key}, {"why", unreadable.fault}}};
+          },
+          [](const core::TargetChange& target) {
+            return ViewLine{"target",
+                            {{"target", target.name},
+                             {"service", target.service},
+                             {"phase", core::Word(target.phase)}}};
+          },
+          [](const core::RegionUnknown& unknown) {
+            return ViewLine{"region-unknown", {{"unknown", unknown.domain}}};
+          },
+          [](const core::EvacuationChange& evacuation) {
+            ViewLine line{evacuation.in_force ? "evacuation-in-force"
+                                              : "evacuation-lifted",
+                          {{"evacuated", evacuation.domain},
+                           {"targets", evacuation.targets}}};
+            if (evacuation.in_force) {
+              line.fields["published"] = evacuation.revision.value;
+            }
+            return line;
+          }},
       change);
 }
 
--- a/source/front/front_process.cc
+++ b/source/front/front_process.cc
@@ -64,8 +64,8 @@
 }
 
 core::PropagationScale PaceOf(const config::FrontSettings& settings) {
-  return core::PropagationScale(
-      std::min(settings.times.apply, settings.times.drain));
+  return core::PropagationScale(std::min(
+      {settings.times.apply, settings.times.drain, settings.times.evacuate}));
 }
 
 /// The whole instance.
@@ -206,6 +206,7 @@
   if (auto opened = this->Open(); !opened) {
     return opened;
   }
+  this->view.SetRegions(core::RegionMap(this->settings.regions));
   this->log.OnNote("started", {{"version", SASSAFRASDYKE_VERSION}},
                    this->Now());
   this->ChooseReading();
@@ -273,6 +274,7 @@
     return;
   }
   this->reader.SetStore(read->store);
+  this->view.SetRegions(core::RegionMap(read->regions));
   this->sync.SetSeeds(PeersOf(*read));
   this->log.OnNote("settings-read", {{"store", read->store.ToString()}},
                    this->Now());
--- a/tests/core/steering/concurrency_limiter_test.cc
+++ b/tests/core/steering/concurrency_limiter_test.cc
@@ -85,8 +85,8 @@
   int last_flow{1000};  ///< Of those that fill a domain.
   TargetWatch watch;
   PendingRequests pending;
-  ConcurrencyLimiter limiter{"north", this->view.Targets(), this->watch,
-                             this->pending};
+  ConcurrencyLimiter limiter{"north", this->view.Targets(),
+                             this->view.Regions(), this->watch, this->pending};
 };
 
 struct History {
--- a/tests/core/steering/steering_scene.h
+++ b/tests/core/steering/steering_scene.h
@@ -13,7 +13,7 @@
   explicit SteeringScene(const std::string& domain = "north")
       : view(publication, std::chrono::seconds(60)),
         steering(domain, {this->view.Routes(), this->view.Targets(),
-                          this->view.Contact()}) {}
+                          this->view.Contact(), this->view.Regions()}) {}
 
   /// Publishes a target; `value` as SamplePublication reads it.
   void Publish(const std::string& id, const std::string& value,
--- a/tests/core/view/sample_publication.h
+++ b/tests/core/view/sample_publication.h
@@ -1,6 +1,6 @@
 /// A Publication with a simple text format, so that tests of the core don't
 /// depend on a platform's adapter. A configuration is
-/// "VERSION ADDRESS=SERVICE[,SERVICE]...", a target is
+/// "VERSION ADDRESS=SERVICE[,SERVICE][@REGION]...", a target is
 /// "SERVICE DOMAIN ADDRESS [draining]", and an evacuation is "{}" under the key
 /// "evacuation/DOMAIN". Other texts can't be decoded.
 #pragma once
@@ -104,6 +104,10 @@
       const std::size_t equals = word.find('=');
       PublishedRoute route{*common::Endpoint::Parse(word.substr(0, equals)),
                            {}};
+      if (const std::size_t at = word.find('@'); at != std::string::npos) {
+        route.allowed_regions = {word.substr(at + 1)};
+        word.resize(at);
+      }
       std::istringstream services(word.substr(equals + 1));
       std::string service;
       while (std::getline(services, service, ',')) {
--- a/tests/platform/store_codec_test.cc
+++ b/tests/platform/store_codec_test.cc
@@ -96,6 +96,41 @@
   BOOST_TEST(route.rank == row.rank);
 }
 
+struct HomeRow {
+  std::string field;
+  std::optional<std::vector<std::string>> regions;  ///< Nothing: unreadable.
+};
+
+std::ostream& operator<<(std::ostream& out, const HomeRow& row) {
+  return out << row.field;
+}
+
+const HomeRow kHomes[] = {
+    {R"("type":"safe")", std::vector<std::string>{}},
+    {R"("allowed-regions":null)", std::vector<std::string>{}},
+    {R"("allowed-regions":[])", std::vector<std::string>{}},
+    {R"("allowed-regions":["north","south"])",
+     std::vector<std::string>{"north", "south"}},
+    {R"("allowed-regions":"north")", std::nullopt},
+    {R"("allowed-regions":["north",7])", std::nullopt},
+};
+
+// Guards against flows that leave their home because its name can't be read.
+BOOST_DATA_TEST_CASE(a_routes_home_regions_are_read, kHomes, row) {
+  const auto item = StoreCodec().ReadItem(
+      "configuration",
+      R"({"version":7,"routes":[{"host":"198.18.0.1","prefix":"/8443/",)"
+      R"("service":"a",)" +
+          row.field + "}]}");
+
+  BOOST_REQUIRE(item.has_value() == row.regions.has_value());
+  if (row.regions) {
+    BOOST_TEST(std::get<core::PublishedConfiguration>(*item)
+                   .routes.at(0)
+                   .allowed_regions == *row.regions);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_configuration_is_read) {
   const auto item = StoreCodec().ReadItem(
       "configuration",
