Limit the new flows of targets that warm up

Change: WarmupBudget gives each instance a part that depends on the fleet's size only. A fleet smaller than the rate gets whole flows a second each; in a larger one each instance may place one flow in a window of 250 ms of a longer period, at a random place for each instance and target, so that callers who come all at once find few windows open. The mean leaves room for chance (Chernoff's bound, 1e-7 a window): 4.4 flows a second of a bound of 20. An instance knows half of a fleet of 300, so the others' domains are taken to be as large as its own; the parts of all then add up to one. For 15 s after its start it counts 1,024 instances, and a smaller fleet is believed after 60 s. A cold target whose window is open gets the flow first. When all targets are cold and full, SYNs wait in the queue. The warm-up counts from the last time at which the entry is known to have been published.

The other way, calculated: flows by weight, the rate to that of a warm target, make a Poisson sum. At its mean of 10 a second a bound of 20 is broken with 0.16% a target and second, at 5 with 8e-8, and a burst multiplies the mean.

Tests, seen failing with parts of the change taken out: no budget 19 cases; the fleet known at once 1; cold targets not first 1; counted from when the entry was read 1.

--- a/source/config/front_settings.cc
+++ b/source/config/front_settings.cc
@@ -86,6 +86,25 @@
   }
 };
 
+/// A number that isn't negative.
+struct PublishedNumber {
+  static constexpr double kMost = 1e6;
+
+  static bool Read(const Json& json, double& value) {
+    if (!json.is_number()) {
+      return false;
+    }
+    const auto read = json.get<double>();
+    if (!(read >= 0.0 && read <= kMost)) {
+      return false;
+    }
+    value = read;
+    return true;
+  }
+  static FormatReference Describe() { return {"number", "0 to 1000000", ""}; }
+  static Json Write(double value) { return value; }
+};
+
 constexpr PublishedTime kSeconds{std::chrono::seconds{1}};
 constexpr PublishedTime kMilliseconds{std::chrono::milliseconds{1}};
 
@@ -144,7 +163,13 @@
       .Add("seeds", &FrontSettings::seeds, EndpointList{}, KeyUse::kOptional,
            "Instances to ask first for others.")
       .AddSection("times", &FrontSettings::times, TimeKeys(), KeyUse::kOptional,
-                  "Times that the platform promises.");
+                  "Times that the platform promises.")
+      .Add("warmup_excess", &FrontSettings::warmup_excess, PublishedNumber{},
+           KeyUse::kOptional,
+           "A target that is warming up may get this multiple of its "
+           "published rate of new flows,")
+      .Add("warmup_slack", &FrontSettings::warmup_slack, PublishedNumber{},
+           KeyUse::kOptional, "and this many more, in any second.");
   return table;
 }
 
--- a/source/config/front_settings.h
+++ b/source/config/front_settings.h
@@ -48,6 +48,10 @@
   /// Instances to ask first for others; some may be down.
   std::vector<common::Endpoint> seeds;
   FrontTimeSettings times;
+  /// A cold target may get its published rate of new flows times `excess`, and
+  /// `slack` flows more, in any second.
+  double warmup_excess{1.0};
+  double warmup_slack{0.0};
 };
 
 /// Reads settings, JSON with comments, and checks them; all faults at once.
--- a/source/core/roster/peer_sync.cc
+++ b/source/core/roster/peer_sync.cc
@@ -214,7 +214,7 @@
   this->RecordStoreReturn(digest.view, now);
   this->DetectStoreOutage(digest, now);
   if (digest.changes) {
-    this->view.OnPeerItems(*digest.changes, now);
+    this->view.OnPeerItems(*digest.changes, now, digest.view.age);
   }
   const common::Revision have = this->view.Items().Complete();
   if (have > before && this->IsReader(now)) {
@@ -373,7 +373,7 @@
   this->pull.OnPulled();
   const common::Revision before = this->view.Items().Complete();
   this->RecordStoreReturn(status, now);
-  this->view.OnPeerItems(std::move(delta), now);
+  this->view.OnPeerItems(std::move(delta), now, status.age);
   if (status.age && status.complete == this->view.Items().Complete()) {
     this->view.Contact().OnConfirmed(now - *status.age);
   }
--- a/source/core/roster/roster.cc
+++ b/source/core/roster/roster.cc
@@ -1,6 +1,8 @@
 #include "core/roster/roster.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <utility>
 
 #include "common/hash.h"
@@ -108,6 +110,16 @@
   return neighbours;
 }
 
+std::size_t Roster::EstimatedFleetSize() const {
+  std::set<std::string_view> domains{this->self.domain};
+  std::size_t own = 1;
+  for (const auto& [peer, member] : this->members) {
+    domains.insert(member.domain);
+    own += member.domain == this->self.domain ? 1 : 0;
+  }
+  return std::max(this->members.size() + 1, own * domains.size());
+}
+
 Followers Roster::FollowersOf(std::size_t readers,
                               std::chrono::milliseconds now) const {
   Followers followers;
--- a/source/core/roster/roster.h
+++ b/source/core/roster/roster.h
@@ -77,6 +77,12 @@
   /// Live members of the own failure domain, this instance included.
   std::size_t DomainSize(std::chrono::milliseconds now) const;
   std::size_t Size() const { return this->members.size(); }
+  /// The number of instances in the fleet, this one included. Of a large fleet
+  /// an instance knows its own domain, and about half of the others; so the
+  /// other domains are taken to be as large as the own one. Summed over all
+  /// instances, the parts `1 / EstimatedFleetSize()` are about 1, however
+  /// different the domains are.
+  std::size_t EstimatedFleetSize() const;
   const RosterSelf& Self() const { return this->self; }
   bool IsSeed(const common::Endpoint& peer) const;
   /// The seeds without this instance.
--- a/source/core/steering/concurrency_limiter.cc
+++ b/source/core/steering/concurrency_limiter.cc
@@ -121,6 +121,9 @@
   std::erase_if(pending, [&](const auto& domain) {
     return !this->regions.Allows(route, domain.first);
   });
+  if (pending.empty() && this->WaitsForColdTargets(route, now)) {
+    return std::nullopt;
+  }
   if (pending.empty() || !this->pending.MostAnswersSeen()) {
     return AdmissionGrant{};
   }
@@ -142,6 +145,19 @@
   return grant;
 }
 
+bool ConcurrencyLimiter::WaitsForColdTargets(
+    const Route& route, std::chrono::milliseconds now) const {
+  return std::ranges::any_of(route.shares, [&](const ServiceShare& share) {
+    const auto& domains = this->targets.ServingByDomain(share.service);
+    return std::ranges::any_of(domains, [&](const auto& domain) {
+      return this->regions.Allows(route, domain.first) &&
+             std::ranges::any_of(domain.second, [&](TargetIndex index) {
+               return !this->warmup.Allows(index, now);
+             });
+    });
+  });
+}
+
 ConcurrencyLimiter::Limit ConcurrencyLimiter::LimitOf(
     const std::string& service, const std::string& domain) const {
   if (const auto limits = this->limits.find(service);
@@ -180,7 +196,8 @@
 std::map<std::string, double> ConcurrencyLimiter::PendingByDomain(
     const std::string& service, std::chrono::milliseconds now) const {
   const auto usable = [this, now](TargetIndex index) {
-    return !this->watch.Suspected(index, now);
+    return !this->watch.Suspected(index, now) &&
+           this->warmup.Allows(index, now);
   };
   std::map<std::string, double> pending;
   for (const auto& [domain, indexes] : this->targets.ServingByDomain(service)) {
--- a/source/core/steering/concurrency_limiter.h
+++ b/source/core/steering/concurrency_limiter.h
@@ -25,6 +25,7 @@
 
 #include "core/steering/pending_requests.h"
 #include "core/steering/target_watch.h"
+#include "core/steering/warmup_budget.h"
 #include "core/view/region_map.h"
 #include "core/view/route_table.h"
 #include "core/view/target_table.h"
@@ -43,18 +44,24 @@
   /// `domain` is the own failure domain.
   ConcurrencyLimiter(std::string domain, const TargetTable& targets,
                      const RegionMap& regions, const TargetWatch& watch,
-                     const PendingRequests& pending)
+                     const PendingRequests& pending, const WarmupBudget& warmup)
       : domain(std::move(domain)),
         targets(targets),
         regions(regions),
         watch(watch),
-        pending(pending) {}
+        pending(pending),
+        warmup(warmup) {}
 
   /// A target answered a request of `route`.
   void OnAnswer(TargetIndex target, const Route& route,
                 const AnswerTiming& timing, std::chrono::milliseconds now);
+  /// Whether some target that the route may use only waits until it may get
+  /// the next flow of its warm-up.
+  bool WaitsForColdTargets(const Route& route,
+                           std::chrono::milliseconds now) const;
   /// Returns a grant for one more flow of the route, or nothing when all
-  /// domains are at their limits. A route without targets gets a grant too:
+  /// domains are at their limits or all their targets are cold and have enough
+  /// new flows. A route without targets gets a grant too:
   /// FlowSteering refuses its flows.
   std::optional<AdmissionGrant> GrantFor(const Route& route,
                                          std::chrono::milliseconds now) const;
@@ -114,6 +121,7 @@
   const RegionMap& regions;
   const TargetWatch& watch;
   const PendingRequests& pending;
+  const WarmupBudget& warmup;
   std::unordered_map<std::string, Limits> limits;
 };
 
--- a/source/core/steering/flow_packet.cc
+++ b/source/core/steering/flow_packet.cc
@@ -54,6 +54,8 @@
       return "unknown-target";
     case SilentDropReason::kOutdated:
       return "outdated";
+    case SilentDropReason::kTargetsCold:
+      return "targets-cold";
     case SilentDropReason::kOtherService:
       return "other-service";
   }
--- a/source/core/steering/flow_packet.h
+++ b/source/core/steering/flow_packet.h
@@ -56,6 +56,7 @@
   kStaleView,      ///< The view may lack the route; the client retransmits.
   kUnknownTarget,  ///< The view may lack the target; the client retransmits.
   kOutdated,       ///< A SYN from before the process was paused.
+  kTargetsCold,    ///< All targets warm up and have enough new flows for now.
   kOtherService,   ///< The word is of a target that the route never used.
 };
 
--- a/source/core/steering/flow_steering.cc
+++ b/source/core/steering/flow_steering.cc
@@ -78,18 +78,27 @@
   if (!chosen) {
     return this->OnNoTarget(*route, now);
   }
-  this->choice.OnPlaced(chosen->target);
+  this->OnPlaced(packet.flow, chosen->target, now);
   this->watch.OnSent(chosen->target, now);
   this->half_open_flows.Add(packet.flow, {chosen->target, now, false});
-  this->pending.OnPlaced(packet.flow, chosen->target, now);
   return SendToTarget{chosen->target, chosen->reason};
 }
 
+void FlowSteering::OnPlaced(const common::FlowKey& flow, TargetIndex target,
+                            std::chrono::milliseconds now) {
+  this->choice.OnPlaced(target);
+  this->warmup.OnPlaced(target, now);
+  this->pending.OnPlaced(flow, target, now);
+}
+
 // An instance that started while store entries were lapsed has never seen the
 // targets that are about to register again, so it can't tell that none is
 // serving.
 SteeringAction FlowSteering::OnNoTarget(const Route& route,
                                         std::chrono::milliseconds now) const {
+  if (this->limiter.WaitsForColdTargets(route, now)) {
+    return SilentDrop{SilentDropReason::kTargetsCold};
+  }
   if (this->view.contact.LapseLikely(now) &&
       !this->EveryDomainExcluded(route)) {
     return SilentDrop{SilentDropReason::kStaleView};
@@ -139,9 +148,8 @@
   if (!chosen) {
     return this->OnNoTarget(route, now);
   }
-  this->choice.OnPlaced(chosen->target);
+  this->OnPlaced(packet.flow, chosen->target, now);
   half_open = {chosen->target, now, true};
-  this->pending.OnPlaced(packet.flow, chosen->target, now);
   return SendToTarget{chosen->target, SteeringReason::kRetried};
 }
 
--- a/source/core/steering/flow_steering.h
+++ b/source/core/steering/flow_steering.h
@@ -18,6 +18,7 @@
 #include "core/steering/pending_requests.h"
 #include "core/steering/target_choice.h"
 #include "core/steering/target_watch.h"
+#include "core/steering/warmup_budget.h"
 #include "core/view/region_map.h"
 #include "core/view/route_table.h"
 #include "core/view/store_contact.h"
@@ -37,12 +38,16 @@
 /// Steers client packets to targets. Times are monotonic, since process start.
 class FlowSteering {
  public:
-  FlowSteering(const std::string& domain, SteeringView view)
+  /// `seed` must differ between instances.
+  FlowSteering(const std::string& domain, SteeringView view,
+               WarmupTolerance tolerance = {}, std::uint64_t seed = 0)
       : view(view),
         domain(domain),
+        warmup(view.routes, view.targets, tolerance, seed),
         choice(domain, view.targets, view.regions, this->watch, this->pending,
-               this->answer_times),
-        limiter(domain, view.targets, view.regions, this->watch, this->pending),
+               this->answer_times, this->warmup),
+        limiter(domain, view.targets, view.regions, this->watch, this->pending,
+                this->warmup),
         memory(view.routes.FlowLife()) {}
 
   /// Decides what to do with `packet`. `grant` says where a flow that the
@@ -57,10 +62,15 @@
     this->watch.OnPause(now);
     this->pending.OnPause();
   }
+  /// The number of instances that are known now, this one included.
+  void OnFleetSize(std::size_t instances, std::chrono::milliseconds now) {
+    this->warmup.OnFleetSize(instances, now);
+  }
   /// Drops the state of a target that will never be published again.
   void Forget(TargetIndex target) {
     this->watch.Forget(target);
     this->choice.Forget(target);
+    this->warmup.Forget(target);
   }
   /// Expires old state. The work per call is bounded.
   void OnTick(std::chrono::milliseconds now);
@@ -101,6 +111,9 @@
                               std::chrono::milliseconds now);
   SteeringAction OnUnknownTarget(const FlowPacket& packet,
                                  std::chrono::milliseconds now);
+  /// The flow was placed at the target, possibly in place of another.
+  void OnPlaced(const common::FlowKey& flow, TargetIndex target,
+                std::chrono::milliseconds now);
   SteeringAction OnNoTarget(const Route& route,
                             std::chrono::milliseconds now) const;
   /// Whether an outage of the store can't have hidden a target that the route
@@ -115,6 +128,7 @@
   TargetWatch watch;
   PendingRequests pending;
   AnswerTimes answer_times;
+  WarmupBudget warmup;
   TargetChoice choice;
   ConcurrencyLimiter limiter;
   HalfOpenTable half_open_flows;
--- a/source/core/steering/target_choice.cc
+++ b/source/core/steering/target_choice.cc
@@ -87,7 +87,8 @@
 }
 
 bool TargetChoice::Usable(TargetIndex index, const ChoiceQuery& query) const {
-  return query.excluded != index && !this->watch.Suspected(index, query.now);
+  return query.excluded != index && !this->watch.Suspected(index, query.now) &&
+         this->warmup.Allows(index, query.now);
 }
 
 std::optional<Choice> TargetChoice::ChooseOf(const std::string& service,
@@ -111,6 +112,14 @@
         indexes, std::back_inserter(local),
         [&](TargetIndex index) { return this->Usable(index, query); });
   }
+  // A cold target that may get a flow now gets this one. Its turns are so few
+  // that it would otherwise miss most of them and stay idle until it is warm.
+  if (const auto cold = this->ColdOf(local, query.now); !cold.empty()) {
+    return Choice{this->LeastLoaded(cold, query),
+                  query.preferred_domain
+                      ? this->ReasonToLeave(SteeringReason::kRelieved)
+                      : SteeringReason::kLocal};
+  }
   if (!local.empty() && query.preferred_domain) {
     return Choice{this->LeastLoaded(local, query),
                   this->ReasonToLeave(SteeringReason::kRelieved)};
@@ -141,7 +150,9 @@
     const bool is_local = domain == preferred;
     for (const TargetIndex index : indexes) {
       if (!this->Usable(index, query)) {
-        suspected.push_back(index);
+        if (this->warmup.Allows(index, query.now)) {
+          suspected.push_back(index);
+        }
       } else if (!is_local) {
         remote.push_back(index);
       }
@@ -172,6 +183,16 @@
                                                  : reason;
 }
 
+std::vector<TargetIndex> TargetChoice::ColdOf(
+    const std::vector<TargetIndex>& usable,
+    std::chrono::milliseconds now) const {
+  std::vector<TargetIndex> cold;
+  std::ranges::copy_if(
+      usable, std::back_inserter(cold),
+      [&](TargetIndex index) { return this->warmup.Limits(index, now); });
+  return cold;
+}
+
 TargetIndex TargetChoice::LeastLoaded(const std::vector<TargetIndex>& options,
                                       const ChoiceQuery& query) const {
   TargetIndex best = options.front();
--- a/source/core/steering/target_choice.h
+++ b/source/core/steering/target_choice.h
@@ -13,6 +13,7 @@
 #include "core/steering/flow_packet.h"
 #include "core/steering/pending_requests.h"
 #include "core/steering/target_watch.h"
+#include "core/steering/warmup_budget.h"
 #include "core/view/region_map.h"
 #include "core/view/route_table.h"
 #include "core/view/target_table.h"
@@ -50,13 +51,15 @@
   /// `domain` is the own failure domain. The tables must outlive this.
   TargetChoice(std::string domain, const TargetTable& targets,
                const RegionMap& regions, const TargetWatch& watch,
-               const PendingRequests& pending, const AnswerTimes& answer_times)
+               const PendingRequests& pending, const AnswerTimes& answer_times,
+               const WarmupBudget& warmup)
       : domain(std::move(domain)),
         targets(targets),
         regions(regions),
         watch(watch),
         pending(pending),
-        answer_times(answer_times) {}
+        answer_times(answer_times),
+        warmup(warmup) {}
 
   /// A flow was placed at the target.
   void OnPlaced(TargetIndex target);
@@ -76,6 +79,9 @@
   bool Usable(TargetIndex index, const ChoiceQuery& query) const;
   /// Why a flow leaves the own domain: `reason`, or its evacuation.
   SteeringReason ReasonToLeave(SteeringReason reason) const;
+  /// Those of the usable targets that are warming up.
+  std::vector<TargetIndex> ColdOf(const std::vector<TargetIndex>& usable,
+                                  std::chrono::milliseconds now) const;
   TargetIndex LeastLoaded(const std::vector<TargetIndex>& options,
                           const ChoiceQuery& query) const;
   TargetIndex LeastSuspected(const std::vector<TargetIndex>& options) const;
@@ -86,6 +92,7 @@
   const TargetWatch& watch;
   const PendingRequests& pending;
   const AnswerTimes& answer_times;
+  const WarmupBudget& warmup;
   FairScheduler scheduler;
 };
 
--- a/source/core/view/live_view.cc
+++ b/source/core/view/live_view.cc
@@ -6,7 +6,7 @@
 
 void LiveView::OnListing(std::vector<Item> items, common::Revision at,
                          std::chrono::milliseconds now) {
-  this->ApplyItems(this->items.Replace(std::move(items), at), now);
+  this->ApplyItems(this->items.Replace(std::move(items), at), now, now);
 }
 
 void LiveView::OnChanges(ChangeBatch batch, std::chrono::milliseconds now) {
@@ -18,18 +18,23 @@
     }
   }
   this->items.CompleteTo(batch.at);
-  this->ApplyItems(changed, now);
+  this->ApplyItems(changed, now, now);
 }
 
-void LiveView::OnPeerItems(ItemDelta delta, std::chrono::milliseconds now) {
-  this->ApplyItems(this->items.Apply(std::move(delta)), now);
+void LiveView::OnPeerItems(
+    ItemDelta delta, std::chrono::milliseconds now,
+    std::optional<std::chrono::milliseconds> confirmed_ago) {
+  const auto published_by =
+      now - confirmed_ago.value_or(std::chrono::milliseconds{0});
+  this->ApplyItems(this->items.Apply(std::move(delta)), published_by, now);
 }
 
 void LiveView::ApplyItems(const std::vector<std::string>& changed,
+                          std::chrono::milliseconds published_by,
                           std::chrono::milliseconds now) {
   for (const std::string& key : changed) {
     if (const std::string* const value = this->items.ValueOf(key)) {
-      this->ApplyItem(key, *value, this->items.RevisionOf(key), now);
+      this->ApplyItem(key, *value, published_by, now);
     } else {
       this->ApplyRemoval(key, now);
     }
@@ -76,8 +81,9 @@
 }
 
 void LiveView::ApplyItem(const std::string& key, const std::string& value,
-                         common::Revision revision,
+                         std::chrono::milliseconds published_by,
                          std::chrono::milliseconds now) {
+  const common::Revision revision = this->items.RevisionOf(key);
   auto read = this->publication.ReadItem(key, value);
   if (!read) {
     this->targets.MarkUnreadable(key);
@@ -86,6 +92,7 @@
   }
   if (auto* const target = std::get_if<PublishedTarget>(&*read)) {
     target->revision = revision;
+    target->cold_until = published_by + target->warmup_left;
     this->targets.Publish(key, *target, now);
     return;
   }
--- a/source/core/view/live_view.h
+++ b/source/core/view/live_view.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -76,8 +77,11 @@
                  std::chrono::milliseconds now);
   /// Applies changes that directly follow the revisions received so far.
   void OnChanges(ChangeBatch batch, std::chrono::milliseconds now);
-  /// Applies items received from another instance.
-  void OnPeerItems(ItemDelta delta, std::chrono::milliseconds now);
+  /// Applies items received from another instance. `confirmed_ago`: the store
+  /// confirmed them this long ago; nothing if that isn't known.
+  void OnPeerItems(
+      ItemDelta delta, std::chrono::milliseconds now,
+      std::optional<std::chrono::milliseconds> confirmed_ago = std::nullopt);
   /// Applies deferred removals that are due, and drops targets that have been
   /// gone for the lifetime of a flow. Called about ten times a second.
   void OnTick(std::chrono::milliseconds now);
@@ -98,12 +102,15 @@
   std::vector<ViewChange> TakeChanges();
 
  private:
-  /// Updates the tables from the stored items with these keys.
+  /// Updates the tables from the stored items with these keys, which were
+  /// published at `published_by` or earlier.
   void ApplyItems(const std::vector<std::string>& changed,
+                  std::chrono::milliseconds published_by,
                   std::chrono::milliseconds now);
   void ApplyRemoval(const std::string& key, std::chrono::milliseconds now);
   void ApplyItem(const std::string& key, const std::string& value,
-                 common::Revision revision, std::chrono::milliseconds now);
+                 std::chrono::milliseconds published_by,
+                 std::chrono::milliseconds now);
   void ApplyConfiguration(PublishedConfiguration configuration,
                           std::chrono::milliseconds now);
   void ApplyEvacuation(const std::string& key, const std::string& domain,
--- a/source/core/view/published.h
+++ b/source/core/view/published.h
@@ -25,8 +25,14 @@
   common::Endpoint address;
   std::uint32_t slots{1};  ///< Requests that it serves concurrently.
   bool draining{false};    ///< Keeps its flows but accepts no new ones.
+  /// How long after the entry's publication the target stays cold: it has just
+  /// started and bears fewer requests.
+  std::chrono::milliseconds warmup_left{0};
   /// Of the entry's last change. Set by LiveView.
   common::Revision revision = {};
+  /// When the target is warm, on this instance's monotonic clock. Set by
+  /// LiveView; never too early.
+  std::chrono::milliseconds cold_until{0};
 
   friend bool operator==(const PublishedTarget&,
                          const PublishedTarget&) = default;
@@ -52,10 +58,19 @@
   std::vector<std::string> allowed_regions = {};
 };
 
+/// What a configuration says of a service.
+struct PublishedService {
+  std::string name;
+  /// New flows that a cold target bears, per second and from all instances
+  /// together; nothing if no limit is published.
+  std::optional<double> warmup_rate = std::nullopt;
+};
+
 /// One configuration that the platform has accepted.
 struct PublishedConfiguration {
   std::uint64_t version{0};
   std::vector<PublishedRoute> routes;
+  std::vector<PublishedService> services = {};
 };
 
 /// The operator's request that a failure domain's targets get no new flows. In
--- a/source/core/view/route_table.cc
+++ b/source/core/view/route_table.cc
@@ -74,11 +74,23 @@
     }
   }
   this->routes = std::move(next);
+  this->warmup_rates.clear();
+  for (const PublishedService& service : configuration.services) {
+    if (service.warmup_rate) {
+      this->warmup_rates.emplace(service.name, *service.warmup_rate);
+    }
+  }
   this->restricts_regions = restricts;
   this->version = configuration.version;
   return ConfigurationOutcome::kInForce;
 }
 
+std::optional<double> RouteTable::WarmupRate(const std::string& service) const {
+  const auto found = this->warmup_rates.find(service);
+  return found == this->warmup_rates.end() ? std::nullopt
+                                           : std::make_optional(found->second);
+}
+
 const Route* RouteTable::Find(const common::Endpoint& address) const {
   const auto found = this->routes.find(address);
   return found == this->routes.end() ? nullptr : &found->second;
--- a/source/core/view/route_table.h
+++ b/source/core/view/route_table.h
@@ -68,6 +68,8 @@
   /// Whether some route allows certain regions only.
   bool RestrictsRegions() const { return this->restricts_regions; }
   std::chrono::milliseconds FlowLife() const { return this->flow_life; }
+  /// The published limit of the service's cold targets; see PublishedService.
+  std::optional<double> WarmupRate(const std::string& service) const;
   /// The route of this address; null if there is none.
   const Route* Find(const common::Endpoint& address) const;
 
@@ -76,6 +78,7 @@
   std::uint64_t version{0};
   bool restricts_regions{false};
   std::unordered_map<common::Endpoint, Route, EndpointHash> routes;
+  std::unordered_map<std::string, double> warmup_rates;  ///< By service.
 };
 
 }  // namespace sassafrasdyke::core
--- a/source/core/view/target_table.cc
+++ b/source/core/view/target_table.cc
@@ -48,6 +48,7 @@
   // and domain.
   this->RemoveFromServing(index, entry);
   entry.published = target;
+  this->last_cold_until = std::max(this->last_cold_until, target.cold_until);
   entry.removal_effective_at.reset();
   const TargetPhase phase = this->PhaseOf(index, entry);
   entry.replaced = !this->ClaimAddress(index, now);
@@ -192,6 +193,14 @@
   return all;
 }
 
+std::size_t TargetTable::ColdCount(std::chrono::milliseconds now) const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(this->entries, [now](const auto& entry) {
+        return entry.second.published.cold_until > now &&
+               entry.second.phase != TargetPhase::kGone;
+      }));
+}
+
 std::set<std::string> TargetTable::ServingDomains() const {
   std::set<std::string> names;
   for (const auto& [service, domains] : this->serving) {
--- a/source/core/view/target_table.h
+++ b/source/core/view/target_table.h
@@ -123,6 +123,12 @@
   const ServingTargets& ServingByDomain(const std::string& service) const;
   /// Targets of the service that accept new flows, in all domains.
   std::vector<TargetIndex> Serving(const std::string& service) const;
+  /// Whether any target may be cold: a quick check before one for each.
+  bool AnyCold(std::chrono::milliseconds now) const {
+    return now < this->last_cold_until;
+  }
+  /// The number of published targets that are cold.
+  std::size_t ColdCount(std::chrono::milliseconds now) const;
   /// Domains with targets that accept new flows.
   std::set<std::string> ServingDomains() const;
   /// The number of targets of all services that accept new flows.
@@ -170,6 +176,7 @@
   std::vector<TargetChange> changes;
   std::vector<TargetIndex> erased;
   std::uint32_t last_index{0};
+  std::chrono::milliseconds last_cold_until{0};
 };
 
 }  // namespace sassafrasdyke::core
--- a/source/front/flow_port.cc
+++ b/source/front/flow_port.cc
@@ -19,24 +19,26 @@
 }  // namespace
 
 tl::expected<std::unique_ptr<FlowPort>, std::string> FlowPort::Open(
-    ev::loop_ref loop, const common::Endpoint& listen,
-    const std::string& domain, const FlowContext& context) {
+    ev::loop_ref loop, const common::Endpoint& listen, const FlowIdentity& self,
+    const FlowContext& context) {
   auto port = PacketPort::Open(listen);
   if (!port) {
     return tl::unexpected(port.error());
   }
   return std::unique_ptr<FlowPort>(
-      new FlowPort(loop, listen, domain, context, std::move(*port)));
+      new FlowPort(loop, listen, self, context, std::move(*port)));
 }
 
 FlowPort::FlowPort(ev::loop_ref loop, const common::Endpoint& listen,
-                   const std::string& domain, const FlowContext& context,
+                   const FlowIdentity& self, const FlowContext& context,
                    std::unique_ptr<PacketPort> port)
     : context(context),
       listen(listen),
       port(std::move(port)),
-      steering(domain, {context.view.Routes(), context.view.Targets(),
-                        context.view.Contact(), context.view.Regions()}),
+      steering(self.domain,
+               {context.view.Routes(), context.view.Targets(),
+                context.view.Contact(), context.view.Regions()},
+               self.tolerance, self.seed),
       admission(context.view.Routes(), this->steering),
       prober(loop, *this),
       readable(loop),
@@ -45,13 +47,14 @@
   this->readable.start(this->port->Descriptor(), ev::READ);
 }
 
-void FlowPort::OnTick() {
+void FlowPort::OnTick(std::size_t instances) {
   this->NotePause();
   const milliseconds now = this->context.clock.Now();
   for (const core::TargetIndex target :
        this->context.view.Targets().TakeErased()) {
     this->steering.Forget(target);
   }
+  this->steering.OnFleetSize(instances, now);
   this->steering.OnTick(now);
   this->admission.OnTick(now);
   this->ReleaseHeld();
--- a/source/front/flow_port.h
+++ b/source/front/flow_port.h
@@ -34,20 +34,27 @@
   FrontMetrics& metrics;
 };
 
+/// What distinguishes this instance's decisions from those of others.
+struct FlowIdentity {
+  std::string domain;  ///< The own failure domain.
+  core::WarmupTolerance tolerance;
+  std::uint64_t seed{0};  ///< Differs between instances.
+};
+
 /// One UDP address for clients' packets.
 class FlowPort final : private ProbeListener {
  public:
-  /// Opens the socket; the error is a sentence for a person. `domain` is the
-  /// own failure domain.
+  /// Opens the socket; the error is a sentence for a person.
   static tl::expected<std::unique_ptr<FlowPort>, std::string> Open(
       ev::loop_ref loop, const common::Endpoint& listen,
-      const std::string& domain, const FlowContext& context);
+      const FlowIdentity& self, const FlowContext& context);
 
   FlowPort(const FlowPort&) = delete;
   FlowPort& operator=(const FlowPort&) = delete;
 
-  /// Bounded periodic work.
-  void OnTick();
+  /// Bounded periodic work. `instances`: the fleet's known size, this one
+  /// included.
+  void OnTick(std::size_t instances);
   /// The view has become usable: packets that came before are taken now.
   void TakeEarlyPackets();
   void OnTargetChange(const core::TargetChange& change);
@@ -60,7 +67,7 @@
 
  private:
   FlowPort(ev::loop_ref loop, const common::Endpoint& listen,
-           const std::string& domain, const FlowContext& context,
+           const FlowIdentity& self, const FlowContext& context,
            std::unique_ptr<PacketPort> port);
 
   /// Notices that the process stood still; called before anything else.
--- a/source/front/flow_story.cc
+++ b/source/front/flow_story.cc
@@ -108,6 +108,9 @@
     Meaning{"dropped", "unknown-target",
             "Its packet was dropped: it names a target that the instance "
             "didn't know."},
+    Meaning{"dropped", "targets-cold",
+            "Its SYN was dropped: all targets were warming up and had as many "
+            "new flows as they bear."},
     Meaning{"dropped", "other-service",
             "Its packet was dropped: it names a target of a service that the "
             "route never used."},
--- a/source/front/front_metrics.cc
+++ b/source/front/front_metrics.cc
@@ -134,6 +134,9 @@
   page.Gauge("sassafrasdyke_evacuated_domains",
              "Failure domains whose targets get no new flows.",
              static_cast<double>(state.evacuated_domains));
+  page.Gauge("sassafrasdyke_targets_warming_up",
+             "Published targets that have just started and are cold.",
+             static_cast<double>(state.targets_cold));
   page.Gauge("sassafrasdyke_routes", "Routes in force.",
              static_cast<double>(state.routes));
   page.Gauge("sassafrasdyke_members", "Other instances that are known.",
--- a/source/front/front_metrics.h
+++ b/source/front/front_metrics.h
@@ -32,6 +32,7 @@
   std::optional<std::chrono::milliseconds> view_age;
   std::size_t targets_serving{0};
   std::size_t evacuated_domains{0};
+  std::size_t targets_cold{0};
   std::size_t routes{0};
   std::size_t members{0};
   std::size_t openings{0};
--- a/source/front/front_process.cc
+++ b/source/front/front_process.cc
@@ -163,6 +163,7 @@
   state.view_age = this->view.Contact().Age(this->Now());
   state.targets_serving = this->view.Targets().ServingCount();
   state.evacuated_domains = this->view.Targets().EvacuatedDomainCount();
+  state.targets_cold = this->view.Targets().ColdCount(this->Now());
   state.routes = this->view.Routes().Size();
   state.members = this->sync.Members().Size();
   state.openings = this->flows->Steering().HalfOpenFlows();
@@ -175,7 +176,10 @@
 
 tl::expected<void, std::string> FrontProcess::Open() {
   auto flows = FlowPort::Open(
-      this->loop, this->settings.listen.packets, this->settings.domain,
+      this->loop, this->settings.listen.packets,
+      {this->settings.domain,
+       {this->settings.warmup_excess, this->settings.warmup_slack},
+       SeedOf(this->settings)},
       {this->adapter.packets, this->view, *this, this->log, this->metrics});
   if (!flows) {
     return tl::unexpected(flows.error());
@@ -231,7 +235,7 @@
   const milliseconds now = this->Now();
   this->view.OnTick(now);
   this->LogViewChanges(core::ViewSource::kStore);
-  this->flows->OnTick();
+  this->flows->OnTick(this->sync.Members().EstimatedFleetSize());
   this->stop.OnPacket(this->flows->LastPacket());
   this->exchange->Act(this->sync.OnTick(now));
   // The platform may write the file anew without a signal.
--- a/tests/core/roster/peer_sync_test.cc
+++ b/tests/core/roster/peer_sync_test.cc
@@ -279,6 +279,27 @@
   return out << row.instances << " in " << row.domains;
 }
 
+const FleetSize kEstimatedFleets[] = {{8, 3}, {86, 3}, {300, 5}, {20, 1}};
+
+// Guards against instances that take a large fleet for a small one and together
+// send a target more than it bears while it warms up.
+BOOST_DATA_TEST_CASE(the_parts_of_all_instances_are_a_whole, kEstimatedFleets,
+                     row) {
+  Fleet fleet(row.instances, row.domains);
+  PublishInitialItems(fleet);
+  fleet.SetDatagramLoss(10);
+
+  fleet.Run(15s);
+
+  double parts = 0;
+  for (std::size_t i = 0; i < row.instances; ++i) {
+    parts += 1.0 / static_cast<double>(
+                       fleet.At(i).sync->Members().EstimatedFleetSize());
+  }
+  BOOST_TEST(parts <= 1.1);
+  BOOST_TEST(parts >= 0.9);
+}
+
 const FleetSize kFleetSizes[] = {{1, 1}, {8, 3}, {60, 3}, {120, 4}};
 
 // Guards against store calls that grow with the fleet, since the store's rate
--- a/tests/core/steering/concurrency_limiter_test.cc
+++ b/tests/core/steering/concurrency_limiter_test.cc
@@ -85,8 +85,10 @@
   int last_flow{1000};  ///< Of those that fill a domain.
   TargetWatch watch;
   PendingRequests pending;
-  ConcurrencyLimiter limiter{"north", this->view.Targets(),
-                             this->view.Regions(), this->watch, this->pending};
+  WarmupBudget warmup{this->view.Routes(), this->view.Targets(), {}, 0};
+  ConcurrencyLimiter limiter{
+      "north",     this->view.Targets(), this->view.Regions(),
+      this->watch, this->pending,        this->warmup};
 };
 
 struct History {
--- a/tests/core/steering/steering_scene.h
+++ b/tests/core/steering/steering_scene.h
@@ -10,10 +10,13 @@
 
 /// An instance with its view.
 struct SteeringScene {
-  explicit SteeringScene(const std::string& domain = "north")
+  explicit SteeringScene(const std::string& domain = "north",
+                         WarmupTolerance tolerance = {}, std::uint64_t seed = 0)
       : view(publication, std::chrono::seconds(60)),
-        steering(domain, {this->view.Routes(), this->view.Targets(),
-                          this->view.Contact(), this->view.Regions()}) {}
+        steering(domain,
+                 {this->view.Routes(), this->view.Targets(),
+                  this->view.Contact(), this->view.Regions()},
+                 tolerance, seed) {}
 
   /// Publishes a target; `value` as SamplePublication reads it.
   void Publish(const std::string& id, const std::string& value,
--- a/tests/core/view/sample_publication.h
+++ b/tests/core/view/sample_publication.h
@@ -1,8 +1,9 @@
 /// A Publication with a simple text format, so that tests of the core don't
 /// depend on a platform's adapter. A configuration is
-/// "VERSION ADDRESS=SERVICE[,SERVICE][@REGION]...", a target is
-/// "SERVICE DOMAIN ADDRESS [draining]", and an evacuation is "{}" under the key
-/// "evacuation/DOMAIN". Other texts can't be decoded.
+/// "VERSION ADDRESS=SERVICE[,SERVICE][@REGION]... [warmup:SERVICE=RATE]...", a
+/// target is "SERVICE DOMAIN ADDRESS [draining] [cold=MS]", and an evacuation
+/// is
+/// "{}" under the key "evacuation/DOMAIN". Other texts can't be decoded.
 #pragma once
 
 #include <optional>
@@ -77,6 +78,9 @@
   }
 
  private:
+  static constexpr std::string_view kWarmup = "warmup:";
+  static constexpr std::string_view kCold = "cold=";
+
   static std::vector<Item> ReadItems(std::istringstream& lines) {
     std::vector<Item> items;
     std::string line;
@@ -102,6 +106,12 @@
     std::string word;
     while (words >> word) {
       const std::size_t equals = word.find('=');
+      if (word.starts_with(kWarmup)) {
+        configuration.services.push_back(
+            {word.substr(kWarmup.size(), equals - kWarmup.size()),
+             std::stod(word.substr(equals + 1))});
+        continue;
+      }
       PublishedRoute route{*common::Endpoint::Parse(word.substr(0, equals)),
                            {}};
       if (const std::size_t at = word.find('@'); at != std::string::npos) {
@@ -129,7 +139,14 @@
     target.address = *common::Endpoint::Parse(address);
     target.number = {std::stoull(key.substr(key.find('/') + 1), nullptr, 16)};
     target.slots = 2;
-    target.draining = static_cast<bool>(words >> state);
+    while (words >> state) {
+      if (state.starts_with(kCold)) {
+        target.warmup_left =
+            std::chrono::milliseconds(std::stol(state.substr(kCold.size())));
+      } else {
+        target.draining = true;
+      }
+    }
     return target;
   }
 };
--- a/tests/front/flow_story_test.cc
+++ b/tests/front/flow_story_test.cc
@@ -144,6 +144,7 @@
     {"dropped", Word(SilentDropReason::kNoView)},
     {"dropped", Word(SilentDropReason::kStaleView)},
     {"dropped", Word(SilentDropReason::kUnknownTarget)},
+    {"dropped", Word(SilentDropReason::kTargetsCold)},
     {"dropped", Word(SilentDropReason::kOtherService)},
     {"dropped", Word(SilentDropReason::kOutdated)},
     {"dropped", Word(SilentDropReason::kNotFromClient)},
--- a/tests/platform/store_codec_test.cc
+++ b/tests/platform/store_codec_test.cc
@@ -27,6 +27,7 @@
   BOOST_TEST(target.domain == "north-a");
   BOOST_TEST(target.address.ToString() == "10.128.0.9:8080");
   BOOST_TEST(target.slots == 2U);
+  BOOST_TEST((target.warmup_left == 1500ms));
   BOOST_TEST(!target.draining);
 }
 
@@ -138,7 +139,9 @@
       R"("prefix":"/8443/","type":"safe","traffic-split":[)"
       R"({"service":"a","weight":90},{"service":"b","weight":10}]},)"
       R"({"name":"r-2","host":"198.18.0.2","prefix":"/443/","service":"b"}],)"
-      R"("services":[],"limits":{"idle-timeout-ms":15000}})");
+      R"("services":[{"name":"a","warmup-s":2.0,"warmup-per-s":10.5},)"
+      R"({"name":"b","warmup-per-s":0.0},{"name":"c","warmup-per-s":"4"},)"
+      R"({"name":"d"}],"limits":{"idle-timeout-ms":15000}})");
 
   BOOST_REQUIRE(item.has_value());
   const auto& configuration = std::get<core::PublishedConfiguration>(*item);
@@ -150,6 +153,9 @@
   BOOST_TEST(configuration.routes[0].shares[0].weight == 90U);
   BOOST_REQUIRE(configuration.routes[1].shares.size() == 1U);
   BOOST_TEST(configuration.routes[1].shares[0].service == "b");
+  BOOST_REQUIRE(configuration.services.size() == 1U);
+  BOOST_TEST(configuration.services[0].name == "a");
+  BOOST_TEST(*configuration.services[0].warmup_rate == 10.5);
 }
 
 std::string OneRoute(const std::string& fields) {
