--- a/rig/load/load_model.cc
+++ b/rig/load/load_model.cc
@@ -28,6 +28,8 @@
 constexpr Time kLearntWithin = 300ms;
 /// How long the entry of a target that died stays published.
 constexpr Time kEntryLapses = 3600ms;
+/// How long a target stays cold after an evacuation.
+constexpr milliseconds kWarmUp{2000};
 /// A client's own time between an answer and its next try.
 constexpr Time kTriesAgainAfter = 1ms;
 /// Seed salts: arrivals and work must not depend on what a policy does.
@@ -92,6 +94,10 @@
   core::PublishedRoute route{RouteEndpoint(), {{"service", 1}}};
   route.objective = this->scenario.service.objective;
   configuration.routes.push_back(std::move(route));
+  if (this->scenario.event.warmup_rate > 0) {
+    configuration.services.push_back(
+        {"service", this->scenario.event.warmup_rate});
+  }
   this->Tell("configuration", this->publication.Add(std::move(configuration)),
              0ms);
   const std::vector<std::size_t> affected = this->Affected();
@@ -132,7 +138,8 @@
   return (static_cast<double>(this->arrivals.Below(kSteps)) + 0.5) / kSteps;
 }
 
-void LoadModel::Publish(std::size_t target, bool draining, Time learnt_within) {
+void LoadModel::Publish(std::size_t target, bool draining, Time learnt_within,
+                        milliseconds warmup_left) {
   core::PublishedTarget entry;
   entry.number = {WordOfTarget(target)};
   entry.service = "service";
@@ -141,6 +148,7 @@
       common::IpAddress::FromV4(kTargetAddress + WordOfTarget(target)), 80};
   entry.slots = this->scenario.service.slots;
   entry.draining = draining;
+  entry.warmup_left = warmup_left;
   this->Tell("target/" + std::to_string(target),
              this->publication.Add(std::move(entry)), learnt_within);
 }
@@ -209,6 +217,10 @@
     }
     return;
   }
+  if (event.trouble == LoadTrouble::kEvacuate) {
+    this->ScheduleEvacuation();
+    return;
+  }
   for (const std::size_t target : this->Affected()) {
     this->After(event.at, [this, target, trouble = event.trouble] {
       switch (trouble) {
@@ -227,6 +239,8 @@
           return;
         case LoadTrouble::kNone:
         case LoadTrouble::kOutage:
+        case LoadTrouble::kEvacuate:
+        case LoadTrouble::kCut:
           return;
       }
     });
@@ -237,6 +251,53 @@
   }
 }
 
+void LoadModel::ScheduleEvacuation() {
+  const LoadEvent& event = this->scenario.event;
+  const std::string key = "evacuation/" + DomainName(0);
+  this->After(event.at, [this, key] {
+    this->Tell(key,
+               this->publication.Add(core::PublishedEvacuation{DomainName(0)}),
+               kLearntWithin);
+    this->After(kLearntWithin + this->scenario.domain_delay,
+                [this] { this->evacuated = true; });
+  });
+  this->After(event.at + event.lasts, [this, key] {
+    this->evacuated = false;
+    for (std::size_t target = 0; target < this->targets.size(); ++target) {
+      Target& cold = this->targets[target];
+      if (cold.domain != 0) {
+        continue;
+      }
+      cold.slow = cold.cold = true;
+      this->Publish(target, false, 0ms, kWarmUp);
+      this->After(kWarmUp, [&cold] { cold.slow = cold.cold = false; });
+    }
+    // Whoever learns that the domain is back knows that its targets are cold.
+    this->After(kLearntWithin,
+                [this, key] { this->Tell(key, std::nullopt, kLearntWithin); });
+  });
+}
+
+void LoadModel::CountOpening(std::size_t target) {
+  Target& at = this->targets[target];
+  this->outcome.at_evacuated += this->evacuated && at.domain == 0 ? 1 : 0;
+  if (!at.cold) {
+    return;
+  }
+  at.opened.push_back(this->now);
+  while (this->now - at.opened.front() > 1s) {
+    at.opened.pop_front();
+  }
+  this->outcome.most_at_cold =
+      std::max(this->outcome.most_at_cold, static_cast<int>(at.opened.size()));
+}
+
+bool LoadModel::IsCut(std::size_t one, std::size_t other) const {
+  const LoadEvent& event = this->scenario.event;
+  return event.trouble == LoadTrouble::kCut && (one == 0) != (other == 0) &&
+         this->now >= event.at && this->now < event.at + event.lasts;
+}
+
 void LoadModel::ScheduleArrivals(std::size_t domain) {
   const double rate = this->scenario.domains[domain].requests_per_s;
   if (rate <= 0) {
@@ -399,6 +460,10 @@
       continue;
     }
     const std::size_t target = out.word - 1;
+    if (this->IsCut(this->instances[instance].domain,
+                    this->targets[target].domain)) {
+      continue;
+    }
     const Time delay = this->DelayTo(instance, target);
     if (out.packet.flags.syn) {
       this->After(delay, [this, id, port, target] {
@@ -414,9 +479,11 @@
 
 void LoadModel::OnSynAtTarget(RequestId id, std::uint16_t port,
                               std::size_t target) {
-  if (this->targets[target].dead) {
+  if (this->targets[target].dead ||
+      this->IsCut(this->targets[target].domain, this->requests[id].domain)) {
     return;
   }
+  this->CountOpening(target);
   this->After(this->scenario.client_delay, [this, id, port, target] {
     Request& request = this->requests[id];
     if (request.done || request.port != port || request.word != 0) {
@@ -463,7 +530,7 @@
       done.waiting.pop_front();
       next();
     }
-    if (!done.dead) {
+    if (!done.dead && !this->IsCut(done.domain, this->requests[id].domain)) {
       this->After(this->scenario.client_delay, [this, id, port, target] {
         this->OnAnswer(id, port, WordOfTarget(target));
       });
--- a/rig/load/load_model.h
+++ b/rig/load/load_model.h
@@ -32,6 +32,10 @@
 struct LoadOutcome {
   std::vector<std::vector<LoadCell>> cells;
   int turned_away{0};  ///< Tries that a full target refused.
+  /// New flows that reached targets of a domain whose evacuation every instance
+  /// knew of.
+  int at_evacuated{0};
+  int most_at_cold{0};  ///< New flows at one cold target within a second.
 
   LoadCell Sum() const;
 };
@@ -69,6 +73,8 @@
     std::size_t in_work{0};
     bool dead{false};
     bool slow{false};
+    bool cold{false};
+    std::deque<Time> opened;  ///< Its new flows of the last second while cold.
   };
   struct Event {
     Time at{0};
@@ -83,12 +89,17 @@
   std::chrono::milliseconds Now() const;
   double Uniform();
 
-  void Publish(std::size_t target, bool draining, Time learnt_within);
+  void Publish(std::size_t target, bool draining, Time learnt_within,
+               std::chrono::milliseconds warmup_left = {});
   void Remove(std::size_t target);
   void Tell(const std::string& key, const std::optional<std::string>& value,
             Time learnt_within);
   void StartInstance(std::size_t instance);
   void ScheduleTrouble();
+  void ScheduleEvacuation();
+  void CountOpening(std::size_t target);
+  /// Whether a cut lies between the two domains now.
+  bool IsCut(std::size_t one, std::size_t other) const;
   void ScheduleArrivals(std::size_t domain);
   void ScheduleTicks(std::size_t instance);
   std::vector<std::size_t> Affected() const;
@@ -127,6 +138,7 @@
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
   std::uint64_t last_order{0};
   Time now{0};
+  bool evacuated{false};  ///< The first domain is, and every instance knows.
   LoadOutcome outcome;
 };
 
--- a/rig/load/load_scenario.cc
+++ b/rig/load/load_scenario.cc
@@ -18,14 +18,19 @@
 /// plays take minutes.
 constexpr double kMostRequestsPerSecond = 600;
 
-constexpr std::array<std::pair<LoadTrouble, std::string_view>, 6> kTroubles{{
+constexpr std::array<std::pair<LoadTrouble, std::string_view>, 8> kTroubles{{
     {LoadTrouble::kNone, "none"},
     {LoadTrouble::kOutage, "outage"},
     {LoadTrouble::kJoin, "join"},
     {LoadTrouble::kLeave, "leave"},
     {LoadTrouble::kSlow, "slow"},
     {LoadTrouble::kDie, "die"},
+    {LoadTrouble::kEvacuate, "evacuate"},
+    {LoadTrouble::kCut, "cut"},
 }};
+/// Only the first troubles are drawn, so that a seed's deployment stays the
+/// same when others are added.
+constexpr std::size_t kDrawnTroubles = 6;
 
 milliseconds Ms(const Json& json, const char* name, milliseconds otherwise) {
   return milliseconds(json.value(name, otherwise.count()));
@@ -34,17 +39,16 @@
 LoadEvent ReadEvent(const Json& json) {
   LoadEvent event;
   const std::string given = json.value("trouble", std::string("none"));
-  const std::string_view word = given;
-  const auto* const found = std::ranges::find(
-      kTroubles, word, [](const auto& trouble) { return trouble.second; });
-  if (found == kTroubles.end()) {
+  const auto trouble = TroubleOf(given);
+  if (!trouble) {
     throw std::invalid_argument("event.trouble: no such trouble: " + given);
   }
-  event.trouble = found->first;
+  event.trouble = *trouble;
   event.at = Ms(json, "at_ms", event.at);
   event.lasts = Ms(json, "lasts_ms", event.lasts);
   event.share = json.value("share", event.share);
   event.factor = json.value("factor", event.factor);
+  event.warmup_rate = json.value("warmup_rate", event.warmup_rate);
   return event;
 }
 
@@ -79,6 +83,13 @@
 
 }  // namespace
 
+std::optional<LoadTrouble> TroubleOf(std::string_view word) {
+  const auto* const found = std::ranges::find(
+      kTroubles, word, [](const auto& trouble) { return trouble.second; });
+  return found == kTroubles.end() ? std::nullopt
+                                  : std::make_optional(found->first);
+}
+
 std::string_view Word(LoadTrouble trouble) {
   for (const auto& [known, word] : kTroubles) {
     if (known == trouble) {
@@ -144,7 +155,7 @@
     domain.requests_per_s = all / static_cast<double>(domains);
   }
   LoadEvent& event = scenario.event;
-  event.trouble = kTroubles.at(draw.Count(0, kTroubles.size() - 1)).first;
+  event.trouble = kTroubles.at(draw.Count(0, kDrawnTroubles - 1)).first;
   event.at = milliseconds(2000);
   event.lasts = milliseconds(draw.Count(500, 2500));
   event.share = draw.Between(0.1, 0.5);
--- a/rig/load/load_scenario.h
+++ b/rig/load/load_scenario.h
@@ -36,6 +36,11 @@
   kLeave,   ///< Part of the targets drains.
   kSlow,    ///< Part of the targets takes `factor` times as long for a while.
   kDie,     ///< Part of the targets ends without a word.
+  /// The first domain is evacuated for a while; its targets are cold after it,
+  /// and take `factor` times as long until they are warm.
+  kEvacuate,
+  /// No packet passes between the first domain and the others for a while.
+  kCut,
 };
 
 /// The scenario's word for a trouble.
@@ -48,6 +53,8 @@
   std::chrono::milliseconds lasts{0};
   double share{0.3};  ///< Part of the targets.
   double factor{4};
+  /// New flows that a cold target bears in a second; 0: no limit is published.
+  double warmup_rate{0};
 };
 
 /// Everything that a play depends on, besides the policy.
@@ -68,6 +75,8 @@
 /// A deployment that nobody has shown us: one to five domains, loads of a fifth
 /// to one and a half of what the targets can do. The same seed draws the same.
 LoadScenario DrawLoadScenario(std::uint64_t seed);
+/// The trouble of this word; nothing if there is none.
+std::optional<LoadTrouble> TroubleOf(std::string_view word);
 /// One line for a person.
 std::string Describe(const LoadScenario& scenario);
 
--- a/rig/load/main.cc
+++ b/rig/load/main.cc
@@ -6,6 +6,7 @@
 #include <iomanip>
 #include <iostream>
 #include <iterator>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,11 +39,19 @@
   }
 }
 
-int PlayDrawn(std::uint64_t first_seed, std::size_t count) {
+/// `trouble` replaces the drawn one.
+LoadScenario DrawWith(std::uint64_t seed, std::optional<LoadTrouble> trouble) {
+  LoadScenario scenario = DrawLoadScenario(seed);
+  scenario.event.trouble = trouble.value_or(scenario.event.trouble);
+  return scenario;
+}
+
+int PlayDrawn(std::uint64_t first_seed, std::size_t count,
+              std::optional<LoadTrouble> trouble) {
   constexpr std::size_t kShown = 10;
   std::vector<LoadComparison> all;
   for (std::size_t i = 0; i < count; ++i) {
-    all.push_back(Compare(DrawLoadScenario(first_seed + i)));
+    all.push_back(Compare(DrawWith(first_seed + i, trouble)));
   }
   std::ranges::sort(all, {}, &LoadComparison::Ratio);
   double sum = 0;
@@ -99,18 +108,26 @@
        cxxopts::value<std::string>()->default_value(""))               //
       ("drawn",
        "how many deployments to draw in place of a scenario; with 1 there is "
-       "a CSV",                                              //
-       cxxopts::value<std::size_t>()->default_value("0"))    //
-      ("seed", "of the first drawn deployment",              //
-       cxxopts::value<std::uint64_t>()->default_value("1"))  //
+       "a CSV",                                                      //
+       cxxopts::value<std::size_t>()->default_value("0"))            //
+      ("trouble", "in place of the drawn ones: evacuate, cut, ...",  //
+       cxxopts::value<std::string>()->default_value(""))             //
+      ("seed", "of the first drawn deployment",                      //
+       cxxopts::value<std::uint64_t>()->default_value("1"))          //
       ("help", "this text");
   try {
     const auto given = options.parse(argc, argv);
     if (const auto drawn = given["drawn"].as<std::size_t>(); drawn > 0) {
       const auto seed = given["seed"].as<std::uint64_t>();
-      return drawn == 1 ? PlayOne(DrawLoadScenario(seed),
+      const auto word = given["trouble"].as<std::string>();
+      const auto trouble = TroubleOf(word);
+      if (!trouble && !word.empty()) {
+        std::cerr << "no such trouble: " << word << "\n";
+        return EXIT_FAILURE;
+      }
+      return drawn == 1 ? PlayOne(DrawWith(seed, trouble),
                                   given["csv"].as<std::string>())
-                        : PlayDrawn(seed, drawn);
+                        : PlayDrawn(seed, drawn, trouble);
     }
     if (given.count("scenario") > 0 && given.count("help") == 0) {
       return PlayFile(given["scenario"].as<std::string>(),
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -27,7 +27,7 @@
 
     def write_settings(self, seeds):
         times = {"grace_s": 6, "flow_life_s": 60, "apply_ms": 3000,
-                 "drain_ms": 3000}
+                 "drain_ms": 3000, "evacuate_ms": 3000}
         settings = {
             "instance": self.name, "domain": self.domain, "region": "r",
             "listen": {"packets": f"{self.ip}:{self.world.packet_port}",
--- a/soak/run.py
+++ b/soak/run.py
@@ -35,7 +35,8 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 from soak import fleet, store, world  # noqa: E402
 
-APPLY, DRAIN, SLACK = 3.0, 3.0, 0.5
+APPLY, DRAIN, EVACUATE, SLACK = 3.0, 3.0, 3.0, 0.5
+DOMAINS = ["north-a", "north-b", "north-c"]
 SETTLE = 9.0  # Seconds without faults before the last judgement.
 JUDGED = 4.0  # Seconds of the last judgement.
 LANES = 60  # Each has four of the networks 127.0 to 127.239.
@@ -64,6 +65,7 @@
         self.hiccups = 0
         self.last_target = 0
         self.free_addresses = []
+        self.evacuated = {}  # Time of publication, by failure domain.
 
     @staticmethod
     def now():
@@ -142,6 +144,9 @@
             self.broken("config", f"{route} at {where}")
         if target.left_at and self.now() - target.left_at > DRAIN + SLACK:
             self.broken("drain", f"{route} at {where}")
+        since = self.evacuated.get(target.domain)
+        if since and self.now() - since > EVACUATE + SLACK:
+            self.broken("evacuate", f"{route} at {where} in {target.domain}")
 
     def check_reset(self, client, flow):
         target = self.targets.get(flow.target)
@@ -297,6 +302,20 @@
         await self.store_up()
         self.store.remove("servers/" + one.name)
 
+    async def fault_evacuate(self):
+        """Empties a failure domain and takes it back, beside other faults."""
+        domain = self.random.choice(DOMAINS)
+        if domain in self.evacuated or len(self.evacuated) + 1 == len(DOMAINS):
+            return
+        self.evacuated[domain] = None
+        await self.store_up()
+        self.store.put("op/evacuate/" + domain, {})
+        self.evacuated[domain] = self.now()
+        await asyncio.sleep(self.random.uniform(1, 7))
+        await self.store_up()
+        del self.evacuated[domain]
+        self.store.remove("op/evacuate/" + domain)
+
     async def fault_crash(self):
         one = self.spare()
         if one is None:
@@ -339,15 +358,14 @@
         self.started = self.now()
         server = await asyncio.start_server(self.store.serve, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
-        domains = ["north-a", "north-b", "north-c"]
         self.configure({("198.18.0.1", 443): ["diary"],
                         ("198.18.0.1", 8080): ["diary"],
                         ("198.18.0.1", 8443): ["handover"]})
         for i in range(self.options.targets):
             service = "handover" if i % 3 == 2 else "diary"
-            await self.add_target(service, domains[i // 3 % 3])
+            await self.add_target(service, DOMAINS[i // 3 % 3])
         for i in range(self.options.instances):
-            one = fleet.Instance(self, f"front-{i}", domains[i % 3],
+            one = fleet.Instance(self, f"front-{i}", DOMAINS[i % 3],
                                  self.address(1, i), self.folder)
             one.proxy = store.Proxy(port)
             await one.proxy.start()
@@ -355,7 +373,7 @@
         for one in self.instances:
             one.start(*self.restart())
         for i in range(self.options.clients):
-            client = world.Client(self, self.address(2, i), domains[i % 3])
+            client = world.Client(self, self.address(2, i), DOMAINS[i % 3])
             self.clients.append(client)
             await client.start()
         return server
--- a/tests/rig/load_model_test.cc
+++ b/tests/rig/load_model_test.cc
@@ -5,6 +5,8 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <ostream>
+#include <string>
 
 #include "rig/load/load_comparison.h"
 
@@ -78,6 +80,51 @@
   BOOST_TEST(sum.in_time >= sum.asked / 2);
 }
 
+struct EvacuationRow {
+  std::string name;
+  double warmup_rate;
+  double requests_per_s;  ///< In each domain.
+  int least_in_time;      ///< Of a hundred requests.
+};
+
+std::ostream& operator<<(std::ostream& out, const EvacuationRow& row) {
+  return out << row.name;
+}
+
+const EvacuationRow kEvacuations[] = {
+    {"no limit of cold targets", 0, 100, 98},
+    {"cold targets bear ten a second", 10, 100, 98},
+    {"at the peak", 10, 250, 97},
+};
+
+// Guards against flows at targets of an evacuated domain, callers of it who
+// are served late, and cold targets that get more than they bear on its return.
+BOOST_DATA_TEST_CASE(an_evacuation_is_survived, kEvacuations, row) {
+  LoadScenario scenario;
+  scenario.length = std::chrono::milliseconds(7000);
+  scenario.service.objective = std::chrono::milliseconds(300);
+  for (int i = 0; i < 3; ++i) {
+    scenario.domains.push_back({4, 10, row.requests_per_s});
+  }
+  scenario.event = {LoadTrouble::kEvacuate,
+                    std::chrono::milliseconds(1500),
+                    std::chrono::milliseconds(2500),
+                    0,
+                    1.6,
+                    row.warmup_rate};
+
+  const LoadOutcome outcome =
+      LoadModel(scenario, PolicyVariant::kThisVersion).Play();
+
+  const LoadCell sum = outcome.Sum();
+  BOOST_TEST(outcome.at_evacuated == 0);
+  BOOST_TEST(sum.failed == 0);
+  BOOST_TEST(sum.in_time * 100 >= sum.asked * row.least_in_time);
+  if (row.warmup_rate > 0) {
+    BOOST_TEST(outcome.most_at_cold <= row.warmup_rate);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_scenario_is_read) {
   const auto scenario = ReadLoadScenario(R"({
     // Two domains, the second without targets.
