Take no view from releases that leave out evacuations

Found by thinking a rolling restart through: an instance of the release before drops evacuations when it reads the store. As a reader it tells its followers that they are up to date, and its copies lack the item, so instances of this release would miss an evacuation until it is published again, long after the restart has ended.

Change: an instance that has evacuations mentions itself in its digests, which former releases ignore, and asks for copies at another path, which they answer with 404. Others count as members only: they get digests and copies as before, but nothing is taken from them. Without others an instance reads the store, as a substitute or after its wait for a first digest. Formats and versions of digests and copies are unchanged.

Test: two of three instances, most readers among them, are of a former release.

--- a/source/core/roster/peer_digest.h
+++ b/source/core/roster/peer_digest.h
@@ -45,6 +45,9 @@
   std::string domain;
   bool leaving{false};       ///< The sender is shutting down.
   bool wants_answer{false};  ///< The receiver must reply with its digest.
+  /// Whether the sender's view holds evacuations. Former releases leave them
+  /// out when they read the store, so no view can be taken from these.
+  bool has_evacuations{true};
   ViewStatus view;
   /// Changes for receivers whose views are complete up to `changes->from`, if
   /// they fit into the datagram.
--- a/source/core/roster/peer_sync.cc
+++ b/source/core/roster/peer_sync.cc
@@ -207,10 +207,15 @@
 SyncActions PeerSync::OnDigest(const PeerDigest& digest,
                                std::chrono::milliseconds now) {
   const bool is_new = this->roster.OnDigest(digest, now);
+  SyncActions actions;
+  if (!digest.has_evacuations) {
+    // Counts as a member only; without others this instance reads the store.
+    this->AppendAnswer(digest, now, actions);
+    return actions;
+  }
   this->plan.OnDigest(now);
   const common::Revision before = this->view.Items().Complete();
   this->QueueRelay(digest, before);
-  SyncActions actions;
   this->RecordStoreReturn(digest.view, now);
   this->DetectStoreOutage(digest, now);
   if (digest.changes) {
@@ -236,16 +241,23 @@
   }
   // A new member gets a digest at once: it may be unknown to all instances, and
   // queries no other.
+  this->AppendAnswer(digest, now, actions);
+  if (!digest.wants_answer && is_new) {
+    actions.digests.push_back(
+        {digest.sender, this->MakeDigest(digest.sender, now)});
+  }
+  return actions;
+}
+
+void PeerSync::AppendAnswer(const PeerDigest& digest,
+                            std::chrono::milliseconds now,
+                            SyncActions& actions) {
   if (digest.wants_answer) {
     Append(actions,
            this->MakeDigests(
                std::array{digest.sender},
                PartsSince(this->view.Items(), digest.view.complete), now));
-  } else if (is_new) {
-    actions.digests.push_back(
-        {digest.sender, this->MakeDigest(digest.sender, now)});
   }
-  return actions;
 }
 
 SyncActions PeerSync::OnStoreRead(common::Revision before,
--- a/source/core/roster/peer_sync.h
+++ b/source/core/roster/peer_sync.h
@@ -103,6 +103,9 @@
   bool NeedsPeers(std::chrono::milliseconds now) const;
   bool IsReader(std::chrono::milliseconds now) const;
   bool IsSeed() const;
+  /// Replies to a sender whose digest asks for it.
+  void AppendAnswer(const PeerDigest& digest, std::chrono::milliseconds now,
+                    SyncActions& actions);
   void RecordStoreReturn(const ViewStatus& status,
                          std::chrono::milliseconds now);
   /// Treats the store as unreachable if the sender is a reader whose view is
--- a/source/front/peer_codec.cc
+++ b/source/front/peer_codec.cc
@@ -238,6 +238,24 @@
                : Json(Json::value_t::discarded);
 }
 
+/// A sender that mentions itself has evacuations in its view. Releases that
+/// don't know this mark ignore such a mention.
+std::vector<core::PeerMention> KnownWithMark(const core::PeerDigest& digest) {
+  std::vector<core::PeerMention> known = digest.known;
+  if (digest.has_evacuations) {
+    known.push_back({digest.sender, digest.domain, {}});
+  }
+  return known;
+}
+
+/// Takes the mark out again; returns whether it was there.
+bool TakeMark(core::PeerDigest& digest) {
+  return std::erase_if(digest.known,
+                       [&digest](const core::PeerMention& mention) {
+                         return mention.peer == digest.sender;
+                       }) > 0;
+}
+
 }  // namespace
 
 std::vector<std::uint8_t> EncodeDigest(const core::PeerDigest& digest) {
@@ -245,7 +263,7 @@
       Json::array({kDigestVersion, digest.sender.ToString(), digest.domain,
                    digest.leaving, digest.wants_answer, Write(digest.view),
                    digest.changes ? Write(*digest.changes) : Json(),
-                   Write(digest.known), Write(digest.relay_to)});
+                   Write(KnownWithMark(digest)), Write(digest.relay_to)});
   return Json::to_msgpack(json);
 }
 
@@ -271,6 +289,7 @@
   if (!reader.Good() || !view_good || !known_good || !pass_on_good) {
     return std::nullopt;
   }
+  digest.has_evacuations = TakeMark(digest);
   return digest;
 }
 
--- a/source/front/peer_exchange.cc
+++ b/source/front/peer_exchange.cc
@@ -8,7 +8,10 @@
 namespace sassafrasdyke::front {
 namespace {
 
-constexpr std::string_view kCopyPath = "/view?have=";
+/// Releases whose views lack evacuations answer this path with 404, so that no
+/// copy is taken from them; they ask for copies at the other one.
+constexpr std::string_view kCopyPath = "/view-with-evacuations?have=";
+constexpr std::string_view kFormerCopyPath = "/view?have=";
 constexpr std::string_view kFromField = "&from=";
 /// A packed copy of 7,900 targets takes 0.2 MB; on the slowest link (10 Mbit/s)
 /// three of them at once are 0.5 s.
@@ -144,12 +147,14 @@
 
 http::Response PeerExchange::Answer(const std::string& path) {
   common::Revision have;
-  if (!path.starts_with(kCopyPath)) {
+  const std::string_view asked =
+      path.starts_with(kFormerCopyPath) ? kFormerCopyPath : kCopyPath;
+  if (!path.starts_with(asked)) {
     return {404, "text/plain", "no such path\n"};
   }
   const char* const end = path.data() + path.size();
   const auto [last, error] =
-      std::from_chars(path.data() + kCopyPath.size(), end, have.value);
+      std::from_chars(path.data() + asked.size(), end, have.value);
   if (error != std::errc()) {
     return {400, "text/plain", "have is no number\n"};
   }
--- a/tests/core/roster/peer_sync_test.cc
+++ b/tests/core/roster/peer_sync_test.cc
@@ -56,6 +56,7 @@
     std::unique_ptr<PeerSync> sync;
     bool refused{false};  ///< The store refuses its calls.
     bool dead{false};
+    bool former{false};  ///< Of a release that doesn't read evacuations.
     milliseconds heard_at{-10s};
     std::uint64_t calls{0};
     std::uint64_t digests{0};  ///< Sent.
@@ -137,7 +138,13 @@
     node.heard_at = this->now;
     node.view.Contact().OnAnswer(this->now);
     const common::Revision before = node.view.Items().Complete();
-    node.view.OnPeerItems(this->store.Since(before), this->now);
+    ItemDelta changes = this->store.Since(before);
+    if (node.former) {
+      std::erase_if(changes.items, [](const Item& item) {
+        return item.key.starts_with("evacuation/");
+      });
+    }
+    node.view.OnPeerItems(std::move(changes), this->now);
     this->Send(i, node.sync->OnStoreRead(before, this->now));
   }
 
@@ -145,6 +152,7 @@
     for (DigestOut& out : actions.digests) {
       ++this->sent;
       ++this->nodes[from]->digests;
+      out.digest.has_evacuations = !this->nodes[from]->former;
       if (this->lose_every == 0 || this->sent % this->lose_every != 0) {
         this->in_flight.push_back(std::move(out));
       }
@@ -177,7 +185,7 @@
     for (const auto& [to, peer] : std::exchange(this->pulls, {})) {
       Node& source = *this->nodes[this->IndexOf(peer)];
       Node& node = *this->nodes[to];
-      if (source.dead) {
+      if (source.dead || (source.former && !node.former)) {
         this->Send(to, node.sync->OnPullFailed(std::nullopt));
         continue;
       }
@@ -270,6 +278,31 @@
   BOOST_TEST(evacuated() == 0U);
 }
 
+// Guards against evacuations that instances miss in a rolling restart to this
+// release: the readers among those of the former one leave them out of the
+// changes that they tell and of the views that they give.
+BOOST_AUTO_TEST_CASE(evacuations_are_known_beside_a_former_release) {
+  constexpr std::size_t kInstances = 30;
+  Fleet fleet(kInstances, 3);
+  PublishInitialItems(fleet);
+  for (std::size_t i = 0; i < kInstances; ++i) {
+    fleet.At(i).former = i % 3 != i / 3 % 3;
+  }
+  fleet.Run(10s);
+
+  fleet.Write("evacuation/north", "{}");
+  fleet.Run(3s);
+
+  std::size_t former = 0;
+  for (std::size_t i = 0; i < kInstances; ++i) {
+    former += fleet.At(i).former ? 1 : 0;
+    BOOST_TEST((fleet.At(i).former ||
+                fleet.At(i).view.Targets().IsEvacuated("north")));
+    BOOST_TEST(fleet.At(i).view.Usable());
+  }
+  BOOST_TEST(former == 20U);
+}
+
 struct FleetSize {
   std::size_t instances;
   std::size_t domains;
--- a/tests/front/peer_codec_test.cc
+++ b/tests/front/peer_codec_test.cc
@@ -4,6 +4,7 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 #include "core/fleet/jitter.h"
 
@@ -47,6 +48,32 @@
   BOOST_TEST(digest->relay_to[0].ToString() == "10.1.0.11:7720");
 }
 
+// Guards against a release that can't read what this one sends, or takes the
+// mark of its view for another member; and against a view without evacuations
+// that is taken for a complete one.
+BOOST_AUTO_TEST_CASE(a_view_without_evacuations_has_no_mark) {
+  core::PeerDigest former = Sample();
+  former.has_evacuations = false;
+
+  const auto read = DecodeDigest(EncodeDigest(former));
+  const auto marked = DecodeDigest(EncodeDigest(Sample()));
+
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(!read->has_evacuations);
+  BOOST_TEST(read->known.size() == former.known.size());
+  BOOST_REQUIRE(marked.has_value());
+  BOOST_TEST(marked->has_evacuations);
+  BOOST_TEST(marked->known.size() == former.known.size());
+  // What a former release decodes: the same fields, and the sender mentioned.
+  const auto json =
+      nlohmann::json::from_msgpack(EncodeDigest(Sample()), true, false);
+  BOOST_REQUIRE(json.size() == 9U);
+  BOOST_TEST(json[0] == 2);
+  BOOST_REQUIRE(json[7].size() == 2U);
+  BOOST_TEST(json[7][1][0] == "10.1.0.10:7720");
+  BOOST_TEST(json[7][1][1] == "north-a");
+}
+
 struct Load {
   std::size_t known;
   std::size_t pass_on;
