Let settings without a bound for evacuations pace nothing

The default of times.evacuate_ms was 3 s and shortened the bound that paces the spread of changes on deployments that publish 5 or 6 s for the others and none for evacuations.

--- a/source/config/front_settings.h
+++ b/source/config/front_settings.h
@@ -32,8 +32,9 @@
   std::chrono::milliseconds apply{3000};
   /// Within this time a target that leaves must get no new flows.
   std::chrono::milliseconds drain{3000};
-  /// Within this time an evacuated failure domain must get no new flows.
-  std::chrono::milliseconds evacuate{3000};
+  /// Within this time an evacuated failure domain must get no new flows; a day
+  /// if the platform promises nothing.
+  std::chrono::milliseconds evacuate{std::chrono::hours{24}};
 };
 
 /// All settings of the process.
