Keep targets when the first call after an outage is an instance's own first

Change: a failed call shows an outage also to an instance that has its view from a peer. And the first served call of an instance that begins to read, with a view that was last confirmed over 1.8 s ago, counts as the store's return: whether the store was away or only the readers can't be told, and deferring removals costs little.

Tried and reverted: when two targets of a domain are found silent and no other answers, probe all with open flows at once.

Test: a_first_call_after_an_outage_removes_no_targets, two of four rows failed before.

--- a/source/core/view/store_contact.cc
+++ b/source/core/view/store_contact.cc
@@ -8,8 +8,12 @@
   this->confirmed_at = std::max(this->confirmed_at.value_or(at), at);
 }
 
+// An instance that begins to read, after its start or because nobody notified
+// it, may do so just after an outage that it has seen no sign of but the age of
+// its view. Whether only the readers were gone instead can't be told then.
 void StoreContact::OnAnswer(std::chrono::milliseconds now) {
-  if (this->SeemsUnreachable(now)) {
+  const bool first_call = !this->last_call_served;
+  if (this->SeemsUnreachable(now) || (first_call && this->IsOld(now))) {
     this->OnReturn(now);
   }
   this->unreachable = false;
@@ -20,9 +24,10 @@
 
 void StoreContact::OnFailure() {
   this->last_call_served = false;
-  // If this instance has never reached the store, its failures don't show that
-  // targets can't reach it either. The first listing is then applied as it is.
-  this->unreachable = this->unreachable || this->ever_served;
+  // Without a view the instance can't tell an outage of the store from its own;
+  // its first listing is then applied as it is.
+  this->unreachable =
+      this->unreachable || this->ever_served || this->confirmed_at.has_value();
 }
 
 void StoreContact::OnStoreUnreachable() {
@@ -57,8 +62,11 @@
 }
 
 bool StoreContact::SeemsUnreachable(std::chrono::milliseconds now) const {
-  return this->unreachable && this->confirmed_at &&
-         now - *this->confirmed_at > kMaxHarmlessOutage;
+  return this->unreachable && this->IsOld(now);
+}
+
+bool StoreContact::IsOld(std::chrono::milliseconds now) const {
+  return this->confirmed_at && now - *this->confirmed_at > kMaxHarmlessOutage;
 }
 
 }  // namespace sassafrasdyke::core
--- a/source/core/view/store_contact.h
+++ b/source/core/view/store_contact.h
@@ -61,6 +61,9 @@
   /// long that entries may have expired. If the store refuses only this
   /// instance, confirmations from peers keep this false.
   bool SeemsUnreachable(std::chrono::milliseconds now) const;
+  /// Whether the view was confirmed so long ago that entries may have expired
+  /// if the store was away since.
+  bool IsOld(std::chrono::milliseconds now) const;
 
   bool last_call_served{false};
   bool ever_served{false};
--- a/tests/core/view/live_view_test.cc
+++ b/tests/core/view/live_view_test.cc
@@ -72,6 +72,53 @@
   BOOST_TEST((fixture.PhaseOf(0xA1) == TargetPhase::kServing));
 }
 
+/// An instance that reads the store for the first time in a while.
+struct FirstCallRow {
+  std::string name;
+  std::chrono::milliseconds view_age;  ///< Of the copy that a peer gave it.
+  bool call_failed;  ///< An own call failed before the first that was served.
+  bool deferred;     ///< Removals of entries are.
+};
+
+std::ostream& operator<<(std::ostream& out, const FirstCallRow& row) {
+  return out << row.name;
+}
+
+const FirstCallRow kFirstCalls[] = {
+    {"started in an outage", 2000ms, true, true},
+    {"started at the end of an outage", 2000ms, false, true},
+    {"refused by the store, as its peers aren't", 300ms, true, false},
+    {"started while the store was reachable", 300ms, false, false},
+};
+
+// Guards against removing all targets, and resetting their flows on every
+// instance of the domain, because the first of them to read the store after an
+// outage has started during it.
+BOOST_DATA_TEST_CASE(a_first_call_after_an_outage_removes_no_targets,
+                     kFirstCalls, row) {
+  SamplePublication publication;
+  LiveView view(publication, kFlowLife);
+  const auto now = 10'000ms;
+  view.OnPeerItems(
+      {{0},
+       {2},
+       true,
+       {{"configuration", {1}, "1 198.18.0.1:443=diary"},
+        {"target/a1", {2}, TargetText("diary", "north", "10.0.0.1:80")}}},
+      now - 100ms);
+  view.Contact().OnConfirmed(now - row.view_age);
+  if (row.call_failed) {
+    view.Contact().OnFailure();
+  }
+
+  view.Contact().OnAnswer(now);
+  view.OnChanges({{{"target/a1", {3}, std::nullopt}}, {3}}, now);
+
+  BOOST_TEST(view.Targets().Serving("diary").empty() == !row.deferred);
+  // Peers that take its view learn of the outage, too.
+  BOOST_TEST(view.Contact().ReturnedAt().has_value() == row.deferred);
+}
+
 // Guards against using a target for ever that ended during an outage of the
 // store.
 BOOST_AUTO_TEST_CASE(an_entry_that_is_not_published_again_is_gone) {
