Say in one place which lists and which failures count

No change of behaviour. StoreContact::ever_served was true only together with a confirmed view, so a failed call and a peer's report of an outage are the same step. The target table picks the lists of an evacuated or other domain in one function.

--- a/source/core/view/store_contact.cc
+++ b/source/core/view/store_contact.cc
@@ -18,18 +18,16 @@
   }
   this->unreachable = false;
   this->last_call_served = true;
-  this->ever_served = true;
   this->OnConfirmed(now);
 }
 
 void StoreContact::OnFailure() {
   this->last_call_served = false;
-  // Without a view the instance can't tell an outage of the store from its own;
-  // its first listing is then applied as it is.
-  this->unreachable =
-      this->unreachable || this->ever_served || this->confirmed_at.has_value();
+  this->OnStoreUnreachable();
 }
 
+// Without a view the instance can't tell an outage of the store from its own;
+// its first listing is then applied as it is.
 void StoreContact::OnStoreUnreachable() {
   this->unreachable = this->unreachable || this->confirmed_at.has_value();
 }
--- a/source/core/view/store_contact.h
+++ b/source/core/view/store_contact.h
@@ -66,7 +66,6 @@
   bool IsOld(std::chrono::milliseconds now) const;
 
   bool last_call_served{false};
-  bool ever_served{false};
   /// Reported unreachable since the last own call that was served.
   bool unreachable{false};
   std::optional<std::chrono::milliseconds> confirmed_at;
--- a/source/core/view/target_table.cc
+++ b/source/core/view/target_table.cc
@@ -262,16 +262,13 @@
 
 void TargetTable::AddToServing(TargetIndex index, const TargetEntry& entry) {
   const PublishedTarget& target = entry.published;
-  ServingByService& lists =
-      this->IsEvacuated(target.domain) ? this->evacuated : this->serving;
-  lists[target.service][target.domain].push_back(index);
+  this->ListsFor(target.domain)[target.service][target.domain].push_back(index);
 }
 
 void TargetTable::RemoveFromServing(TargetIndex index,
                                     const TargetEntry& entry) {
   const PublishedTarget& target = entry.published;
-  ServingByService& lists =
-      this->IsEvacuated(target.domain) ? this->evacuated : this->serving;
+  ServingByService& lists = this->ListsFor(target.domain);
   const auto service = lists.find(target.service);
   if (service == lists.end()) {
     return;
--- a/source/core/view/target_table.h
+++ b/source/core/view/target_table.h
@@ -145,6 +145,10 @@
   void SetPhase(TargetIndex index, TargetEntry& entry, TargetPhase phase);
   using ServingByService = std::unordered_map<std::string, ServingTargets>;
 
+  /// The lists that hold the domain's serving targets.
+  ServingByService& ListsFor(std::string_view domain) {
+    return this->IsEvacuated(domain) ? this->evacuated : this->serving;
+  }
   /// Adds the target to the list of its service and domain.
   void AddToServing(TargetIndex index, const TargetEntry& entry);
   void RemoveFromServing(TargetIndex index, const TargetEntry& entry);
