Interfaces of load reports, target health, locality and admission by share

Cause: no instance knows what the others place. Nothing is switched on: the steering, front and config tests pass unchanged.

--- a/source/config/front_settings.cc
+++ b/source/config/front_settings.cc
@@ -1,5 +1,7 @@
 #include "config/front_settings.h"
 
+#include <algorithm>
+#include <array>
 #include <utility>
 
 namespace sassafrasdyke::config {
@@ -86,25 +88,57 @@
   }
 };
 
-/// A number that isn't negative.
-struct PublishedNumber {
-  static constexpr double kMost = 1e6;
+/// A number from `least` to `most`; `range` says so in words.
+struct NumberInRange {
+  double least{0};
+  double most{1e6};
+  std::string_view range{"0 to 1000000"};
 
-  static bool Read(const Json& json, double& value) {
+  bool Read(const Json& json, double& value) const {
     if (!json.is_number()) {
       return false;
     }
     const auto read = json.get<double>();
-    if (!(read >= 0.0 && read <= kMost)) {
+    if (!(read >= this->least && read <= this->most)) {
       return false;
     }
     value = read;
     return true;
   }
-  static FormatReference Describe() { return {"number", "0 to 1000000", ""}; }
+  FormatReference Describe() const {
+    return {"number", std::string(this->range), ""};
+  }
   static Json Write(double value) { return value; }
 };
 
+/// One of the words for a `LocalityMode`.
+struct LocalityWord {
+  static constexpr std::array<std::pair<std::string_view, LocalityMode>, 3>
+      kModes{{{"local", LocalityMode::kLocal},
+              {"proportional", LocalityMode::kProportional},
+              {"headroom", LocalityMode::kHeadroom}}};
+
+  static bool Read(const Json& json, LocalityMode& value) {
+    const auto* const found =
+        std::ranges::find_if(kModes, [&json](const auto& mode) {
+          return json.is_string() && json.get<std::string>() == mode.first;
+        });
+    if (found == kModes.end()) {
+      return false;
+    }
+    value = found->second;
+    return true;
+  }
+  static FormatReference Describe() {
+    return {"text", "`local`, `proportional` or `headroom`", ""};
+  }
+  static Json Write(LocalityMode value) {
+    return std::string(std::ranges::find(kModes, value, [](const auto& mode) {
+                         return mode.second;
+                       })->first);
+  }
+};
+
 constexpr PublishedTime kSeconds{std::chrono::seconds{1}};
 constexpr PublishedTime kMilliseconds{std::chrono::milliseconds{1}};
 
@@ -145,6 +179,33 @@
   return table;
 }
 
+const KeyTable<FrontLoadSettings>& LoadKeys() {
+  static const KeyTable<FrontLoadSettings> table =
+      KeyTable<FrontLoadSettings>()
+          .Add("share_load", &FrontLoadSettings::share_load, Flag{},
+               KeyUse::kOptional,
+               "Whether instances measure load and report it to each other.")
+          .Add("locality", &FrontLoadSettings::locality, LocalityWord{},
+               KeyUse::kOptional,
+               "How new flows leave a failure domain with more load than its "
+               "share; needs `share_load`.")
+          .Add("leave_at", &FrontLoadSettings::leave_at,
+               NumberInRange{0.1, 10.0, "0.1 to 10"}, KeyUse::kOptional,
+               "Fraction of the domain's slots in use from which they leave.")
+          .Add("eject_targets", &FrontLoadSettings::eject_targets, Flag{},
+               KeyUse::kOptional,
+               "Whether slow and failing targets get fewer new flows.")
+          .Add("max_ejected", &FrontLoadSettings::max_ejected,
+               NumberInRange{0.0, 1.0, "0 to 1"}, KeyUse::kOptional,
+               "Largest fraction of a service's targets in a domain that is "
+               "ejected.")
+          .Add("fair_admission", &FrontLoadSettings::fair_admission, Flag{},
+               KeyUse::kOptional,
+               "Whether limits begin with the instance's share, callers take "
+               "turns, and SYNs that can't be served are refused.");
+  return table;
+}
+
 KeyTable<FrontSettings> MakeKeys() {
   KeyTable<FrontSettings> table;
   table
@@ -164,12 +225,15 @@
            "Instances to ask first for others.")
       .AddSection("times", &FrontSettings::times, TimeKeys(), KeyUse::kOptional,
                   "Times that the platform promises.")
-      .Add("warmup_excess", &FrontSettings::warmup_excess, PublishedNumber{},
+      .Add("warmup_excess", &FrontSettings::warmup_excess, NumberInRange{},
            KeyUse::kOptional,
            "A target that is warming up may get this multiple of its "
            "published rate of new flows,")
-      .Add("warmup_slack", &FrontSettings::warmup_slack, PublishedNumber{},
-           KeyUse::kOptional, "and this many more, in any second.");
+      .Add("warmup_slack", &FrontSettings::warmup_slack, NumberInRange{},
+           KeyUse::kOptional, "and this many more, in any second.")
+      .AddSection("load", &FrontSettings::load, LoadKeys(), KeyUse::kOptional,
+                  "Decisions by load and health that instances report to each "
+                  "other.");
   return table;
 }
 
--- a/source/config/front_settings.h
+++ b/source/config/front_settings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
@@ -37,6 +38,30 @@
   std::chrono::milliseconds evacuate{std::chrono::hours{24}};
 };
 
+/// How the failure domain of a new flow is selected.
+enum class LocalityMode : std::uint8_t {
+  kLocal,         ///< The own one.
+  kProportional,  ///< In proportion to capacity, as zone-aware routing does.
+  kHeadroom,      ///< By what the domains have left.
+};
+
+/// Decisions by the load and health that instances report to each other.
+struct FrontLoadSettings {
+  /// Whether load is measured and exchanged; `locality` needs it.
+  bool share_load{false};
+  LocalityMode locality{LocalityMode::kLocal};
+  /// Fraction of the own domain's slots that must be in use before new flows
+  /// leave it.
+  double leave_at{0.7};
+  /// Whether slow and failing targets get fewer new flows.
+  bool eject_targets{false};
+  /// Largest fraction of a service's targets in a domain that is ejected.
+  double max_ejected{0.34};
+  /// Whether limits of new flows begin with the instance's share, callers take
+  /// turns, and SYNs that can't be served are refused.
+  bool fair_admission{false};
+};
+
 /// All settings of the process.
 struct FrontSettings {
   std::string instance;  ///< Its name, for logs.
@@ -53,6 +78,7 @@
   /// `slack` flows more, in any second.
   double warmup_excess{1.0};
   double warmup_slack{0.0};
+  FrontLoadSettings load;
 };
 
 /// Reads settings, JSON with comments, and checks them; all faults at once.
--- /dev/null
+++ b/source/core/load/observation_exchange.h
@@ -0,0 +1,63 @@
+/// Observations of load and target health that instances add to their digests.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "common/address.h"
+#include "core/load/load_report.h"
+#include "core/view/published.h"
+
+namespace sassafrasdyke::core {
+
+/// What one instance has observed of a target. Counts are over the last
+/// seconds.
+struct TargetObservation {
+  TargetNumber target;
+  std::uint32_t requests{0};
+  std::uint32_t failures{0};
+  /// Mean time of an answer at the target, queueing included; 0 without any.
+  std::chrono::milliseconds mean_time{0};
+  bool silent{false};  ///< Confirmed by probes.
+  std::chrono::milliseconds age{0};
+
+  friend bool operator==(const TargetObservation&,
+                         const TargetObservation&) = default;
+};
+
+/// Maximum number of targets in a digest.
+inline constexpr std::size_t kMaxTargetObservations = 8;
+
+/// The observations in one digest.
+struct PeerObservations {
+  std::optional<LoadReport> own;      ///< Of the sender alone.
+  std::vector<DomainReport> domains;  ///< The sender's domain first.
+  std::vector<TargetObservation> targets;
+
+  bool Empty() const {
+    return !this->own && this->domains.empty() && this->targets.empty();
+  }
+  friend bool operator==(const PeerObservations&,
+                         const PeerObservations&) = default;
+};
+
+/// Adds observations to digests and takes those of peers. Times are monotonic.
+class ObservationExchange {
+ public:
+  virtual ~ObservationExchange() = default;
+
+  /// Adds this instance's part to `observations`.
+  virtual void Append(PeerObservations& observations,
+                      std::chrono::milliseconds now) = 0;
+  /// `sender` is an instance of `domain`. A digest may arrive late, twice or
+  /// not at all.
+  virtual void OnObservations(const common::Endpoint& sender,
+                              const std::string& domain,
+                              const PeerObservations& observations,
+                              std::chrono::milliseconds now) = 0;
+};
+
+}  // namespace sassafrasdyke::core
--- a/source/core/roster/peer_digest.h
+++ b/source/core/roster/peer_digest.h
@@ -12,6 +12,7 @@
 
 #include "common/address.h"
 #include "common/ids.h"
+#include "core/load/observation_exchange.h"
 #include "core/view/item_store.h"
 
 namespace sassafrasdyke::core {
@@ -55,6 +56,8 @@
   std::vector<PeerMention> known;  ///< Some of the members the sender knows.
   /// Members to which the receiver must relay the sender's view.
   std::vector<common::Endpoint> relay_to;
+  /// Left out of digests with changes, which are near the limit of a datagram.
+  PeerObservations observations;
 };
 
 }  // namespace sassafrasdyke::core
--- a/source/core/steering/flow_packet.cc
+++ b/source/core/steering/flow_packet.cc
@@ -12,6 +12,8 @@
       return "spilled";
     case SteeringReason::kRelieved:
       return "relieved";
+    case SteeringReason::kShared:
+      return "shared";
     case SteeringReason::kEvacuated:
       return "evacuated";
     case SteeringReason::kSuspected:
@@ -36,6 +38,8 @@
       return "target-gone";
     case RefusalReason::kTargetSilent:
       return "target-silent";
+    case RefusalReason::kOverloaded:
+      return "overloaded";
   }
   return "unknown";
 }
--- a/source/core/steering/flow_packet.h
+++ b/source/core/steering/flow_packet.h
@@ -33,6 +33,7 @@
   kLocal,      ///< New: a target of the own failure domain.
   kSpilled,    ///< New: no usable target in the own failure domain.
   kRelieved,   ///< New: the own failure domain is at its limit.
+  kShared,     ///< New: the own failure domain has more load than its share.
   kEvacuated,  ///< New: the own failure domain is evacuated.
   kSuspected,  ///< New: all targets are suspected; the likeliest to be back.
   kRepeated,   ///< A retransmitted SYN, to the same target again.
@@ -46,6 +47,7 @@
   kEvacuated,     ///< All that would are in evacuated failure domains.
   kTargetGone,    ///< The flow's target has ended.
   kTargetSilent,  ///< Probes have confirmed that the target doesn't answer.
+  kOverloaded,    ///< No target can serve the SYN before its client gives up.
 };
 
 /// Why a packet is dropped without a reset.
--- a/source/core/steering/flow_steering.cc
+++ b/source/core/steering/flow_steering.cc
@@ -89,6 +89,16 @@
   this->choice.OnPlaced(target);
   this->warmup.OnPlaced(target, now);
   this->pending.OnPlaced(flow, target, now);
+  for (RequestObserver* const observer : this->observers) {
+    observer->OnOpening(target, now);
+  }
+}
+
+void FlowSteering::OnUnanswered(TargetIndex target,
+                                std::chrono::milliseconds now) {
+  for (RequestObserver* const observer : this->observers) {
+    observer->OnUnanswered(target, now);
+  }
 }
 
 // An instance that started while store entries were lapsed has never seen the
@@ -138,6 +148,7 @@
   }
   if (is_retransmission) {
     this->watch.OnSynUnanswered(half_open.target, now);
+    this->OnUnanswered(half_open.target, now);
   }
   const auto chosen =
       this->choice.Choose({route,
@@ -197,6 +208,11 @@
                                  std::chrono::milliseconds now) {
   if (packet.flags.fin || packet.flags.rst) {
     this->pending.OnEnd(packet.flow);
+    if (packet.flags.rst) {
+      for (RequestObserver* const observer : this->observers) {
+        observer->OnClientReset(target, now);
+      }
+    }
     return;
   }
   if (progress.answered) {
@@ -207,10 +223,20 @@
       this->answer_times.OnAnswer(from.service, from.domain == this->domain,
                                   *timing, now);
       this->limiter.OnAnswer(target, route, *timing, now);
+      for (RequestObserver* const observer : this->observers) {
+        observer->OnAnswer(target, *timing, now);
+      }
     }
   }
   if (progress.requests) {
-    this->pending.OnRequest(packet.flow, target, now);
+    const bool opens = this->pending.OnRequest(packet.flow, target, now);
+    for (RequestObserver* const observer : this->observers) {
+      if (!opens) {
+        observer->OnRequest(target, now);
+      }
+    }
+  } else if (packet.payload_bytes > 0) {
+    this->OnUnanswered(target, now);
   }
 }
 
--- a/source/core/steering/flow_steering.h
+++ b/source/core/steering/flow_steering.h
@@ -16,6 +16,7 @@
 #include "core/steering/flow_packet.h"
 #include "core/steering/half_open_table.h"
 #include "core/steering/pending_requests.h"
+#include "core/steering/shared_observations.h"
 #include "core/steering/target_choice.h"
 #include "core/steering/target_watch.h"
 #include "core/steering/warmup_budget.h"
@@ -40,9 +41,11 @@
  public:
   /// `seed` must differ between instances.
   FlowSteering(const std::string& domain, SteeringView view,
-               WarmupTolerance tolerance = {}, std::uint64_t seed = 0)
+               WarmupTolerance tolerance = {}, std::uint64_t seed = 0,
+               const SharedObservations& shared = NoSharedObservations())
       : view(view),
         domain(domain),
+        observers(shared.observers),
         warmup(view.routes, view.targets, tolerance, seed),
         choice(domain, view.targets, view.regions, this->watch, this->pending,
                this->answer_times, this->warmup),
@@ -61,6 +64,9 @@
     this->half_open_flows.OnPause(now);
     this->watch.OnPause(now);
     this->pending.OnPause();
+    for (RequestObserver* const observer : this->observers) {
+      observer->OnPause(now);
+    }
   }
   /// The number of instances that are known now, this one included.
   void OnFleetSize(std::size_t instances, std::chrono::milliseconds now) {
@@ -103,6 +109,8 @@
                                std::chrono::milliseconds now);
   SteeringAction OnEstablished(const FlowPacket& packet, const Route& route,
                                std::chrono::milliseconds now);
+  /// A packet was sent of which the target left an earlier copy unanswered.
+  void OnUnanswered(TargetIndex target, std::chrono::milliseconds now);
   void TrackRequests(const FlowPacket& packet, const Route& route,
                      TargetIndex target, const FlowProgress& progress,
                      std::chrono::milliseconds now);
@@ -125,6 +133,7 @@
 
   SteeringView view;
   const std::string domain;
+  const std::vector<RequestObserver*> observers;
   TargetWatch watch;
   PendingRequests pending;
   AnswerTimes answer_times;
--- a/source/core/steering/pending_requests.cc
+++ b/source/core/steering/pending_requests.cc
@@ -51,13 +51,13 @@
   this->Add(flow, {target, now});
 }
 
-void PendingRequests::OnRequest(const common::FlowKey& flow, TargetIndex target,
+bool PendingRequests::OnRequest(const common::FlowKey& flow, TargetIndex target,
                                 milliseconds now) {
   if (const auto found = this->table.find(flow); found != this->table.end()) {
     if (!found->second.requested) {
       found->second.requested = true;
       found->second.round_trip = now - found->second.since;
-      return;
+      return true;
     }
     // The client got its answer, or it would not send another request; how long
     // the answer took isn't known.
@@ -65,6 +65,7 @@
     this->Remove(found);
   }
   this->Add(flow, {target, now, true, false, true});
+  return false;
 }
 
 std::optional<AnswerTiming> PendingRequests::OnAnswer(
--- a/source/core/steering/pending_requests.h
+++ b/source/core/steering/pending_requests.h
@@ -44,8 +44,9 @@
   /// A new flow was sent to `target`; its first request follows at once.
   void OnPlaced(const common::FlowKey& flow, TargetIndex target,
                 std::chrono::milliseconds now);
-  /// A request was forwarded on an established flow.
-  void OnRequest(const common::FlowKey& flow, TargetIndex target,
+  /// A request was forwarded on an established flow. Returns whether it is the
+  /// first one, which `OnPlaced` has counted.
+  bool OnRequest(const common::FlowKey& flow, TargetIndex target,
                  std::chrono::milliseconds now);
   /// The client acknowledged data of the answer. `at_once`: with a packet that
   /// carries no request, so that the time is the answer's. Returns the timing
--- a/source/front/flow_port.h
+++ b/source/front/flow_port.h
@@ -39,6 +39,7 @@
   std::string domain;  ///< The own failure domain.
   core::WarmupTolerance tolerance;
   std::uint64_t seed{0};  ///< Differs between instances.
+  const core::SharedObservations& shared;
 };
 
 /// One UDP address for clients' packets.
--- a/source/front/front_process.cc
+++ b/source/front/front_process.cc
@@ -179,7 +179,8 @@
       this->loop, this->settings.listen.packets,
       {this->settings.domain,
        {this->settings.warmup_excess, this->settings.warmup_slack},
-       SeedOf(this->settings)},
+       SeedOf(this->settings),
+       core::NoSharedObservations()},
       {this->adapter.packets, this->view, *this, this->log, this->metrics});
   if (!flows) {
     return tl::unexpected(flows.error());
