--- a/source/core/load/load_report.h
+++ b/source/core/load/load_report.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "common/ids.h"
@@ -30,12 +31,20 @@
   friend bool operator==(const LoadEntry&, const LoadEntry&) = default;
 };
 
+/// Orders entries, those with the higher concurrency first.
+struct LargerLoad {
+  bool operator()(const LoadEntry& one, const LoadEntry& other) const {
+    return std::tie(one.concurrency, one.requests_per_s) >
+           std::tie(other.concurrency, other.requests_per_s);
+  }
+};
+
 /// Maximum number of entries of a report; the largest are kept.
 inline constexpr std::size_t kMaxLoadEntries = 16;
 
 /// Load that one instance places, or the mean of several.
 struct LoadReport {
-  std::vector<LoadEntry> entries;
+  std::vector<LoadEntry> entries;  ///< The largest first.
 
   friend bool operator==(const LoadReport&, const LoadReport&) = default;
 };
--- a/source/core/load/observation_exchange.h
+++ b/source/core/load/observation_exchange.h
@@ -31,14 +31,29 @@
 /// Maximum number of targets in a digest.
 inline constexpr std::size_t kMaxTargetObservations = 8;
 
+/// When any instance of a domain was last heard.
+struct DomainContact {
+  std::string domain;
+  std::chrono::milliseconds heard_ago{0};
+
+  friend bool operator==(const DomainContact&, const DomainContact&) = default;
+};
+
 /// The observations in one digest.
 struct PeerObservations {
-  std::optional<LoadReport> own;      ///< Of the sender alone.
+  /// The sender's monotonic time, which shows the order of its digests.
+  std::chrono::milliseconds sent_at{0};
+  /// A part was there but could not be decoded; all others are empty.
+  bool unreadable{false};
+  std::optional<LoadReport> own;  ///< Of the sender alone.
+  /// Domains that the sender has heard, directly or through others.
+  std::vector<DomainContact> heard;
   std::vector<DomainReport> domains;  ///< The sender's domain first.
   std::vector<TargetObservation> targets;
 
   bool Empty() const {
-    return !this->own && this->domains.empty() && this->targets.empty();
+    return !this->own && this->heard.empty() && this->domains.empty() &&
+           this->targets.empty();
   }
   friend bool operator==(const PeerObservations&,
                          const PeerObservations&) = default;
@@ -52,8 +67,9 @@
   /// Adds this instance's part to `observations`.
   virtual void Append(PeerObservations& observations,
                       std::chrono::milliseconds now) = 0;
-  /// `sender` is an instance of `domain`. A digest may arrive late, twice or
-  /// not at all.
+  /// A digest has arrived from `sender`, an instance of `domain`; without
+  /// observations if it carries changes. It may arrive late, twice or not at
+  /// all.
   virtual void OnObservations(const common::Endpoint& sender,
                               const std::string& domain,
                               const PeerObservations& observations,
