Exchange load reports in digests and show the load of each domain

Cause: load is measured, but no instance tells it to another. Change: digests without changes carry the reports as the domain of a second mention of the sender, which releases without it ignore; PeerSync hands them to the exchanges that it is given. SharedParts owns what load.share_load switches on; while it is off, digests are byte for byte as before. With observations an instance sends ten digests a second instead of two, and counts the members of its domain over 10 s: with two a second, in a model of 81 instances in three domains, each took a healthy domain for unreachable a quarter of the time and knew 12 of 27 members.

--- a/bench/front/front_bench.cc
+++ b/bench/front/front_bench.cc
@@ -14,11 +14,14 @@
 #include <string>
 #include <vector>
 
+#include "core/load/load_board.h"
+#include "core/load/load_meter.h"
 #include "core/roster/peer_sync.h"
 #include "core/steering/flow_memory.h"
 #include "core/steering/pending_requests.h"
 #include "core/steering/syn_queue.h"
 #include "core/view/live_view.h"
+#include "front/observation_codec.h"
 #include "front/peer_codec.h"
 #include "platform/store_codec.h"
 
@@ -71,6 +74,7 @@
 
 double most_configuration_heap = 0;
 double digest_bytes = 0;
+double observation_bytes = 0;
 
 bool Holds(const std::string& what, double value, double most) {
   const bool holds = value <= most;
@@ -301,11 +305,165 @@
 }
 BENCHMARK(Tick)->Unit(benchmark::kMicrosecond);
 
+/// The size of a fleet.
+struct FleetSize {
+  std::uint32_t instances;
+  std::uint32_t domains;
+};
+
+FleetSize SizeOf(const benchmark::State& state) {
+  return {static_cast<std::uint32_t>(state.range(0)),
+          static_cast<std::uint32_t>(state.range(1))};
+}
+
+std::string FleetDomain(std::uint32_t i) { return "zone-" + std::to_string(i); }
+
+/// Services of each instance; flows of each go to two domains.
+constexpr std::uint32_t kServices = 4;
+
+core::LoadReport LoadOf(const FleetSize& size, std::uint32_t domain) {
+  core::LoadReport report;
+  for (std::uint32_t i = 0; i < kServices; ++i) {
+    for (std::uint32_t n = 0; n < 2; ++n) {
+      report.entries.push_back(
+          {core::ServiceKeyOf("service-" + std::to_string(i)),
+           FleetDomain((domain + n) % size.domains), 31.7 / (n + 1),
+           0.951 / (n + 1)});
+    }
+  }
+  return report;
+}
+
+/// An instance that has heard reports of those who send it digests within 2.5
+/// s: ten digests a second, half of them of the own domain.
+struct LoadMember {
+  explicit LoadMember(const FleetSize& size)
+      : size(size),
+        meter(this->view.view.Targets()),
+        board(FleetDomain(0), this->meter) {
+    for (std::uint32_t i = 0; i < 20; ++i) {
+      this->board.OnObservations(PeerOf(i + 1), FleetDomain(0),
+                                 this->Reports(0, 1ms), 1ms);
+      this->board.OnObservations(
+          PeerOf(i + 101), FleetDomain(1 + i % (size.domains - 1)),
+          this->Reports(1 + i % (size.domains - 1), 1ms), 1ms);
+    }
+    this->board.OnTick(1ms, size.instances / size.domains);
+  }
+
+  core::PeerObservations Reports(std::uint32_t domain, milliseconds at) const {
+    core::PeerObservations sent;
+    sent.sent_at = at;
+    sent.own = LoadOf(this->size, domain);
+    sent.domains = {{FleetDomain(domain),
+                     this->size.instances / this->size.domains, 20, 80ms,
+                     LoadOf(this->size, domain)}};
+    return sent;
+  }
+
+  FleetSize size;
+  View view{1};
+  core::LoadMeter meter;
+  core::LoadBoard board;
+};
+
+/// The observations of a digest: what the board adds, and encoding them.
+void ObservationsSent(benchmark::State& state) {
+  LoadMember member(SizeOf(state));
+  std::size_t bytes = 0;
+  while (state.KeepRunning()) {
+    core::PeerObservations sent;
+    member.board.Append(sent, 1ms);
+    sent.own = LoadOf(member.size, 0);
+    bytes = front::EncodeObservations(sent).size();
+  }
+  state.counters["bytes"] = static_cast<double>(bytes);
+  observation_bytes = std::max(observation_bytes, static_cast<double>(bytes));
+}
+
+void ObservationsTaken(benchmark::State& state) {
+  LoadMember member(SizeOf(state));
+  core::PeerObservations sent;
+  member.board.Append(sent, 1ms);
+  sent.own = LoadOf(member.size, 0);
+  const std::string text = front::EncodeObservations(sent);
+  milliseconds now = 1ms;
+  while (state.KeepRunning()) {
+    auto read = front::DecodeObservations(text);
+    read->sent_at = ++now;
+    member.board.OnObservations(PeerOf(1), FleetDomain(0), *read, 2ms);
+  }
+}
+
+void LoadTick(benchmark::State& state) {
+  LoadMember member(SizeOf(state));
+  while (state.KeepRunning()) {
+    member.board.OnTick(2ms, member.size.instances / member.size.domains);
+  }
+}
+
+/// A packet that the meter counts.
+void RequestMeasured(benchmark::State& state) {
+  LoadMember member({130, 3});
+  std::uint32_t i = 0;
+  while (state.KeepRunning()) {
+    member.meter.OnRequest({1 + ++i % 40}, 1ms);
+    member.meter.OnAnswer({1 + i % 40}, {0ms, 30ms, 0ms}, 1ms);
+  }
+}
+BENCHMARK(RequestMeasured)->Unit(benchmark::kNanosecond);
+
+void FleetSizes(benchmark::internal::Benchmark* benchmark) {
+  benchmark->Args({130, 3})->Args({300, 7})->Args({810, 7});
+  benchmark->Unit(benchmark::kMicrosecond);
+}
+BENCHMARK(ObservationsSent)->Apply(FleetSizes);
+BENCHMARK(ObservationsTaken)->Apply(FleetSizes);
+BENCHMARK(LoadTick)->Apply(FleetSizes);
+
+/// The digests that an instance of the fleet sends in ten seconds in rest, with
+/// a board that knows the load of each domain.
+void DigestsAtRest(benchmark::State& state) {
+  const FleetSize size = SizeOf(state);
+  LoadMember member(size);
+  core::PeerSync sync({PeerOf(0), FleetDomain(0)}, {PeerOf(1), PeerOf(2)},
+                      member.view.view, core::SyncLimits{}, 1, {&member.board});
+  for (std::uint32_t i = 1; i < size.instances; ++i) {
+    core::PeerDigest digest;
+    digest.sender = PeerOf(i);
+    digest.domain = FleetDomain(i % size.domains);
+    digest.view = {member.view.view.Items().Complete(), 100ms, std::nullopt};
+    digest.observations = member.Reports(i % size.domains, 1ms);
+    sync.OnDigest(digest, 1ms);
+  }
+  while (state.KeepRunning()) {
+    std::size_t bytes = 0;
+    for (milliseconds now = 100ms; now <= 10s; now += 100ms) {
+      member.view.view.Contact().OnAnswer(now);
+      // Keeps the reports as they are: the board's clock stands still.
+      for (core::DigestOut& out : sync.OnTick(now).digests) {
+        out.digest.observations = {};
+        member.board.Append(out.digest.observations, 1ms);
+        out.digest.observations.own = LoadOf(size, 0);
+        bytes += front::EncodeDigest(out.digest).size();
+      }
+    }
+    state.counters["bytes_per_s"] = static_cast<double>(bytes) / 10;
+  }
+}
+BENCHMARK(DigestsAtRest)
+    ->Apply(FleetSizes)
+    ->Unit(benchmark::kMillisecond)
+    ->Iterations(1);
+
 bool AllHold() {
   const bool heap = Holds("heap of a new configuration, to its text",
                           most_configuration_heap, kMostConfigurationHeap);
   const bool bytes = Holds("bytes of a digest", digest_bytes, kMostDigestBytes);
-  return heap && bytes;
+  const bool observations =
+      Holds("bytes of the observations of a digest", observation_bytes,
+            static_cast<double>(front::kMaxObservationBytes));
+  return heap && bytes && observations;
 }
 
 }  // namespace
--- a/source/core/roster/peer_sync.cc
+++ b/source/core/roster/peer_sync.cc
@@ -18,6 +18,11 @@
 /// are 7 kB. Beyond, it uses relays. If a relay dies, the members behind it get
 /// the change only with the other reader's digests.
 constexpr std::size_t kMaxNotifiedDirectly = 32;
+/// One of so many digests in the own domain goes to a reader: of one digest a
+/// second, and of five that carry observations. A reader of a domain of 116
+/// hears 30 a second from it in either case.
+constexpr std::uint64_t kReaderInterval = 2;
+constexpr std::uint64_t kReaderIntervalWithObservations = 10;
 /// Members that one relay may be asked to notify. More than any domain needs,
 /// and few enough to limit the amplification of a forged digest.
 constexpr std::size_t kMaxRelayReceivers = 32;
@@ -40,6 +45,15 @@
 
 PeerDigest PeerSync::MakeDigest(const common::Endpoint& receiver,
                                 std::chrono::milliseconds now) {
+  PeerDigest digest = this->MakeBareDigest(receiver, now);
+  for (ObservationExchange* const observer : this->observers) {
+    observer->Append(digest.observations, now);
+  }
+  return digest;
+}
+
+PeerDigest PeerSync::MakeBareDigest(const common::Endpoint& receiver,
+                                    std::chrono::milliseconds now) {
   PeerDigest digest;
   digest.sender = this->roster.Self().address;
   digest.domain = this->roster.Self().domain;
@@ -117,6 +131,11 @@
   return !age || *age > this->limits.query_after || store_fails;
 }
 
+std::chrono::milliseconds PeerSync::HeartbeatInterval() const {
+  return this->observers.empty() ? this->limits.heartbeat_interval
+                                 : this->limits.observation_interval;
+}
+
 SyncActions PeerSync::OnStart(std::chrono::milliseconds now) {
   return this->QuerySeeds(now);
 }
@@ -152,9 +171,8 @@
   const bool needs_peers = this->NeedsPeers(now);
   std::chrono::milliseconds& last_sent_at =
       needs_peers ? this->last_query_at : this->last_heartbeat_at;
-  std::chrono::milliseconds interval = needs_peers
-                                           ? this->limits.query_interval
-                                           : this->limits.heartbeat_interval;
+  std::chrono::milliseconds interval =
+      needs_peers ? this->limits.query_interval : this->HeartbeatInterval();
   if (!this->view.Usable()) {
     interval = this->limits.query_interval_without_view;
   }
@@ -169,8 +187,11 @@
     return actions;
   }
   last_sent_at = now;
-  for (const common::Endpoint& peer :
-       this->roster.PickReceivers(this->limits.readers, this->jitter, now)) {
+  const std::uint64_t reader_interval = this->observers.empty()
+                                            ? kReaderInterval
+                                            : kReaderIntervalWithObservations;
+  for (const common::Endpoint& peer : this->roster.PickReceivers(
+           this->limits.readers, reader_interval, this->jitter, now)) {
     PeerDigest digest = this->MakeDigest(peer, now);
     digest.wants_answer = needs_peers;
     actions.digests.push_back({peer, std::move(digest)});
@@ -207,6 +228,10 @@
 SyncActions PeerSync::OnDigest(const PeerDigest& digest,
                                std::chrono::milliseconds now) {
   const bool is_new = this->roster.OnDigest(digest, now);
+  for (ObservationExchange* const observer : this->observers) {
+    observer->OnObservations(digest.sender, digest.domain, digest.observations,
+                             now);
+  }
   SyncActions actions;
   if (!digest.has_evacuations) {
     // Counts as a member only; without others this instance reads the store.
@@ -335,7 +360,7 @@
       actions.digests.push_back({member, this->MakeDigest(member, now)});
     }
     for (const ItemDelta& part : changes) {
-      PeerDigest digest = this->MakeDigest(member, now);
+      PeerDigest digest = this->MakeBareDigest(member, now);
       if (part.to < digest.view.complete) {
         // More parts follow. Without an age, the receiver neither treats its
         // view as confirmed nor requests a copy of the remaining parts.
--- a/source/core/roster/peer_sync.h
+++ b/source/core/roster/peer_sync.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <utility>
 #include <vector>
 
 #include "common/address.h"
@@ -44,11 +45,17 @@
 /// The synchronization state of one instance. Times are monotonic.
 class PeerSync {
  public:
-  /// `view` must outlive this. `seed` affects only random choices.
+  /// Those who add observations to digests and take those of peers.
+  using Observers = std::vector<ObservationExchange*>;
+
+  /// `view` and `observers` must outlive this. `seed` affects only random
+  /// choices.
   PeerSync(RosterSelf self, const std::vector<common::Endpoint>& seeds,
-           LiveView& view, const SyncLimits& limits, std::uint64_t seed)
+           LiveView& view, const SyncLimits& limits, std::uint64_t seed,
+           Observers observers = {})
       : view(view),
         limits(limits),
+        observers(std::move(observers)),
         jitter(seed),
         pull(self.address),
         plan(limits, seed),
@@ -90,8 +97,12 @@
 
  private:
   SyncActions QuerySeeds(std::chrono::milliseconds now);
+  /// Makes a digest without changes.
   PeerDigest MakeDigest(const common::Endpoint& receiver,
                         std::chrono::milliseconds now);
+  /// Makes a digest without observations, so that changes fit.
+  PeerDigest MakeBareDigest(const common::Endpoint& receiver,
+                            std::chrono::milliseconds now);
   /// Makes a digest that asks for a reply.
   DigestOut MakeQuery(const common::Endpoint& receiver,
                       std::chrono::milliseconds now);
@@ -99,6 +110,7 @@
   /// Sends each reader of the domain one query for its view. A reader without a
   /// view learns of this instance and notifies it once it has one.
   SyncActions QueryReaders(std::chrono::milliseconds now);
+  std::chrono::milliseconds HeartbeatInterval() const;
   /// Whether the view is too old, or own calls of the store fail.
   bool NeedsPeers(std::chrono::milliseconds now) const;
   bool IsReader(std::chrono::milliseconds now) const;
@@ -137,6 +149,7 @@
 
   LiveView& view;
   const SyncLimits limits;
+  const Observers observers;
   Jitter jitter;
   CopyPull pull;
   ReadingPlan plan;
--- a/source/core/roster/roster.cc
+++ b/source/core/roster/roster.cc
@@ -13,6 +13,10 @@
 /// A member that hasn't been heard of for this long can't be a reader. Members
 /// send a digest every second, so this is five lost digests.
 constexpr std::chrono::milliseconds kCandidateTimeout{5000};
+/// A member that hasn't been heard of for this long doesn't count in the size
+/// of its domain. With ten digests a second and 116 members, nearly all are
+/// heard of within it.
+constexpr std::chrono::milliseconds kCountedTimeout{10'000};
 /// A member that hasn't been heard of for this long is removed. Longer than a
 /// restart takes, so that a restarted instance still receives digests.
 constexpr std::chrono::milliseconds kMemberTimeout{20'000};
@@ -100,6 +104,16 @@
   return static_cast<std::size_t>(others) + 1;
 }
 
+std::size_t Roster::DomainMembers(std::chrono::milliseconds now) const {
+  const auto others =
+      std::ranges::count_if(this->members, [this, now](const auto& entry) {
+        const Member& member = entry.second;
+        return member.domain == this->self.domain && !member.leaving &&
+               now - member.heard_at <= kCountedTimeout;
+      });
+  return static_cast<std::size_t>(others) + 1;
+}
+
 std::vector<common::Endpoint> Roster::Neighbours() const {
   std::vector<common::Endpoint> neighbours;
   for (const auto& [peer, member] : this->members) {
@@ -157,13 +171,15 @@
 }
 
 std::vector<common::Endpoint> Roster::PickReceivers(
-    std::size_t readers, Jitter& jitter, std::chrono::milliseconds now) const {
+    std::size_t readers, std::uint64_t reader_interval, Jitter& jitter,
+    std::chrono::milliseconds now) const {
   std::vector<common::Endpoint> others = this->Seeds();
   for (const auto& [peer, member] : this->members) {
     others.push_back(peer);
   }
-  std::vector<common::Endpoint> near =
-      jitter.Below(2) == 0 ? this->Readers(readers, now) : this->Neighbours();
+  std::vector<common::Endpoint> near = jitter.Below(reader_interval) == 0
+                                           ? this->Readers(readers, now)
+                                           : this->Neighbours();
   std::vector<common::Endpoint> picked;
   if (const auto* neighbour = RandomElement(near, jitter);
       neighbour != nullptr) {
--- a/source/core/roster/roster.h
+++ b/source/core/roster/roster.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -61,11 +62,12 @@
                         std::chrono::milliseconds now) const;
   /// Receivers of the next digests, at random: one member of the own failure
   /// domain and one of any domain, which may also be a seed; never this
-  /// instance. Half of the time the first is one of the domain's `readers`, so
-  /// that those who notify the others hear of every member within seconds,
-  /// however large the domain is.
+  /// instance. One of `reader_interval` times the first is one of the domain's
+  /// `readers`, so that those who notify the others hear of every member within
+  /// seconds, however large the domain is.
   std::vector<common::Endpoint> PickReceivers(
-      std::size_t readers, Jitter& jitter, std::chrono::milliseconds now) const;
+      std::size_t readers, std::uint64_t reader_interval, Jitter& jitter,
+      std::chrono::milliseconds now) const;
   /// Selects the members to mention in a digest to `receiver`: up to `readers`
   /// readers of its failure domain, up to `max_neighbours` members of the own
   /// domain, and one of another domain.
@@ -76,6 +78,10 @@
                                           std::chrono::milliseconds now) const;
   /// Live members of the own failure domain, this instance included.
   std::size_t DomainSize(std::chrono::milliseconds now) const;
+  /// Members of the own failure domain that share its callers, this instance
+  /// included. Unlike `DomainSize`, which serves to replace dead readers soon,
+  /// it hardly leaves out a live member, and counts a dead one for longer.
+  std::size_t DomainMembers(std::chrono::milliseconds now) const;
   std::size_t Size() const { return this->members.size(); }
   /// The number of instances in the fleet, this one included. Of a large fleet
   /// an instance knows its own domain, and about half of the others; so the
--- a/source/core/roster/sync_limits.h
+++ b/source/core/roster/sync_limits.h
@@ -34,6 +34,10 @@
   std::chrono::milliseconds query_interval_without_view{100};
   /// Time between digests that only show that this instance is alive.
   std::chrono::milliseconds heartbeat_interval{1000};
+  /// The same while digests carry observations: two ticks of 100 ms, less their
+  /// jitter. With one digest a second, of 81 instances in three domains each
+  /// would take the others' domains for unreachable a quarter of the time.
+  std::chrono::milliseconds observation_interval{180};
   /// Time after its start from which an instance may also query peers. The
   /// store's first answer takes 30 ms.
   std::chrono::milliseconds first_query_after{150};
--- a/source/core/view/target_table.cc
+++ b/source/core/view/target_table.cc
@@ -221,6 +221,18 @@
   return count;
 }
 
+std::uint64_t TargetTable::SlotsIn(std::string_view domain) const {
+  std::uint64_t slots = 0;
+  for (const auto& [service, domains] : this->serving) {
+    if (const auto found = domains.find(domain); found != domains.end()) {
+      for (const TargetIndex target : found->second) {
+        slots += this->At(target).published.slots;
+      }
+    }
+  }
+  return slots;
+}
+
 std::vector<TargetChange> TargetTable::TakeChanges() {
   return std::exchange(this->changes, {});
 }
--- a/source/front/front_log.cc
+++ b/source/front/front_log.cc
@@ -154,6 +154,21 @@
                     now);
 }
 
+void FrontLog::OnReachability(const core::DomainLoad& load, std::uint64_t slots,
+                              std::chrono::milliseconds now) {
+  std::string_view event = "domain-unreachable";
+  if (load.reachable) {
+    event = "domain-reachable";
+  }
+  this->lines.Write(LineKind::kLoad, event,
+                    {{"about", load.domain},
+                     {"concurrency", load.concurrency},
+                     {"slots", slots},
+                     {"age_ms", load.age.count()},
+                     {"reporters", load.reporters}},
+                    now);
+}
+
 void FrontLog::OnNote(std::string_view event, const LineFields& fields,
                       std::chrono::milliseconds now) {
   this->lines.Write(LineKind::kProcess, event, fields, now);
--- a/source/front/front_log.h
+++ b/source/front/front_log.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <string_view>
 
+#include "core/load/fleet_load.h"
 #include "core/steering/flow_packet.h"
 #include "core/steering/target_watch.h"
 #include "core/view/live_view.h"
@@ -43,6 +45,10 @@
   /// A trial connection that didn't find the target alive.
   void OnProbe(const std::string& target, core::ProbeOutcome outcome,
                bool silent_now, std::chrono::milliseconds now);
+  /// The domain has become reachable or unreachable. `slots`: of its targets
+  /// that accept new flows.
+  void OnReachability(const core::DomainLoad& load, std::uint64_t slots,
+                      std::chrono::milliseconds now);
   /// Anything of the process itself.
   void OnNote(std::string_view event, const LineFields& fields,
               std::chrono::milliseconds now);
--- a/source/front/front_metrics.cc
+++ b/source/front/front_metrics.cc
@@ -52,6 +52,18 @@
     metric.gauge.value = value;
     this->Add(name, help, MetricType::Gauge, {metric});
   }
+  void GaugeByDomain(const std::string& name, const std::string& help,
+                     const std::vector<DomainGauges>& domains,
+                     double (*value_of)(const DomainGauges&)) {
+    std::vector<ClientMetric> metrics;
+    for (const DomainGauges& domain : domains) {
+      ClientMetric metric;
+      metric.label.push_back({"domain", domain.load.domain});
+      metric.gauge.value = value_of(domain);
+      metrics.push_back(std::move(metric));
+    }
+    this->Add(name, help, MetricType::Gauge, std::move(metrics));
+  }
   void Histogram(const std::string& name, const std::string& help,
                  const prometheus::Histogram& histogram) {
     this->Add(name, help, MetricType::Histogram, {histogram.Collect()});
@@ -154,6 +166,39 @@
              static_cast<double>(state.remembered_flows));
 }
 
+void AddLoad(Page& page, const FrontState& state) {
+  if (state.domain_loads.empty()) {
+    return;
+  }
+  page.GaugeByDomain("sassafrasdyke_domain_concurrency",
+                     "Requests at a domain's targets at once, of all callers.",
+                     state.domain_loads, [](const DomainGauges& domain) {
+                       return domain.load.concurrency;
+                     });
+  page.GaugeByDomain("sassafrasdyke_domain_slots",
+                     "Slots of a domain's targets that take new flows.",
+                     state.domain_loads, [](const DomainGauges& domain) {
+                       return static_cast<double>(domain.slots);
+                     });
+  page.GaugeByDomain(
+      "sassafrasdyke_domain_requests_per_second",
+      "Requests per second to a domain's targets, of all callers.",
+      state.domain_loads,
+      [](const DomainGauges& domain) { return domain.load.requests_per_s; });
+  page.GaugeByDomain("sassafrasdyke_domain_reachable",
+                     "1 while instances of the domain are heard of.",
+                     state.domain_loads, [](const DomainGauges& domain) {
+                       return domain.load.reachable ? 1.0 : 0.0;
+                     });
+  page.GaugeByDomain(
+      "sassafrasdyke_load_age_seconds",
+      "Age of the report of the domain's instances.", state.domain_loads,
+      [](const DomainGauges& domain) { return Seconds(domain.load.age); });
+  page.Counter("sassafrasdyke_load_reports_invalid_total",
+               "Load reports with impossible values or unreadable.",
+               state.invalid_load_reports);
+}
+
 }  // namespace
 
 FrontMetrics::FrontMetrics()
@@ -215,6 +260,7 @@
   AddStore(page, state.store);
   AddExchange(page, state.exchange);
   AddView(page, state);
+  AddLoad(page, state);
   page.Counter("sassafrasdyke_log_written_total", "Log lines written.",
                state.lines_written);
   page.Counter("sassafrasdyke_log_left_out_total",
--- a/source/front/front_metrics.h
+++ b/source/front/front_metrics.h
@@ -11,7 +11,9 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
+#include "core/load/fleet_load.h"
 #include "core/steering/flow_packet.h"
 #include "core/steering/target_watch.h"
 #include "front/packet_port.h"
@@ -20,6 +22,12 @@
 
 namespace sassafrasdyke::front {
 
+/// Load of all services at the targets of a domain.
+struct DomainGauges {
+  core::DomainLoad load;
+  std::uint64_t slots{0};  ///< Of targets that accept new flows.
+};
+
 /// What the parts of the process know at the moment of a scrape.
 struct FrontState {
   PortCounts port;
@@ -34,6 +42,8 @@
   std::size_t evacuated_domains{0};
   std::size_t targets_cold{0};
   std::size_t routes{0};
+  std::vector<DomainGauges> domain_loads;  ///< Empty while load isn't shared.
+  std::uint64_t invalid_load_reports{0};
   std::size_t members{0};
   std::size_t openings{0};
   std::size_t openings_waiting{0};
--- a/source/front/front_process.cc
+++ b/source/front/front_process.cc
@@ -19,6 +19,7 @@
 #include "front/line_log.h"
 #include "front/peer_exchange.h"
 #include "front/reload_signal.h"
+#include "front/shared_parts.h"
 #include "front/status_handlers.h"
 #include "front/stop_watch.h"
 #include "front/store_reader.h"
@@ -82,10 +83,11 @@
               {{"instance", settings.instance}, {"domain", settings.domain}}),
         log(this->lines),
         view(adapter.publication, settings.times.flow_life),
+        shared(settings, this->view.Targets()),
         stop(settings.times.grace),
         sync({settings.listen.peers, settings.domain}, PeersOf(settings),
              this->view, core::SyncLimitsFor(PaceOf(settings)),
-             SeedOf(settings)),
+             SeedOf(settings), this->shared.Exchanges()),
         reader(this->loop, settings.store, adapter.publication,
                StoreLimitsFor(PaceOf(settings)), SeedOf(settings), *this),
         readiness([this] { return this->Ready(); }),
@@ -104,6 +106,7 @@
   FrontState State() const;
   tl::expected<void, std::string> Open();
   void OnTick(ev::timer& watcher, int events);
+  void TickSharedParts(milliseconds now);
   void OnFirstReadingCheck(ev::timer& watcher, int events);
   void OnTerm(ev::sig& watcher, int signal);
   void OnHup(ev::sig& watcher, int signal);
@@ -128,6 +131,7 @@
   LineLog lines;
   FrontLog log;
   core::LiveView view;
+  SharedParts shared;
   StopWatch stop;
   core::PeerSync sync;
   StoreReader reader;
@@ -165,6 +169,11 @@
   state.evacuated_domains = this->view.Targets().EvacuatedDomainCount();
   state.targets_cold = this->view.Targets().ColdCount(this->Now());
   state.routes = this->view.Routes().Size();
+  for (core::DomainLoad& load : this->shared.DomainLoads()) {
+    const std::uint64_t slots = this->view.Targets().SlotsIn(load.domain);
+    state.domain_loads.push_back({std::move(load), slots});
+  }
+  state.invalid_load_reports = this->shared.InvalidReports();
   state.members = this->sync.Members().Size();
   state.openings = this->flows->Steering().HalfOpenFlows();
   state.openings_waiting = this->flows->OpeningsWaiting();
@@ -180,7 +189,7 @@
       {this->settings.domain,
        {this->settings.warmup_excess, this->settings.warmup_slack},
        SeedOf(this->settings),
-       core::NoSharedObservations()},
+       this->shared.Observations()},
       {this->adapter.packets, this->view, *this, this->log, this->metrics});
   if (!flows) {
     return tl::unexpected(flows.error());
@@ -237,6 +246,7 @@
   this->view.OnTick(now);
   this->LogViewChanges(core::ViewSource::kStore);
   this->flows->OnTick(this->sync.Members().EstimatedFleetSize());
+  this->TickSharedParts(now);
   this->stop.OnPacket(this->flows->LastPacket());
   this->exchange->Act(this->sync.OnTick(now));
   // The platform may write the file anew without a signal.
@@ -254,6 +264,14 @@
   this->lines.OnTick(now);
 }
 
+void FrontProcess::TickSharedParts(milliseconds now) {
+  this->shared.OnTick(now, this->sync.Members().DomainMembers(now));
+  for (const core::DomainLoad& load : this->shared.TakeReachabilityChanges()) {
+    this->log.OnReachability(load, this->view.Targets().SlotsIn(load.domain),
+                             now);
+  }
+}
+
 void FrontProcess::OnFirstReadingCheck(ev::timer& /*watcher*/, int /*events*/) {
   this->ChooseReading();
 }
--- a/source/front/peer_codec.cc
+++ b/source/front/peer_codec.cc
@@ -6,6 +6,9 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "front/json_array.h"
+#include "front/observation_codec.h"
+
 namespace sassafrasdyke::front {
 namespace {
 
@@ -15,72 +18,8 @@
 /// what another version says is left out, and such an instance reads the store.
 constexpr std::uint64_t kDigestVersion = 2;
 constexpr std::uint64_t kCopyVersion = 2;
-/// Longest times that are believed, so that sums can't overflow.
-constexpr std::uint64_t kLongestMs = 86'400'000;
 constexpr std::size_t kMostMentions = 64;
 
-/// Reads the elements of an array in order. After the first wrong one nothing
-/// more is read, and `Good` is false.
-class ArrayReader {
- public:
-  ArrayReader(const Json& json, std::size_t size) : json(json) {
-    this->good = json.is_array() && json.size() == size;
-  }
-
-  bool Good() const { return this->good; }
-  const Json& Next() {
-    static const Json null;
-    if (!this->good || this->at >= this->json.size()) {
-      this->good = false;
-      return null;
-    }
-    return this->json[this->at++];
-  }
-  std::uint64_t Number() {
-    const Json& value = this->Next();
-    this->good = this->good && value.is_number_unsigned();
-    return this->good ? value.get<std::uint64_t>() : 0;
-  }
-  bool Flag() {
-    const Json& value = this->Next();
-    this->good = this->good && value.is_boolean();
-    return this->good && value.get<bool>();
-  }
-  std::string Text() {
-    const Json& value = this->Next();
-    this->good = this->good && value.is_string();
-    return this->good ? value.get<std::string>() : std::string();
-  }
-  std::chrono::milliseconds Time() {
-    const std::uint64_t ms = this->Number();
-    this->good = this->good && ms <= kLongestMs;
-    return std::chrono::milliseconds(ms);
-  }
-  std::optional<std::chrono::milliseconds> OptionalTime() {
-    if (this->good && this->at < this->json.size() &&
-        this->json[this->at].is_null()) {
-      ++this->at;
-      return std::nullopt;
-    }
-    return this->Time();
-  }
-  common::Endpoint Address() {
-    const auto endpoint = common::Endpoint::Parse(this->Text());
-    this->good = this->good && endpoint.has_value();
-    return endpoint.value_or(common::Endpoint{});
-  }
-
- private:
-  const Json& json;
-  std::size_t at{0};
-  bool good{false};
-};
-
-std::uint64_t Millis(std::chrono::milliseconds time) {
-  const auto count = std::max<std::int64_t>(time.count(), 0);
-  return std::min(static_cast<std::uint64_t>(count), kLongestMs);
-}
-
 Json Optional(const std::optional<std::chrono::milliseconds>& time) {
   return time ? Json(Millis(*time)) : Json(nullptr);
 }
@@ -238,22 +177,40 @@
                : Json(Json::value_t::discarded);
 }
 
-/// A sender that mentions itself has evacuations in its view. Releases that
-/// don't know this mark ignore such a mention.
-std::vector<core::PeerMention> KnownWithMark(const core::PeerDigest& digest) {
+/// A sender that mentions itself has evacuations in its view, and a second
+/// mention has its observations in place of the domain. Releases that don't
+/// know these marks ignore what a sender mentions of itself.
+std::vector<core::PeerMention> KnownWithMarks(const core::PeerDigest& digest) {
   std::vector<core::PeerMention> known = digest.known;
-  if (digest.has_evacuations) {
-    known.push_back({digest.sender, digest.domain, {}});
+  if (!digest.has_evacuations) {
+    return known;
+  }
+  known.push_back({digest.sender, digest.domain, {}});
+  if (std::string text = EncodeObservations(digest.observations);
+      !text.empty()) {
+    known.push_back({digest.sender, std::move(text), {}});
   }
   return known;
 }
 
-/// Takes the mark out again; returns whether it was there.
-bool TakeMark(core::PeerDigest& digest) {
-  return std::erase_if(digest.known,
-                       [&digest](const core::PeerMention& mention) {
-                         return mention.peer == digest.sender;
-                       }) > 0;
+/// Takes the marks out again.
+void TakeMarks(core::PeerDigest& digest) {
+  std::vector<std::string> marks;
+  std::erase_if(digest.known, [&](core::PeerMention& mention) {
+    const bool is_mark = mention.peer == digest.sender;
+    if (is_mark) {
+      marks.push_back(std::move(mention.domain));
+    }
+    return is_mark;
+  });
+  digest.has_evacuations = !marks.empty();
+  if (marks.size() > 1) {
+    auto observations = DecodeObservations(marks[1]);
+    digest.observations.unreadable = !observations;
+    if (observations) {
+      digest.observations = std::move(*observations);
+    }
+  }
 }
 
 }  // namespace
@@ -263,7 +220,7 @@
       Json::array({kDigestVersion, digest.sender.ToString(), digest.domain,
                    digest.leaving, digest.wants_answer, Write(digest.view),
                    digest.changes ? Write(*digest.changes) : Json(),
-                   Write(KnownWithMark(digest)), Write(digest.relay_to)});
+                   Write(KnownWithMarks(digest)), Write(digest.relay_to)});
   return Json::to_msgpack(json);
 }
 
@@ -289,7 +246,7 @@
   if (!reader.Good() || !view_good || !known_good || !pass_on_good) {
     return std::nullopt;
   }
-  digest.has_evacuations = TakeMark(digest);
+  TakeMarks(digest);
   return digest;
 }
 
