Place new flows by the load of all failure domains

Cause: when callers concentrate in one domain, its instances place every flow there while targets elsewhere idle. Demand is computed from rates of callers, so DomainLoad has callers_requests_per_s: probabilities by the utilization of targets oscillate on delayed reports, and concurrency with queues exceeds what idle domains take. ChooseOf and ChooseOfAll share the list of allowed domains.

--- a/source/app/check_command.cc
+++ b/source/app/check_command.cc
@@ -5,6 +5,7 @@
 
 #include "app/text_file.h"
 #include "config/configuration_reader.h"
+#include "config/front_settings.h"
 #include "config/settings.h"
 
 namespace sassafrasdyke::app {
@@ -24,8 +25,10 @@
   return read ? core::DocumentFaults{} : read.error();
 }
 
-const std::array<CheckedFile, 3> kFiles = {
+const std::array<CheckedFile, 4> kFiles = {
     {{"settings", "Settings of one process", &FaultsOf<&config::ReadSettings>},
+     {"front", "Settings of one process of `front`",
+      &FaultsOf<&config::ReadFrontSettings>},
      {"configuration", "Configuration of the fleet, as published",
       &FaultsOf<&config::ReadConfigurationText>},
      {"instances", "Instance list, as published",
@@ -51,7 +54,7 @@
 
 void CheckCommand::Declare(cxxopts::Options& options) const {
   options.custom_help(
-      "[--settings FILE] [--configuration FILE] "
+      "[--settings FILE] [--front FILE] [--configuration FILE] "
       "[--instances FILE]");
   for (const CheckedFile& kind : kFiles) {
     options.add_options()(kind.option, kind.help, cxxopts::value<std::string>(),
@@ -71,7 +74,8 @@
     }
   }
   if (!any) {
-    streams.err << "check needs --settings, --configuration or --instances\n";
+    streams.err << "check needs --settings, --front, --configuration or "
+                   "--instances\n";
     return ExitCode::kInvalid;
   }
   return code;
--- a/source/config/front_settings.cc
+++ b/source/config/front_settings.cc
@@ -242,6 +242,13 @@
   return table;
 }
 
+/// Load that isn't shared can't decide about a flow's domain.
+void CheckLoad(const FrontLoadSettings& load, core::DocumentFaults& faults) {
+  if (load.locality != LocalityMode::kLocal && !load.share_load) {
+    faults.push_back({"/load/locality", "needs share_load to be true"});
+  }
+}
+
 }  // namespace
 
 tl::expected<FrontSettings, core::DocumentFaults> ReadFrontSettings(
@@ -253,6 +260,7 @@
   FrontSettings settings;
   core::DocumentFaults faults;
   Keys().Read(*parsed, "", settings, faults);
+  CheckLoad(settings.load, faults);
   if (!faults.empty()) {
     return tl::unexpected(std::move(faults));
   }
--- a/source/core/load/fleet_load.h
+++ b/source/core/load/fleet_load.h
@@ -17,6 +17,9 @@
   /// Mean number of requests that are at the targets at once, queued ones
   /// included.
   double concurrency{0};
+  /// Requests of the domain's own callers, to targets in whatever domain;
+  /// nothing while no report of the domain is known.
+  std::optional<double> callers_requests_per_s;
   /// Whether instances of the domain have been heard of lately.
   bool reachable{true};
   /// Age of the oldest report that is part of it.
--- a/source/core/steering/answer_times.cc
+++ b/source/core/steering/answer_times.cc
@@ -1,6 +1,7 @@
 #include "core/steering/answer_times.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace sassafrasdyke::core {
 namespace {
@@ -44,15 +45,31 @@
   average.last_answer = now;
 }
 
+std::optional<milliseconds> AnswerTimes::RemoteDetour(
+    const std::string& service, milliseconds now) const {
+  const Averages* const averages = this->Find(service, now);
+  if (averages == nullptr) {
+    return std::nullopt;
+  }
+  return milliseconds(
+      std::llround(averages->remote.network_ms - averages->local.network_ms));
+}
+
 bool AnswerTimes::RemoteDetourCostsMore(const std::string& service,
                                         milliseconds now) const {
+  const Averages* const averages = this->Find(service, now);
+  return averages != nullptr &&
+         averages->remote.network_ms - averages->local.network_ms >
+             averages->local.target_ms;
+}
+
+const AnswerTimes::Averages* AnswerTimes::Find(const std::string& service,
+                                               milliseconds now) const {
   const auto found = this->services.find(service);
-  if (found == this->services.end()) {
-    return false;
-  }
-  const auto& [local, remote] = found->second;
-  return IsKnown(local, now) && IsKnown(remote, now) &&
-         remote.network_ms - local.network_ms > local.target_ms;
+  const bool known = found != this->services.end() &&
+                     IsKnown(found->second.local, now) &&
+                     IsKnown(found->second.remote, now);
+  return known ? &found->second : nullptr;
 }
 
 bool AnswerTimes::IsKnown(const Average& average, milliseconds now) {
--- a/source/core/steering/answer_times.h
+++ b/source/core/steering/answer_times.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -17,6 +18,11 @@
   /// A target of the service answered; `local` if it is of the own domain.
   void OnAnswer(const std::string& service, bool local,
                 const AnswerTiming& timing, std::chrono::milliseconds now);
+  /// The additional network time of a flow's first request at a target of
+  /// another domain, two round trips; nothing while there are too few recent
+  /// answers of either.
+  std::optional<std::chrono::milliseconds> RemoteDetour(
+      const std::string& service, std::chrono::milliseconds now) const;
   /// Whether the additional network time to other domains exceeds what the
   /// targets of the own domain take for a request, queueing included. False
   /// while there are too few recent answers of either.
@@ -35,6 +41,9 @@
     Average remote;
   };
 
+  /// The averages of the service if both are known; else null.
+  const Averages* Find(const std::string& service,
+                       std::chrono::milliseconds now) const;
   static bool IsKnown(const Average& average, std::chrono::milliseconds now);
 
   std::unordered_map<std::string, Averages> services;
--- a/source/core/steering/target_choice.cc
+++ b/source/core/steering/target_choice.cc
@@ -5,6 +5,7 @@
 #include <tuple>
 
 #include "common/hash.h"
+#include "core/load/demand.h"
 
 namespace sassafrasdyke::core {
 namespace {
@@ -18,13 +19,18 @@
 constexpr double kMinLocalRatio = 0.6;
 
 constexpr std::uint64_t kSpillSalt = 0x7370696C6CULL;
+constexpr std::uint64_t kLocalitySalt = 0x6C6F63616CULL;
+
+/// Flows leave their domain because of its load only while the additional
+/// network time is at most this fraction of the route's objective.
+constexpr int kMaxDetourFraction = 4;
 
 /// Maps the flow to a uniform value in [0, 1), the same for a retransmitted
 /// SYN.
-double UniformFromHash(common::Fingerprint flow) {
+double UniformFromHash(common::Fingerprint flow, std::uint64_t salt) {
   constexpr unsigned kDroppedBits = 11;
   constexpr double kUnit = 1.0 / 9007199254740992.0;  // 2^-53
-  const std::uint64_t hash = common::HashNumbers(flow.value, 0, kSpillSalt);
+  const std::uint64_t hash = common::HashNumbers(flow.value, 0, salt);
   return static_cast<double>(hash >> kDroppedBits) * kUnit;
 }
 
@@ -67,7 +73,7 @@
     return false;
   }
   const double ratio = FairShareRatio(share);
-  return ratio < kMinLocalRatio && UniformFromHash(flow) >= ratio;
+  return ratio < kMinLocalRatio && UniformFromHash(flow, kSpillSalt) >= ratio;
 }
 
 }  // namespace
@@ -91,69 +97,142 @@
          this->warmup.Allows(index, query.now);
 }
 
-std::optional<Choice> TargetChoice::ChooseOf(const std::string& service,
-                                             const ChoiceQuery& query) const {
-  const ServingTargets& serving = this->targets.ServingByDomain(service);
-  std::vector<TargetIndex> local;
-  std::size_t remote_serving = 0;
-  std::size_t domains = 0;
-  const std::string& preferred =
-      query.preferred_domain ? *query.preferred_domain : this->domain;
-  for (const auto& [domain, indexes] : serving) {
-    if (!this->regions.Allows(query.route, domain)) {
-      continue;
-    }
-    ++domains;
-    if (domain != preferred) {
-      remote_serving += indexes.size();
-      continue;
+TargetChoice::DomainList TargetChoice::AllowedDomains(
+    const std::string& service, const Route& route) const {
+  DomainList allowed;
+  for (const auto& domain : this->targets.ServingByDomain(service)) {
+    if (this->regions.Allows(route, domain.first)) {
+      allowed.push_back(&domain);
     }
+  }
+  return allowed;
+}
+
+std::vector<TargetIndex> TargetChoice::UsableIn(
+    const DomainList& domains, const std::string& domain,
+    const ChoiceQuery& query) const {
+  std::vector<TargetIndex> usable;
+  const auto found = std::ranges::find(domains, domain,
+                                       [](const auto* d) { return d->first; });
+  if (found != domains.end()) {
     std::ranges::copy_if(
-        indexes, std::back_inserter(local),
+        (*found)->second, std::back_inserter(usable),
         [&](TargetIndex index) { return this->Usable(index, query); });
   }
-  // A cold target that may get a flow now gets this one. Its turns are so few
-  // that it would otherwise miss most of them and stay idle until it is warm.
-  if (const auto cold = this->ColdOf(local, query.now); !cold.empty()) {
-    return Choice{this->LeastLoaded(cold, query),
-                  query.preferred_domain
-                      ? this->ReasonToLeave(SteeringReason::kRelieved)
-                      : SteeringReason::kLocal};
+  return usable;
+}
+
+double TargetChoice::SlotsOf(const std::vector<TargetIndex>& indexes) const {
+  double slots = 0;
+  for (const TargetIndex index : indexes) {
+    slots += static_cast<double>(this->targets.At(index).published.slots);
   }
+  return slots;
+}
+
+std::optional<Choice> TargetChoice::ChooseOf(const std::string& service,
+                                             const ChoiceQuery& query) const {
+  const DomainList domains = this->AllowedDomains(service, query.route);
+  const std::string& preferred =
+      query.preferred_domain ? *query.preferred_domain : this->domain;
+  const std::vector<TargetIndex> local =
+      this->UsableIn(domains, preferred, query);
   if (!local.empty() && query.preferred_domain) {
-    return Choice{this->LeastLoaded(local, query),
+    return Choice{this->ChooseIn(local, query),
                   this->ReasonToLeave(SteeringReason::kRelieved)};
   }
+  if (const auto cold = this->ColdOf(local, query.now); !cold.empty()) {
+    return Choice{this->LeastLoaded(cold, query), SteeringReason::kLocal};
+  }
+  // A SYN that a target of another domain left unanswered is retried as without
+  // load reports: that domain may be cut off and not yet known to be.
+  if (!query.preferred_domain && !query.excluded) {
+    if (const auto choice =
+            this->ChooseByLoad(service, domains, local, query)) {
+      return choice;
+    }
+  }
   // Fast path of most flows, which skips the targets of other domains: no more
   // of those are usable than serving, so the domain's ratio is at least this.
-  const UsableCounts at_least{local.size(), remote_serving, domains};
+  std::size_t remote_serving = 0;
+  for (const auto* const domain : domains) {
+    remote_serving += domain->first == preferred ? 0 : domain->second.size();
+  }
+  const UsableCounts at_least{local.size(), remote_serving, domains.size()};
   if (!local.empty() && FairShareRatio(at_least) >= kMinLocalRatio) {
     return Choice{this->LeastLoaded(local, query), SteeringReason::kLocal};
   }
-  return this->ChooseOfAll(service, local, query);
+  return this->ChooseOfAll(service, domains, preferred, local, query);
+}
+
+DomainCapacity TargetChoice::CapacityOf(
+    const std::string& domain, const std::vector<TargetIndex>& usable,
+    const std::vector<DomainLoad>& loads) const {
+  const double slots = this->SlotsOf(usable);
+  return {domain, slots, DemandOf(domain, slots, loads)};
+}
+
+std::optional<Choice> TargetChoice::ChooseByLoad(
+    const std::string& service, const DomainList& domains,
+    const std::vector<TargetIndex>& local, const ChoiceQuery& query) const {
+  const std::vector<DomainLoad>& loads = this->load.Of(service);
+  const DomainCapacity own = this->CapacityOf(this->domain, local, loads);
+  if (!this->locality.MayShare(own)) {
+    return std::nullopt;
+  }
+  LocalityDecision decision{this->domain};
+  if (local.empty() || !this->DetourTooLong(service, query)) {
+    decision = this->locality.Select(
+        this->LocalityQueryFor(own, loads, domains, query));
+  }
+  if (decision.reason == LocalityReason::kShared) {
+    const SteeringReason reason =
+        local.empty() ? SteeringReason::kSpilled : SteeringReason::kShared;
+    const auto usable = this->UsableIn(domains, decision.domain, query);
+    return Choice{this->ChooseIn(usable, query), this->ReasonToLeave(reason)};
+  }
+  if (local.empty()) {
+    return std::nullopt;
+  }
+  return Choice{this->LeastLoaded(local, query), SteeringReason::kLocal};
+}
+
+LocalityQuery TargetChoice::LocalityQueryFor(
+    const DomainCapacity& own, const std::vector<DomainLoad>& loads,
+    const DomainList& domains, const ChoiceQuery& query) const {
+  LocalityQuery result{
+      this->domain, {own}, UniformFromHash(query.flow, kLocalitySalt)};
+  for (const DomainLoad& other : loads) {
+    if (other.domain != this->domain &&
+        this->regions.Allows(query.route, other.domain)) {
+      const auto usable = this->UsableIn(domains, other.domain, query);
+      result.domains.push_back(this->CapacityOf(other.domain, usable, loads));
+      result.domains.back().reachable = other.reachable;
+    }
+  }
+  std::ranges::sort(result.domains, {}, &DomainCapacity::domain);
+  return result;
+}
+
+bool TargetChoice::DetourTooLong(const std::string& service,
+                                 const ChoiceQuery& query) const {
+  const auto detour = this->answer_times.RemoteDetour(service, query.now);
+  return detour && *detour > ObjectiveOf(query.route) / kMaxDetourFraction;
 }
 
 std::optional<Choice> TargetChoice::ChooseOfAll(
-    const std::string& service, const std::vector<TargetIndex>& local,
+    const std::string& service, const DomainList& domains,
+    const std::string& preferred, const std::vector<TargetIndex>& local,
     const ChoiceQuery& query) const {
   std::vector<TargetIndex> remote;
   std::vector<TargetIndex> suspected;
-  const ServingTargets& serving = this->targets.ServingByDomain(service);
-  const std::string& preferred =
-      query.preferred_domain ? *query.preferred_domain : this->domain;
-  std::size_t domains = 0;
-  for (const auto& [domain, indexes] : serving) {
-    if (!this->regions.Allows(query.route, domain)) {
-      continue;
-    }
-    ++domains;
-    const bool is_local = domain == preferred;
-    for (const TargetIndex index : indexes) {
+  for (const auto* const domain : domains) {
+    for (const TargetIndex index : domain->second) {
       if (!this->Usable(index, query)) {
         if (this->warmup.Allows(index, query.now)) {
           suspected.push_back(index);
         }
-      } else if (!is_local) {
+      } else if (domain->first != preferred) {
         remote.push_back(index);
       }
     }
@@ -161,7 +240,7 @@
   // While the few local targets suffice, spilling would only add network time.
   // Where that matters little, flows spill anyway: by the time that answers
   // show a queue, hundreds of requests may wait in it.
-  const UsableCounts share{local.size(), remote.size(), domains};
+  const UsableCounts share{local.size(), remote.size(), domains.size()};
   const bool stays_local =
       !ShouldSpill(share, query.flow) ||
       this->answer_times.RemoteDetourCostsMore(service, query.now);
@@ -193,6 +272,14 @@
   return cold;
 }
 
+// A cold target that may get a flow now gets this one. Its turns are so few
+// that it would otherwise miss most of them and stay idle until it is warm.
+TargetIndex TargetChoice::ChooseIn(const std::vector<TargetIndex>& usable,
+                                   const ChoiceQuery& query) const {
+  const std::vector<TargetIndex> cold = this->ColdOf(usable, query.now);
+  return this->LeastLoaded(cold.empty() ? usable : cold, query);
+}
+
 TargetIndex TargetChoice::LeastLoaded(const std::vector<TargetIndex>& options,
                                       const ChoiceQuery& query) const {
   TargetIndex best = options.front();
--- a/source/core/steering/target_choice.h
+++ b/source/core/steering/target_choice.h
@@ -12,6 +12,7 @@
 #include "core/steering/fair_scheduler.h"
 #include "core/steering/flow_packet.h"
 #include "core/steering/pending_requests.h"
+#include "core/steering/shared_observations.h"
 #include "core/steering/target_watch.h"
 #include "core/steering/warmup_budget.h"
 #include "core/view/region_map.h"
@@ -41,25 +42,30 @@
 /// requests of this instance; fair queueing decides among equals. Flows spill
 /// to other domains when the own has no usable target, and a part of them when
 /// it has far fewer of the service's usable targets than the others, unless the
-/// additional network time exceeds what its targets take for a request.
+/// additional network time exceeds what its targets take for a request. While
+/// the load reports show more demand in the own domain than it has capacity
+/// for, the LocalityPolicy decides which part.
 ///
 /// Unanswered requests are the first symptom of a slow target: if it still got
 /// its share of the flows, it would answer all of them late, while other
 /// targets could have served them in time.
 class TargetChoice {
  public:
-  /// `domain` is the own failure domain. The tables must outlive this.
+  /// `domain` is the own failure domain. The tables and what `shared` refers to
+  /// must outlive this.
   TargetChoice(std::string domain, const TargetTable& targets,
                const RegionMap& regions, const TargetWatch& watch,
                const PendingRequests& pending, const AnswerTimes& answer_times,
-               const WarmupBudget& warmup)
+               const WarmupBudget& warmup, const SharedObservations& shared)
       : domain(std::move(domain)),
         targets(targets),
         regions(regions),
         watch(watch),
         pending(pending),
         answer_times(answer_times),
-        warmup(warmup) {}
+        warmup(warmup),
+        load(shared.load),
+        locality(shared.locality) {}
 
   /// A flow was placed at the target.
   void OnPlaced(TargetIndex target);
@@ -69,19 +75,51 @@
   std::optional<Choice> Choose(const ChoiceQuery& query) const;
 
  private:
+  /// Domains with targets that accept new flows, in the order of their names.
+  using DomainList = std::vector<const ServingTargets::value_type*>;
+
   std::optional<Choice> ChooseOf(const std::string& service,
                                  const ChoiceQuery& query) const;
+  /// Chooses by the load reports. `local`: the usable targets of the own
+  /// domain. Nothing while too little is known or the own domain has capacity.
+  std::optional<Choice> ChooseByLoad(const std::string& service,
+                                     const DomainList& domains,
+                                     const std::vector<TargetIndex>& local,
+                                     const ChoiceQuery& query) const;
+  DomainCapacity CapacityOf(const std::string& domain,
+                            const std::vector<TargetIndex>& usable,
+                            const std::vector<DomainLoad>& loads) const;
+  LocalityQuery LocalityQueryFor(const DomainCapacity& own,
+                                 const std::vector<DomainLoad>& loads,
+                                 const DomainList& domains,
+                                 const ChoiceQuery& query) const;
   /// Chooses among the targets of all domains; `local` holds the usable targets
-  /// of the preferred domain.
+  /// of the domain `preferred`.
   std::optional<Choice> ChooseOfAll(const std::string& service,
+                                    const DomainList& domains,
+                                    const std::string& preferred,
                                     const std::vector<TargetIndex>& local,
                                     const ChoiceQuery& query) const;
+  /// Domains of the service's targets that the route allows.
+  DomainList AllowedDomains(const std::string& service,
+                            const Route& route) const;
+  std::vector<TargetIndex> UsableIn(const DomainList& domains,
+                                    const std::string& domain,
+                                    const ChoiceQuery& query) const;
   bool Usable(TargetIndex index, const ChoiceQuery& query) const;
+  double SlotsOf(const std::vector<TargetIndex>& indexes) const;
+  /// Whether the additional network time to other domains takes so much of the
+  /// objective that load is no reason to leave.
+  bool DetourTooLong(const std::string& service,
+                     const ChoiceQuery& query) const;
   /// Why a flow leaves the own domain: `reason`, or its evacuation.
   SteeringReason ReasonToLeave(SteeringReason reason) const;
   /// Those of the usable targets that are warming up.
   std::vector<TargetIndex> ColdOf(const std::vector<TargetIndex>& usable,
                                   std::chrono::milliseconds now) const;
+  /// Chooses among usable targets of one domain.
+  TargetIndex ChooseIn(const std::vector<TargetIndex>& usable,
+                       const ChoiceQuery& query) const;
   TargetIndex LeastLoaded(const std::vector<TargetIndex>& options,
                           const ChoiceQuery& query) const;
   TargetIndex LeastSuspected(const std::vector<TargetIndex>& options) const;
@@ -93,6 +131,8 @@
   const PendingRequests& pending;
   const AnswerTimes& answer_times;
   const WarmupBudget& warmup;
+  const FleetLoad& load;
+  const LocalityPolicy& locality;
   FairScheduler scheduler;
 };
 
--- a/source/core/view/target_table.cc
+++ b/source/core/view/target_table.cc
@@ -193,6 +193,15 @@
   return all;
 }
 
+std::vector<std::string> TargetTable::ServingServices() const {
+  std::vector<std::string> services;
+  services.reserve(this->serving.size());
+  for (const auto& [service, domains] : this->serving) {
+    services.push_back(service);
+  }
+  return services;
+}
+
 std::size_t TargetTable::ColdCount(std::chrono::milliseconds now) const {
   return static_cast<std::size_t>(
       std::ranges::count_if(this->entries, [now](const auto& entry) {
--- a/source/core/view/target_table.h
+++ b/source/core/view/target_table.h
@@ -129,6 +129,8 @@
   }
   /// The number of published targets that are cold.
   std::size_t ColdCount(std::chrono::milliseconds now) const;
+  /// Services with targets that accept new flows.
+  std::vector<std::string> ServingServices() const;
   /// Domains with targets that accept new flows.
   std::set<std::string> ServingDomains() const;
   /// The number of targets of all services that accept new flows.
--- a/source/front/front_log.cc
+++ b/source/front/front_log.cc
@@ -154,6 +154,21 @@
                     now);
 }
 
+void FrontLog::OnShareChange(const core::ShareChange& change,
+                             std::chrono::milliseconds now) {
+  const std::string_view event =
+      change.over ? "domain-over-share" : "domain-below-share";
+  this->lines.Write(LineKind::kLoad, event,
+                    {{"about", change.domain},
+                     {"service", change.service},
+                     {"demand", change.demand},
+                     {"concurrency", change.concurrency},
+                     {"slots", change.slots},
+                     {"age_ms", change.age.count()},
+                     {"reporters", change.reporters}},
+                    now);
+}
+
 void FrontLog::OnNote(std::string_view event, const LineFields& fields,
                       std::chrono::milliseconds now) {
   this->lines.Write(LineKind::kProcess, event, fields, now);
--- a/source/front/front_log.h
+++ b/source/front/front_log.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "core/load/share_monitor.h"
 #include "core/steering/flow_packet.h"
 #include "core/steering/target_watch.h"
 #include "core/view/live_view.h"
@@ -43,6 +44,9 @@
   /// A trial connection that didn't find the target alive.
   void OnProbe(const std::string& target, core::ProbeOutcome outcome,
                bool silent_now, std::chrono::milliseconds now);
+  /// The own failure domain has crossed its share of a service's load.
+  void OnShareChange(const core::ShareChange& change,
+                     std::chrono::milliseconds now);
   /// Anything of the process itself.
   void OnNote(std::string_view event, const LineFields& fields,
               std::chrono::milliseconds now);
--- a/tests/config/front_settings_test.cc
+++ b/tests/config/front_settings_test.cc
@@ -85,6 +85,8 @@
     {"\"grace_s\": 6", "\"grace_s\": 1e9", "/times/grace_s"},
     {"10.200.1.7:8169", "store.example:8169", "/store"},
     {"10.1.0.10:8172", "10.1.0.10", "/listen/packets"},
+    {"\"times\"", "\"load\": {\"locality\": \"headroom\"}, \"times\"",
+     "/load/locality"},
 };
 
 // A wrong value names its place, so that nobody has to guess which.
--- a/tests/front/front_log_test.cc
+++ b/tests/front/front_log_test.cc
@@ -131,6 +131,28 @@
   BOOST_TEST(!written[1].contains("published"));
 }
 
+// Guards against spillover of which the log doesn't tell the load behind it.
+BOOST_AUTO_TEST_CASE(a_crossed_share_names_the_load) {
+  Scene scene;
+
+  scene.log.OnShareChange({"north", "diary", true, 61.5, 70.25, 80, 1200ms, 25},
+                          1000ms);
+  scene.log.OnShareChange({"north", "diary", false}, 2000ms);
+
+  const std::vector<Json> written = scene.Written(2000ms);
+  BOOST_REQUIRE(written.size() == 2U);
+  BOOST_TEST(written[0]["channel"] == "load");
+  BOOST_TEST(written[0]["event"] == "domain-over-share");
+  BOOST_TEST(written[0]["about"] == "north");
+  BOOST_TEST(written[0]["service"] == "diary");
+  BOOST_TEST(written[0]["demand"] == 61.5);
+  BOOST_TEST(written[0]["concurrency"] == 70.25);
+  BOOST_TEST(written[0]["slots"] == 80);
+  BOOST_TEST(written[0]["age_ms"] == 1200);
+  BOOST_TEST(written[0]["reporters"] == 25);
+  BOOST_TEST(written[1]["event"] == "domain-below-share");
+}
+
 // Guards against resets of open flows that are left out of the log: a rush of
 // new flows spends the budget of its channel.
 BOOST_AUTO_TEST_CASE(a_rush_of_new_flows_hides_no_reset) {
--- /dev/null
+++ b/tests/front/locality_setting_test.cc
@@ -0,0 +1,45 @@
+/// Which policy the settings select.
+#include "front/locality_setting.h"
+
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <ostream>
+
+namespace sassafrasdyke::front {
+namespace {
+
+struct Row {
+  bool share_load;
+  config::LocalityMode mode;
+  double utilization;  ///< Of the own domain.
+  bool leaves;
+};
+
+std::ostream& operator<<(std::ostream& out, const Row& row) {
+  return out << static_cast<int>(row.mode) << " at " << row.utilization;
+}
+
+const Row kRows[] = {
+    {true, config::LocalityMode::kLocal, 2.0, false},
+    {true, config::LocalityMode::kProportional, 2.0, true},
+    {true, config::LocalityMode::kHeadroom, 2.0, true},
+    {true, config::LocalityMode::kProportional, 0.8, false},
+    {true, config::LocalityMode::kHeadroom, 0.8, false},
+    {false, config::LocalityMode::kProportional, 2.0, false},
+};
+
+// Guards against a bound or a policy that the settings don't reach.
+BOOST_DATA_TEST_CASE(settings_select_the_locality, kRows, row) {
+  config::FrontLoadSettings settings;
+  settings.share_load = row.share_load;
+  settings.locality = row.mode;
+  settings.leave_at = 0.9;
+
+  const auto locality = MakeLocality(settings);
+
+  BOOST_TEST(locality->MayShare({"north", 1, row.utilization}) == row.leaves);
+}
+
+}  // namespace
+}  // namespace sassafrasdyke::front
