--- a/source/core/load/load_board.cc
+++ b/source/core/load/load_board.cc
@@ -393,6 +393,7 @@
     if (own != reports.end()) {
       load.age = own->age;
       load.reporters = own->reporters;
+      load.callers_requests_per_s = 0;
     }
   }
   return loads;
@@ -406,6 +407,9 @@
     const auto callers = static_cast<double>(report.instances);
     load->requests_per_s += entry.requests_per_s * callers;
     load->concurrency += entry.concurrency * callers;
+    const auto home =
+        std::ranges::find(loads, report.domain, &DomainLoad::domain);
+    *home->callers_requests_per_s += entry.requests_per_s * callers;
     return load;
   };
   for (const LoadEntry& entry : report.mean.entries) {
--- a/source/core/view/target_table.h
+++ b/source/core/view/target_table.h
@@ -131,6 +131,8 @@
   std::size_t ColdCount(std::chrono::milliseconds now) const;
   /// Slots of a domain's targets, of all services, that accept new flows.
   std::uint64_t SlotsIn(std::string_view domain) const;
+  /// Services with targets that accept new flows.
+  std::vector<std::string> ServingServices() const;
   /// Domains with targets that accept new flows.
   std::set<std::string> ServingDomains() const;
   /// The number of targets of all services that accept new flows.
--- a/source/front/front_log.h
+++ b/source/front/front_log.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "core/load/fleet_load.h"
+#include "core/load/share_monitor.h"
 #include "core/steering/flow_packet.h"
 #include "core/steering/target_watch.h"
 #include "core/view/live_view.h"
@@ -49,6 +50,9 @@
   /// that accept new flows.
   void OnReachability(const core::DomainLoad& load, std::uint64_t slots,
                       std::chrono::milliseconds now);
+  /// The own failure domain has crossed its share of a service's load.
+  void OnShareChange(const core::ShareChange& change,
+                     std::chrono::milliseconds now);
   /// Anything of the process itself.
   void OnNote(std::string_view event, const LineFields& fields,
               std::chrono::milliseconds now);
--- a/source/front/front_process.cc
+++ b/source/front/front_process.cc
@@ -270,6 +270,9 @@
     this->log.OnReachability(load, this->view.Targets().SlotsIn(load.domain),
                              now);
   }
+  for (const core::ShareChange& change : this->shared.TakeShareChanges()) {
+    this->log.OnShareChange(change, now);
+  }
 }
 
 void FrontProcess::OnFirstReadingCheck(ev::timer& /*watcher*/, int /*events*/) {
--- a/source/front/shared_parts.cc
+++ b/source/front/shared_parts.cc
@@ -1,5 +1,7 @@
 #include "front/shared_parts.h"
 
+#include "front/locality_setting.h"
+
 namespace sassafrasdyke::front {
 
 SharedParts::SharedParts(const config::FrontSettings& settings,
@@ -7,8 +9,15 @@
     : load(settings.load.share_load
                ? std::make_unique<LoadSharing>(settings.domain, targets)
                : nullptr),
+      locality(MakeLocality(settings.load)),
+      share_monitor(
+          this->load && settings.load.locality != config::LocalityMode::kLocal
+              ? std::make_unique<core::ShareMonitor>(settings.domain,
+                                                     settings.load.leave_at,
+                                                     targets, this->load->board)
+              : nullptr),
       observations{this->Load(), core::NoSharedObservations().weights,
-                   core::NoSharedObservations().locality, this->Observers(),
+                   *this->locality, this->Observers(),
                    settings.load.fair_admission},
       exchanges(this->MakeExchanges()) {}
 
@@ -44,6 +53,11 @@
                     : std::vector<core::DomainLoad>{};
 }
 
+std::vector<core::ShareChange> SharedParts::TakeShareChanges() {
+  return this->share_monitor ? this->share_monitor->OnTick()
+                             : std::vector<core::ShareChange>{};
+}
+
 std::vector<core::DomainLoad> SharedParts::DomainLoads() const {
   return this->load ? this->load->board.Totals()
                     : std::vector<core::DomainLoad>{};
--- a/source/front/shared_parts.h
+++ b/source/front/shared_parts.h
@@ -12,6 +12,7 @@
 #include "config/front_settings.h"
 #include "core/load/load_board.h"
 #include "core/load/load_meter.h"
+#include "core/load/share_monitor.h"
 #include "core/roster/peer_sync.h"
 #include "core/steering/shared_observations.h"
 #include "core/view/target_table.h"
@@ -37,6 +38,8 @@
   void OnTick(std::chrono::milliseconds now, std::size_t domain_instances);
   /// See LoadBoard.
   std::vector<core::DomainLoad> TakeReachabilityChanges();
+  /// See ShareMonitor; empty while flows stay in the own domain.
+  std::vector<core::ShareChange> TakeShareChanges();
 
   /// Load of all services by domain; empty while load isn't shared.
   std::vector<core::DomainLoad> DomainLoads() const;
@@ -57,6 +60,9 @@
   core::PeerSync::Observers MakeExchanges() const;
 
   const std::unique_ptr<LoadSharing> load;  ///< Null while load isn't shared.
+  const std::unique_ptr<const core::LocalityPolicy> locality;
+  /// Null while flows stay in the own domain.
+  const std::unique_ptr<core::ShareMonitor> share_monitor;
   const core::SharedObservations observations;
   const core::PeerSync::Observers exchanges;
 };
--- a/tests/front/shared_parts_test.cc
+++ b/tests/front/shared_parts_test.cc
@@ -49,7 +49,7 @@
 
 BOOST_AUTO_TEST_CASE(the_load_of_each_domain_is_shown) {
   FrontState state;
-  state.domain_loads = {{{"south", 120.5, 3.5, false, 250ms, 13}, 80}};
+  state.domain_loads = {{{"south", 120.5, 3.5, {}, false, 250ms, 13}, 80}};
   const std::string text = FrontMetrics().Text(state);
 
   for (const std::string line :
@@ -67,7 +67,7 @@
   const LogPipe pipe;
   LineLog lines(loop, pipe.WriteEnd(), {});
   FrontLog log(lines);
-  log.OnReachability({"south", 120.5, 3.5, false, 250ms, 13}, 80, 5s);
+  log.OnReachability({"south", 120.5, 3.5, {}, false, 250ms, 13}, 80, 5s);
   lines.OnTick(5s);
   const auto line = nlohmann::json::parse(pipe.ReadAll());
 
