--- a/rig/load/balancer_variant.cc
+++ b/rig/load/balancer_variant.cc
@@ -1,5 +1,6 @@
 #include "rig/load/balancer_variant.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 #include <variant>
@@ -7,6 +8,7 @@
 #include "common/hash.h"
 #include "core/steering/admission_control.h"
 #include "core/steering/flow_steering.h"
+#include "rig/load/shared_parts.h"
 
 namespace sassafrasdyke::rig {
 namespace {
@@ -16,15 +18,41 @@
 /// Longer than any play, so that nothing is forgotten for its age.
 constexpr milliseconds kFlowLife{60'000};
 
-/// This version, with or without its admission.
+constexpr config::FrontLoadSettings kAllParts{
+    .share_load = true,
+    .locality = config::LocalityMode::kHeadroom,
+    .eject_targets = true,
+    .fair_admission = true};
+
+/// A variant's name on the command line and in output.
+struct VariantName {
+  PolicyVariant variant;
+  std::string_view name;
+  std::string_view word;
+};
+constexpr VariantName kNames[] = {
+    {PolicyVariant::kThisVersion, "this-version", "this version"},
+    {PolicyVariant::kVersionBefore, "version-before", "version before"},
+    {PolicyVariant::kNoAdmission, "no-admission", "no admission"},
+    {PolicyVariant::kHash, "hash", "hash"},
+    {PolicyVariant::kNoSharedLoad, "no-shared-load", "no shared load"},
+    {PolicyVariant::kNoLocality, "no-locality", "no locality"},
+    {PolicyVariant::kNoEjection, "no-ejection", "no ejection"},
+    {PolicyVariant::kNoFairAdmission, "no-fair-admission", "no fair admission"},
+    {PolicyVariant::kProportional, "proportional", "proportional"}};
+
+/// This version with part of its parts, with or without its admission.
 class FrontVariant final : public BalancerVariant {
  public:
-  FrontVariant(const std::string& domain, const core::Publication& publication,
-               bool holds_back)
+  FrontVariant(const ModelPlace& place, const core::Publication& publication,
+               const config::FrontLoadSettings& settings, bool holds_back)
       : holds_back(holds_back),
         view(publication, kFlowLife),
-        steering(domain, {this->view.Routes(), this->view.Targets(),
-                          this->view.Contact(), this->view.Regions()}),
+        shared(settings, place, this->view),
+        steering(place.domain,
+                 {this->view.Routes(), this->view.Targets(),
+                  this->view.Contact(), this->view.Regions()},
+                 {}, 0, this->shared.Observations()),
         admission(this->view.Routes(), this->steering) {}
 
   void OnItems(core::ChangeBatch batch, milliseconds now) override {
@@ -51,12 +79,24 @@
     std::vector<Forwarded> out;
     this->view.Contact().OnAnswer(now);
     this->view.OnTick(now);
+    this->shared.OnTick(now);
     this->steering.OnTick(now);
     this->admission.OnTick(now);
     this->Release(now, out);
     return out;
   }
 
+  void AppendObservations(core::PeerObservations& observations,
+                          milliseconds now) override {
+    this->shared.Append(observations, now);
+  }
+
+  void OnObservations(const common::Endpoint& sender, const std::string& domain,
+                      const core::PeerObservations& observations,
+                      milliseconds now) override {
+    this->shared.OnObservations(sender, domain, observations, now);
+  }
+
  private:
   /// All that a held SYN is sent on with.
   static std::array<std::uint8_t, 1> BytesOf(const core::FlowPacket& packet) {
@@ -86,6 +126,7 @@
 
   const bool holds_back;
   core::LiveView view;
+  SharedParts shared;
   core::FlowSteering steering;
   core::AdmissionControl admission;
 };
@@ -142,15 +183,51 @@
 }  // namespace
 
 std::string_view Word(PolicyVariant variant) {
+  const auto* const found =
+      std::ranges::find(kNames, variant, &VariantName::variant);
+  return found == std::end(kNames) ? "unknown" : found->word;
+}
+
+std::optional<PolicyVariant> VariantOf(std::string_view name) {
+  const auto* const found = std::ranges::find(kNames, name, &VariantName::name);
+  return found == std::end(kNames) ? std::nullopt
+                                   : std::make_optional(found->variant);
+}
+
+std::string VariantNames() {
+  std::string names;
+  for (const VariantName& known : kNames) {
+    names += (names.empty() ? "" : ",") + std::string(known.name);
+  }
+  return names;
+}
+
+config::FrontLoadSettings LoadSettingsOf(PolicyVariant variant) {
+  config::FrontLoadSettings settings = kAllParts;
   switch (variant) {
     case PolicyVariant::kThisVersion:
-      return "this version";
+      break;
+    case PolicyVariant::kVersionBefore:
     case PolicyVariant::kNoAdmission:
-      return "no admission";
     case PolicyVariant::kHash:
-      return "hash";
+      return {};
+    case PolicyVariant::kNoSharedLoad:
+      settings.share_load = false;
+      break;
+    case PolicyVariant::kNoLocality:
+      settings.locality = config::LocalityMode::kLocal;
+      break;
+    case PolicyVariant::kNoEjection:
+      settings.eject_targets = false;
+      break;
+    case PolicyVariant::kNoFairAdmission:
+      settings.fair_admission = false;
+      break;
+    case PolicyVariant::kProportional:
+      settings.locality = config::LocalityMode::kProportional;
+      break;
   }
-  return "unknown";
+  return settings;
 }
 
 std::string ModelPublication::ListPath(std::string_view /*after*/) const {
@@ -187,13 +264,14 @@
 }
 
 std::unique_ptr<BalancerVariant> MakeBalancer(
-    PolicyVariant variant, const std::string& domain,
+    PolicyVariant variant, const ModelPlace& place,
     const core::Publication& publication) {
   if (variant == PolicyVariant::kHash) {
-    return std::make_unique<HashVariant>(domain, publication);
+    return std::make_unique<HashVariant>(place.domain, publication);
   }
-  return std::make_unique<FrontVariant>(domain, publication,
-                                        variant == PolicyVariant::kThisVersion);
+  return std::make_unique<FrontVariant>(place, publication,
+                                        LoadSettingsOf(variant),
+                                        variant != PolicyVariant::kNoAdmission);
 }
 
 }  // namespace sassafrasdyke::rig
--- a/rig/load/balancer_variant.h
+++ b/rig/load/balancer_variant.h
@@ -2,12 +2,15 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "config/front_settings.h"
+#include "core/load/observation_exchange.h"
 #include "core/steering/flow_packet.h"
 #include "core/view/live_view.h"
 
@@ -16,11 +19,26 @@
 /// A policy.
 enum class PolicyVariant : std::uint8_t {
   kThisVersion,
-  kNoAdmission,  ///< This version, but new flows are opened as they come.
+  kNoAdmission,  ///< The version before, but new flows are opened as they come.
   kHash,         ///< A hash over the own domain's targets, and nothing else.
+  kVersionBefore,  ///< Without all parts of docs/design/hard-load.md.
+  // This version without one part:
+  kNoSharedLoad,
+  kNoLocality,
+  kNoEjection,
+  kNoFairAdmission,
+  // This version with the other locality policy:
+  kProportional,
 };
 
+/// Name of the variant in output.
 std::string_view Word(PolicyVariant variant);
+/// The variant of a name on the command line, which has no spaces.
+std::optional<PolicyVariant> VariantOf(std::string_view name);
+/// All names, separated by commas.
+std::string VariantNames();
+/// The parts that the variant switches on.
+config::FrontLoadSettings LoadSettingsOf(PolicyVariant variant);
 
 /// What became of a packet. A packet that is dropped or held has none.
 struct Forwarded {
@@ -60,11 +78,26 @@
                                           std::chrono::milliseconds now) = 0;
   /// Ten times a second.
   virtual std::vector<Forwarded> OnTick(std::chrono::milliseconds now) = 0;
+
+  /// Adds what a digest of this instance carries.
+  virtual void AppendObservations(core::PeerObservations& /*observations*/,
+                                  std::chrono::milliseconds /*now*/) {}
+  virtual void OnObservations(const common::Endpoint& /*sender*/,
+                              const std::string& /*domain*/,
+                              const core::PeerObservations& /*observations*/,
+                              std::chrono::milliseconds /*now*/) {}
+};
+
+/// An instance's place in the fleet.
+struct ModelPlace {
+  std::string domain;
+  std::size_t domain_instances{1};  ///< By its roster, itself included.
+  std::size_t instances{1};         ///< Of the whole fleet.
 };
 
 /// `publication` must outlive the instance.
 std::unique_ptr<BalancerVariant> MakeBalancer(
-    PolicyVariant variant, const std::string& domain,
+    PolicyVariant variant, const ModelPlace& place,
     const core::Publication& publication);
 
 }  // namespace sassafrasdyke::rig
--- a/rig/load/load_comparison.cc
+++ b/rig/load/load_comparison.cc
@@ -5,18 +5,21 @@
 namespace sassafrasdyke::rig {
 
 double LoadComparison::Worth(PolicyVariant variant) const {
-  return WorthOf(this->outcomes.at(variant).Sum());
+  const auto found = this->outcomes.find(variant);
+  return found == this->outcomes.end() ? 0.0 : WorthOf(found->second.Sum());
 }
 
 double LoadComparison::Ratio() const {
-  const double plain = std::max(this->Worth(PolicyVariant::kNoAdmission),
-                                this->Worth(PolicyVariant::kHash));
+  const double plain = std::max({this->Worth(PolicyVariant::kNoAdmission),
+                                 this->Worth(PolicyVariant::kHash),
+                                 this->Worth(PolicyVariant::kVersionBefore)});
   return plain == 0 ? 1.0 : this->Worth(PolicyVariant::kThisVersion) / plain;
 }
 
-LoadComparison Compare(const LoadScenario& scenario) {
+LoadComparison Compare(const LoadScenario& scenario,
+                       std::span<const PolicyVariant> variants) {
   LoadComparison compared{scenario, {}};
-  for (const PolicyVariant variant : kPolicyVariants) {
+  for (const PolicyVariant variant : variants) {
     compared.outcomes[variant] = LoadModel(scenario, variant).Play();
   }
   return compared;
--- a/rig/load/load_comparison.h
+++ b/rig/load/load_comparison.h
@@ -2,12 +2,15 @@
 #pragma once
 
 #include <map>
+#include <span>
+#include <vector>
 
 #include "rig/load/load_model.h"
 #include "rig/load/load_scenario.h"
 
 namespace sassafrasdyke::rig {
 
+/// This version and the plain policies.
 inline constexpr PolicyVariant kPolicyVariants[] = {PolicyVariant::kThisVersion,
                                                     PolicyVariant::kNoAdmission,
                                                     PolicyVariant::kHash};
@@ -22,10 +25,13 @@
   std::map<PolicyVariant, LoadOutcome> outcomes;
 
   double Worth(PolicyVariant variant) const;
-  /// Of this version, to the better of the plain policies.
+  /// Of this version, to the better of the plain policies and the version
+  /// before, as far as these were played.
   double Ratio() const;
 };
 
-LoadComparison Compare(const LoadScenario& scenario);
+LoadComparison Compare(
+    const LoadScenario& scenario,
+    std::span<const PolicyVariant> variants = kPolicyVariants);
 
 }  // namespace sassafrasdyke::rig
--- a/rig/load/load_model.cc
+++ b/rig/load/load_model.cc
@@ -2,9 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
-#include <numbers>
-#include <tuple>
 #include <utility>
 
 #include "common/hash.h"
@@ -13,8 +10,7 @@
 namespace {
 
 using namespace std::chrono_literals;
-using Time = std::chrono::microseconds;
-using std::chrono::milliseconds;
+using Time = EventQueue::Time;
 
 /// When a client sends the copies of a SYN.
 constexpr std::array<Time, 3> kCopies{0ms, 200ms, 600ms};
@@ -23,35 +19,21 @@
 /// When a client repeats a request that no target has; the pauses double.
 constexpr Time kRepeat = 200ms;
 constexpr unsigned kRepeats = 4;
-constexpr Time kTick = 100ms;
-/// How late an instance learns of a change.
-constexpr Time kLearntWithin = 300ms;
-/// How long the entry of a target that died stays published.
-constexpr Time kEntryLapses = 3600ms;
-/// How long a target stays cold after an evacuation.
-constexpr milliseconds kWarmUp{2000};
+/// Within a failure domain, one way.
+constexpr Time kNearDelay = 100us;
 /// A client's own time between an answer and its next try.
 constexpr Time kTriesAgainAfter = 1ms;
-/// Seed salts: arrivals and work must not depend on what a policy does.
-constexpr std::uint64_t kArrivalSalt = 0x61727276;
-constexpr std::uint64_t kChanceSalt = 0x6368616E;
+constexpr std::uint32_t kRequestBytes = 100;
+constexpr std::uint32_t kAnswerBytes = 1000;
+/// Requests after which a client ends a flow that it keeps open.
+constexpr std::uint32_t kMostRequestsPerFlow = 30;
+constexpr std::uint64_t kTargetSalt = 0x74617267;
 
-constexpr std::uint32_t kRouteAddress = 0xC6120001;   // 198.18.0.1
 constexpr std::uint32_t kCallerAddress = 0x64400000;  // 100.64.0.0
-constexpr std::uint32_t kTargetAddress = 0x0A000000;  // 10.0.0.0
-constexpr std::uint16_t kRoutePort = 443;
 constexpr double kLateWorth = 0.3;
 
-std::string DomainName(std::size_t domain) {
-  return "domain-" + std::to_string(domain);
-}
-
-std::uint32_t WordOfTarget(std::size_t target) {
-  return static_cast<std::uint32_t>(target) + 1;
-}
-
-common::Endpoint RouteEndpoint() {
-  return {common::IpAddress::FromV4(kRouteAddress), kRoutePort};
+std::uint64_t KeyOf(const common::Endpoint& caller) {
+  return (static_cast<std::uint64_t>(caller.address.V4()) << 16U) | caller.port;
 }
 
 }  // namespace
@@ -69,6 +51,12 @@
   return sum;
 }
 
+LoadCell LoadOutcome::Others() const {
+  const LoadCell sum = this->Sum();
+  return {sum.asked - this->heavy.asked, sum.in_time - this->heavy.in_time,
+          sum.late - this->heavy.late, sum.failed - this->heavy.failed};
+}
+
 double WorthOf(const LoadCell& cell) {
   return cell.asked == 0 ? 1.0
                          : (cell.in_time + kLateWorth * cell.late) / cell.asked;
@@ -76,506 +64,299 @@
 
 LoadModel::LoadModel(const LoadScenario& scenario, PolicyVariant variant)
     : scenario(scenario),
-      variant(variant),
-      arrivals(common::HashNumbers(scenario.seed, 0, kArrivalSalt)),
-      chances(common::HashNumbers(scenario.seed, 0, kChanceSalt)) {
+      fleet(this->scenario, variant, this->events,
+            [this](std::size_t domain, const Forwarded& out) {
+              this->OnForwarded(domain, out);
+            }),
+      troubles(this->scenario, this->events, this->targets, this->fleet) {
   for (std::size_t d = 0; d < scenario.domains.size(); ++d) {
-    for (std::size_t i = 0; i < scenario.domains[d].instances; ++i) {
-      this->instances.push_back({d, nullptr});
-    }
     for (std::size_t i = 0; i < scenario.domains[d].targets; ++i) {
-      this->targets.emplace_back().domain = d;
+      this->targets.emplace_back(
+          d, this->scenario.service, this->events,
+          common::HashNumbers(scenario.seed, this->targets.size(),
+                              kTargetSalt));
     }
   }
 }
 
 LoadOutcome LoadModel::Play() {
-  core::PublishedConfiguration configuration{1, {}};
-  core::PublishedRoute route{RouteEndpoint(), {{"service", 1}}};
-  route.objective = this->scenario.service.objective;
-  configuration.routes.push_back(std::move(route));
-  if (this->scenario.event.warmup_rate > 0) {
-    configuration.services.push_back(
-        {"service", this->scenario.event.warmup_rate});
-  }
-  this->Tell("configuration", this->publication.Add(std::move(configuration)),
-             0ms);
-  const std::vector<std::size_t> affected = this->Affected();
-  const bool joins = this->scenario.event.trouble == LoadTrouble::kJoin;
-  for (std::size_t target = 0; target < this->targets.size(); ++target) {
-    if (!joins || std::ranges::find(affected, target) == affected.end()) {
-      this->Publish(target, false, 0ms);
-    }
-  }
-  for (std::size_t i = 0; i < this->instances.size(); ++i) {
-    this->StartInstance(i);
-    this->ScheduleTicks(i);
-  }
-  for (std::size_t d = 0; d < this->scenario.domains.size(); ++d) {
-    this->ScheduleArrivals(d);
-  }
-  this->ScheduleTrouble();
-  const Time end = this->scenario.length + this->scenario.service.deadline;
-  while (!this->events.empty() && this->events.top().at <= end) {
-    const Event event = this->events.top();
-    this->events.pop();
-    this->now = event.at;
-    event.run();
-  }
+  this->troubles.PublishInitial();
+  this->fleet.Start();
+  for (const LoadArrival& arrival : DrawArrivals(this->scenario)) {
+    this->events.After(arrival.at,
+                       [this, arrival] { this->StartRequest(arrival); });
+  }
+  this->troubles.Schedule();
+  this->events.RunUntil(this->scenario.length +
+                        this->scenario.service.deadline);
   return this->outcome;
 }
 
-void LoadModel::After(Time wait, std::function<void()> run) {
-  this->events.push({this->now + wait, ++this->last_order, std::move(run)});
-}
-
-milliseconds LoadModel::Now() const {
-  return std::chrono::floor<milliseconds>(this->now);
+void LoadModel::StartRequest(LoadArrival arrival) {
+  this->requests.push_back({arrival});
+  const RequestId id = this->requests.size() - 1;
+  ++this->CellOf(this->requests[id]).asked;
+  this->outcome.heavy.asked += arrival.heavy ? 1 : 0;
+  this->events.After(this->scenario.service.deadline,
+                     [this, id] { this->GiveUp(id); });
+  this->StartTry(id);
 }
 
-double LoadModel::Uniform() {
-  constexpr std::uint64_t kSteps = 1U << 30U;
-  return (static_cast<double>(this->arrivals.Below(kSteps)) + 0.5) / kSteps;
-}
-
-void LoadModel::Publish(std::size_t target, bool draining, Time learnt_within,
-                        milliseconds warmup_left) {
-  core::PublishedTarget entry;
-  entry.number = {WordOfTarget(target)};
-  entry.service = "service";
-  entry.domain = DomainName(this->targets[target].domain);
-  entry.address = {
-      common::IpAddress::FromV4(kTargetAddress + WordOfTarget(target)), 80};
-  entry.slots = this->scenario.service.slots;
-  entry.draining = draining;
-  entry.warmup_left = warmup_left;
-  this->Tell("target/" + std::to_string(target),
-             this->publication.Add(std::move(entry)), learnt_within);
-}
-
-void LoadModel::Remove(std::size_t target) {
-  this->Tell("target/" + std::to_string(target), std::nullopt, kLearntWithin);
-}
-
-void LoadModel::Tell(const std::string& key,
-                     const std::optional<std::string>& value,
-                     Time learnt_within) {
-  this->published.emplace_back(key, value);
-  const common::Revision at{++this->revision};
-  for (std::size_t i = 0; i < this->instances.size(); ++i) {
-    if (this->instances[i].balancer == nullptr) {
-      continue;  // It takes all when it starts.
-    }
-    const Time wait(static_cast<Time::rep>(this->chances.Below(
-        static_cast<std::uint64_t>(learnt_within.count()) + 1)));
-    this->After(wait, [this, i, key, value, at] {
-      if (this->instances[i].balancer != nullptr) {
-        core::ChangeBatch batch;
-        batch.at = at;
-        batch.changes.push_back({key, at, value});
-        this->instances[i].balancer->OnItems(std::move(batch), this->Now());
-      }
+// Only the first try of a request uses a flow that is already open: whoever
+// tries again opens another.
+void LoadModel::StartTry(RequestId id) {
+  Request& request = this->requests[id];
+  ++request.tries;
+  request.at_target = request.hung = false;
+  std::vector<FlowId>& idle = this->callers[request.arrival.caller].idle;
+  if (request.tries == 1 && request.arrival.keeps_flow && !idle.empty()) {
+    const FlowId flow = idle.back();
+    idle.pop_back();
+    this->flows[flow].request = id;
+    request.flow = flow;
+    ++this->outcome.further;
+    this->SendData(id, flow, 0);
+    return;
+  }
+  const FlowId flow = this->OpenFlow(id);
+  request.flow = flow;
+  for (std::uint32_t copy = 0; copy < kCopies.size(); ++copy) {
+    this->events.After(kCopies.at(copy), [this, id, flow, copy] {
+      this->SendSyn(id, flow, copy);
     });
   }
+  this->events.After(kTryEnds, [this, id, flow] {
+    if (this->flows[flow].word == 0) {
+      this->FailTry(id, flow);
+    }
+  });
 }
 
-void LoadModel::StartInstance(std::size_t instance) {
-  Instance& started = this->instances[instance];
-  started.balancer = MakeBalancer(this->variant, DomainName(started.domain),
-                                  this->publication);
-  core::ChangeBatch batch;
-  for (std::size_t i = 0; i < this->published.size(); ++i) {
-    const auto& [key, value] = this->published[i];
-    batch.changes.push_back({key, {i + 1}, value});
-  }
-  batch.at = {this->revision};
-  started.balancer->OnItems(std::move(batch), this->Now());
+LoadModel::FlowId LoadModel::OpenFlow(RequestId id) {
+  const std::uint32_t caller = this->requests[id].arrival.caller;
+  Flow& flow = this->flows.emplace_back();
+  flow.request = id;
+  flow.caller = {common::IpAddress::FromV4(kCallerAddress + caller),
+                 ++this->callers[caller].last_port};
+  this->flows_by_caller[KeyOf(flow.caller)] = this->flows.size() - 1;
+  return this->flows.size() - 1;
 }
 
-std::vector<std::size_t> LoadModel::Affected() const {
-  std::vector<std::size_t> affected;
-  const auto count = static_cast<std::size_t>(std::ceil(
-      this->scenario.event.share * static_cast<double>(this->targets.size())));
-  // Spread over the list, and so over the domains; one target is always left.
-  const std::size_t most =
-      std::min(count, this->targets.empty() ? 0 : this->targets.size() - 1);
-  for (std::size_t i = 0; i < most; ++i) {
-    affected.push_back(i * this->targets.size() / most);
-  }
-  return affected;
+bool LoadModel::IsPresent(RequestId id, FlowId flow) const {
+  return !this->requests[id].done && this->requests[id].flow == flow;
 }
 
-void LoadModel::ScheduleTrouble() {
-  const LoadEvent& event = this->scenario.event;
-  if (event.trouble == LoadTrouble::kOutage) {
-    for (std::size_t i = 0; i < this->instances.size(); ++i) {
-      this->After(event.at, [this, i] { this->instances[i].balancer.reset(); });
-      // Machines don't start at the same moment.
-      const Time start(static_cast<Time::rep>(this->chances.Below(300'000)));
-      this->After(event.at + event.lasts + start,
-                  [this, i] { this->StartInstance(i); });
-    }
-    return;
-  }
-  if (event.trouble == LoadTrouble::kEvacuate) {
-    this->ScheduleEvacuation();
+void LoadModel::SendSyn(RequestId id, FlowId flow, std::uint32_t copy) {
+  if (!this->IsPresent(id, flow) || this->flows[flow].word != 0) {
     return;
   }
-  for (const std::size_t target : this->Affected()) {
-    this->After(event.at, [this, target, trouble = event.trouble] {
-      switch (trouble) {
-        case LoadTrouble::kJoin:
-          this->Publish(target, false, kLearntWithin);
-          return;
-        case LoadTrouble::kLeave:
-          this->Publish(target, true, kLearntWithin);
-          return;
-        case LoadTrouble::kSlow:
-          this->targets[target].slow = true;
-          return;
-        case LoadTrouble::kDie:
-          this->targets[target].dead = true;
-          this->After(kEntryLapses, [this, target] { this->Remove(target); });
-          return;
-        case LoadTrouble::kNone:
-        case LoadTrouble::kOutage:
-        case LoadTrouble::kEvacuate:
-        case LoadTrouble::kCut:
-          return;
-      }
-    });
-    if (event.trouble == LoadTrouble::kSlow) {
-      this->After(event.at + event.lasts,
-                  [this, target] { this->targets[target].slow = false; });
-    }
-  }
-}
-
-void LoadModel::ScheduleEvacuation() {
-  const LoadEvent& event = this->scenario.event;
-  const std::string key = "evacuation/" + DomainName(0);
-  this->After(event.at, [this, key] {
-    this->Tell(key,
-               this->publication.Add(core::PublishedEvacuation{DomainName(0)}),
-               kLearntWithin);
-    this->After(kLearntWithin + this->scenario.domain_delay,
-                [this] { this->evacuated = true; });
-  });
-  this->After(event.at + event.lasts, [this, key] {
-    this->evacuated = false;
-    for (std::size_t target = 0; target < this->targets.size(); ++target) {
-      Target& cold = this->targets[target];
-      if (cold.domain != 0) {
-        continue;
-      }
-      cold.slow = cold.cold = true;
-      this->Publish(target, false, 0ms, kWarmUp);
-      this->After(kWarmUp, [&cold] { cold.slow = cold.cold = false; });
-    }
-    // Whoever learns that the domain is back knows that its targets are cold.
-    this->After(kLearntWithin,
-                [this, key] { this->Tell(key, std::nullopt, kLearntWithin); });
-  });
+  core::FlowPacket syn = this->PacketOf(flow);
+  syn.flags.syn = true;
+  syn.repeats = copy;
+  this->SendPacket(flow, syn);
 }
 
-void LoadModel::CountOpening(std::size_t target) {
-  Target& at = this->targets[target];
-  this->outcome.at_evacuated += this->evacuated && at.domain == 0 ? 1 : 0;
-  if (!at.cold) {
+void LoadModel::SendData(RequestId id, FlowId flow, unsigned repeats) {
+  if (!this->IsPresent(id, flow) || this->requests[id].at_target) {
     return;
   }
-  at.opened.push_back(this->now);
-  while (this->now - at.opened.front() > 1s) {
-    at.opened.pop_front();
+  core::FlowPacket data = this->PacketOf(flow);
+  data.flags.ack = true;
+  data.payload_bytes = kRequestBytes;
+  this->SendPacket(flow, data);
+  if (repeats < kRepeats) {
+    this->events.After(kRepeat * (1U << repeats), [this, id, flow, repeats] {
+      this->SendData(id, flow, repeats + 1);
+    });
   }
-  this->outcome.most_at_cold =
-      std::max(this->outcome.most_at_cold, static_cast<int>(at.opened.size()));
-}
-
-bool LoadModel::IsCut(std::size_t one, std::size_t other) const {
-  const LoadEvent& event = this->scenario.event;
-  return event.trouble == LoadTrouble::kCut && (one == 0) != (other == 0) &&
-         this->now >= event.at && this->now < event.at + event.lasts;
 }
 
-void LoadModel::ScheduleArrivals(std::size_t domain) {
-  const double rate = this->scenario.domains[domain].requests_per_s;
-  if (rate <= 0) {
-    return;
-  }
-  double at_s = 0;
-  while (true) {
-    at_s += -std::log(this->Uniform()) / rate;
-    const Time at(static_cast<Time::rep>(at_s * 1e6));
-    if (at >= this->scenario.length) {
-      return;
-    }
-    const double normal = std::sqrt(-2 * std::log(this->Uniform())) *
-                          std::cos(2 * std::numbers::pi * this->Uniform());
-    const double sigma = this->scenario.service.work_spread;
-    const double work_ms = this->scenario.service.work_ms *
-                           std::exp(sigma * normal - sigma * sigma / 2);
-    const Time work(static_cast<Time::rep>(work_ms * 1e3));
-    this->requests.push_back({domain, at, work, 0, 0, 0, false, false});
-    const RequestId id = this->requests.size() - 1;
-    this->After(at, [this, id] {
-      ++this->CellOf(this->requests[id]).asked;
-      this->After(this->scenario.service.deadline,
-                  [this, id] { this->Finish(id, false); });
-      this->StartTry(id);
-    });
-  }
+void LoadModel::SendAcknowledgement(FlowId flow) {
+  ++this->flows[flow].answered;
+  core::FlowPacket ack = this->PacketOf(flow);
+  ack.flags.ack = true;
+  this->SendPacket(flow, ack);
 }
 
-void LoadModel::ScheduleTicks(std::size_t instance) {
-  this->After(kTick, [this, instance] {
-    if (this->instances[instance].balancer != nullptr) {
-      this->Forward(instance,
-                    this->instances[instance].balancer->OnTick(this->Now()));
-    }
-    this->ScheduleTicks(instance);
-  });
+void LoadModel::SendEnd(FlowId flow) {
+  core::FlowPacket end = this->PacketOf(flow);
+  end.flags.ack = true;
+  end.flags.fin = true;
+  this->SendPacket(flow, end);
 }
 
-core::FlowPacket LoadModel::PacketOf(RequestId id, std::uint16_t port) const {
+core::FlowPacket LoadModel::PacketOf(FlowId id) const {
+  const Flow& flow = this->flows[id];
   core::FlowPacket packet;
-  packet.flow = {{common::IpAddress::FromV4(kCallerAddress +
-                                            static_cast<std::uint32_t>(id)),
-                  port},
-                 RouteEndpoint()};
+  packet.flow = {flow.caller, RouteEndpoint()};
+  packet.word = {flow.word};
+  packet.sequence = kRequestBytes * flow.answered;
+  packet.acknowledgement = kAnswerBytes * flow.answered;
   return packet;
 }
 
-// A router hashes over the instances that are up; the flows of one that ends
-// move, others stay.
-std::optional<std::size_t> LoadModel::InstanceFor(
-    const core::FlowPacket& packet, std::size_t domain) const {
-  const std::uint64_t flow = common::FingerprintOf(packet.flow, 0).value;
-  std::optional<std::size_t> best;
-  std::uint64_t best_score = 0;
-  for (std::size_t i = 0; i < this->instances.size(); ++i) {
-    const Instance& instance = this->instances[i];
-    const std::uint64_t score = common::HashNumbers(flow, i, 0);
-    if (instance.domain == domain && instance.balancer != nullptr &&
-        (!best || score > best_score)) {
-      best = i;
-      best_score = score;
-    }
-  }
-  return best;
-}
-
-LoadModel::Time LoadModel::DelayTo(std::size_t instance,
-                                   std::size_t target) const {
-  const bool near =
-      this->instances[instance].domain == this->targets[target].domain;
-  return near ? Time(100) : Time(this->scenario.domain_delay);
-}
-
-LoadCell& LoadModel::CellOf(const Request& request) {
-  const auto second = static_cast<std::size_t>(request.asked_at / 1s);
-  while (this->outcome.cells.size() <= second) {
-    this->outcome.cells.emplace_back(this->scenario.domains.size());
-  }
-  return this->outcome.cells[second][request.domain];
+void LoadModel::SendPacket(FlowId flow, const core::FlowPacket& packet) {
+  const std::size_t domain =
+      this->requests[this->flows[flow].request].arrival.domain;
+  this->events.After(this->scenario.client_delay, [this, packet, domain] {
+    this->fleet.OnPacket(packet, domain);
+  });
 }
 
-void LoadModel::StartTry(RequestId id) {
-  Request& request = this->requests[id];
-  ++request.tries;
-  ++request.port;
-  request.word = 0;
-  request.at_target = false;
-  const std::uint16_t port = request.port;
-  for (std::uint32_t copy = 0; copy < kCopies.size(); ++copy) {
-    this->After(kCopies.at(copy),
-                [this, id, port, copy] { this->SendSyn(id, port, copy); });
-  }
-  this->After(kTryEnds, [this, id, port] {
-    if (this->requests[id].word == 0) {
-      this->FailTry(id, port);
-    }
-  });
+bool LoadModel::IsCut(RequestId id, std::size_t target) const {
+  return this->scenario.IsCut(this->targets[target].Domain(),
+                              this->requests[id].arrival.domain,
+                              this->events.Now());
 }
 
-void LoadModel::SendSyn(RequestId id, std::uint16_t port, std::uint32_t copy) {
-  const Request& request = this->requests[id];
-  if (request.done || request.port != port || request.word != 0) {
+void LoadModel::OnForwarded(std::size_t instance_domain, const Forwarded& out) {
+  const FlowId flow = this->flows_by_caller.at(KeyOf(out.packet.flow.caller));
+  const RequestId id = this->flows[flow].request;
+  if (out.word == 0) {
+    ++this->outcome.refused;
+    this->events.After(this->scenario.client_delay,
+                       [this, id, flow] { this->FailTry(id, flow); });
     return;
   }
-  core::FlowPacket syn = this->PacketOf(id, port);
-  syn.flags.syn = true;
-  syn.repeats = copy;
-  this->SendPacket(id, syn);
-}
-
-void LoadModel::SendData(RequestId id, std::uint16_t port, std::uint32_t word,
-                         unsigned repeats) {
-  const Request& request = this->requests[id];
-  if (request.done || request.port != port || request.at_target) {
+  const std::size_t target = out.word - 1;
+  const std::size_t domain = this->targets[target].Domain();
+  if (this->scenario.IsCut(instance_domain, domain, this->events.Now())) {
     return;
   }
-  core::FlowPacket data = this->PacketOf(id, port);
-  data.flags.ack = true;
-  data.word = {word};
-  data.payload_bytes = 100;
-  this->SendPacket(id, data);
-  if (repeats < kRepeats) {
-    this->After(kRepeat * (1U << repeats), [this, id, port, word, repeats] {
-      this->SendData(id, port, word, repeats + 1);
+  const Time delay = instance_domain == domain
+                         ? kNearDelay
+                         : Time(this->scenario.domain_delay);
+  if (out.packet.flags.syn) {
+    this->events.After(delay, [this, id, flow, target] {
+      this->OnSynAtTarget(id, flow, target);
+    });
+  } else if (out.packet.payload_bytes > 0) {
+    this->events.After(delay, [this, id, flow, target] {
+      this->OnDataAtTarget(id, flow, target);
     });
   }
 }
 
-void LoadModel::SendEnd(RequestId id, std::uint16_t port, std::uint32_t word) {
-  core::FlowPacket ack = this->PacketOf(id, port);
-  ack.flags.ack = true;
-  ack.word = {word};
-  ack.sequence = 100;
-  ack.acknowledgement = 1000;
-  this->SendPacket(id, ack);
-  ack.flags.fin = true;
-  this->SendPacket(id, ack);
-}
-
-void LoadModel::SendPacket(RequestId id, const core::FlowPacket& packet) {
-  const std::size_t domain = this->requests[id].domain;
-  this->After(this->scenario.client_delay, [this, packet, domain] {
-    if (const auto instance = this->InstanceFor(packet, domain)) {
-      this->Forward(*instance, this->instances[*instance].balancer->OnPacket(
-                                   packet, this->Now()));
+void LoadModel::OnSynAtTarget(RequestId id, FlowId flow, std::size_t target) {
+  if (this->targets[target].dead || this->IsCut(id, target)) {
+    return;
+  }
+  this->CountOpening(id, target);
+  this->events.After(this->scenario.client_delay, [this, id, flow, target] {
+    if (this->IsPresent(id, flow) && this->flows[flow].word == 0) {
+      this->flows[flow].word = WordOfTarget(target);
+      this->SendData(id, flow, 0);
     }
   });
 }
 
-void LoadModel::Forward(std::size_t instance,
-                        const std::vector<Forwarded>& packets) {
-  for (const Forwarded& out : packets) {
-    const auto id = static_cast<RequestId>(out.packet.flow.caller.address.V4() -
-                                           kCallerAddress);
-    const std::uint16_t port = out.packet.flow.caller.port;
-    if (out.word == 0) {
-      this->After(this->scenario.client_delay,
-                  [this, id, port] { this->FailTry(id, port); });
-      continue;
-    }
-    const std::size_t target = out.word - 1;
-    if (this->IsCut(this->instances[instance].domain,
-                    this->targets[target].domain)) {
-      continue;
-    }
-    const Time delay = this->DelayTo(instance, target);
-    if (out.packet.flags.syn) {
-      this->After(delay, [this, id, port, target] {
-        this->OnSynAtTarget(id, port, target);
-      });
-    } else if (out.packet.payload_bytes > 0) {
-      this->After(delay, [this, id, port, target] {
-        this->OnDataAtTarget(id, port, target);
-      });
-    }
+void LoadModel::CountOpening(RequestId id, std::size_t target) {
+  TargetModel& at = this->targets[target];
+  const std::size_t domain = at.Domain();
+  this->outcome.at_evacuated += this->troubles.IsEvacuated(domain) ? 1 : 0;
+  this->outcome.other_domain +=
+      domain == this->requests[id].arrival.domain ? 0 : 1;
+  if (at.cold) {
+    this->outcome.most_at_cold = std::max(this->outcome.most_at_cold,
+                                          static_cast<int>(at.CountOpening()));
   }
 }
 
-void LoadModel::OnSynAtTarget(RequestId id, std::uint16_t port,
-                              std::size_t target) {
-  if (this->targets[target].dead ||
-      this->IsCut(this->targets[target].domain, this->requests[id].domain)) {
-    return;
-  }
-  this->CountOpening(target);
-  this->After(this->scenario.client_delay, [this, id, port, target] {
-    Request& request = this->requests[id];
-    if (request.done || request.port != port || request.word != 0) {
-      return;
-    }
-    request.word = WordOfTarget(target);
-    this->SendData(id, port, request.word, 0);
-  });
-}
-
-void LoadModel::OnDataAtTarget(RequestId id, std::uint16_t port,
-                               std::size_t target) {
+void LoadModel::OnDataAtTarget(RequestId id, FlowId flow, std::size_t target) {
   Request& request = this->requests[id];
-  Target& at = this->targets[target];
-  if (at.dead || request.port != port || request.at_target) {
+  TargetModel& at = this->targets[target];
+  if (at.dead || request.flow != flow || request.at_target || request.hung) {
     return;
   }
-  request.at_target = true;
-  if (at.in_work < this->scenario.service.slots) {
-    this->Work(target, id, port);
-  } else if (at.waiting.size() < this->scenario.service.queue) {
-    at.waiting.emplace_back(
-        [this, target, id, port] { this->Work(target, id, port); });
-  } else {
+  const RequestReception reception = at.OnRequest(
+      request.arrival.work,
+      [this, id, flow, target] { this->OnProcessed(id, flow, target); });
+  // The client of a hung request doesn't learn that its target has it.
+  request.hung = reception == RequestReception::kHung;
+  request.at_target = !request.hung;
+  if (reception == RequestReception::kRejected ||
+      reception == RequestReception::kReset) {
     ++this->outcome.turned_away;
-    this->After(this->scenario.client_delay, [this, id, port, target] {
-      this->SendEnd(id, port, WordOfTarget(target));
-      this->FailTry(id, port);
-    });
+    this->events.After(this->scenario.client_delay,
+                       [this, id, flow, reception] {
+                         if (reception == RequestReception::kRejected) {
+                           this->SendAcknowledgement(flow);
+                           this->SendEnd(flow);
+                         }
+                         this->FailTry(id, flow);
+                       });
   }
 }
 
-void LoadModel::Work(std::size_t target, RequestId id, std::uint16_t port) {
-  Target& at = this->targets[target];
-  ++at.in_work;
-  const double factor = at.slow ? this->scenario.event.factor : 1.0;
-  const Time work(static_cast<Time::rep>(
-      static_cast<double>(this->requests[id].work.count()) * factor));
-  this->After(work, [this, target, id, port] {
-    Target& done = this->targets[target];
-    --done.in_work;
-    if (!done.waiting.empty()) {
-      const std::function<void()> next = std::move(done.waiting.front());
-      done.waiting.pop_front();
-      next();
-    }
-    if (!done.dead && !this->IsCut(done.domain, this->requests[id].domain)) {
-      this->After(this->scenario.client_delay, [this, id, port, target] {
-        this->OnAnswer(id, port, WordOfTarget(target));
-      });
-    }
-  });
+void LoadModel::OnProcessed(RequestId id, FlowId flow, std::size_t target) {
+  if (!this->targets[target].dead && !this->IsCut(id, target)) {
+    this->events.After(this->scenario.client_delay,
+                       [this, id, flow] { this->OnAnswer(id, flow); });
+  }
 }
 
-void LoadModel::OnAnswer(RequestId id, std::uint16_t port, std::uint32_t word) {
-  this->SendEnd(id, port, word);
-  if (this->requests[id].port == port) {
+void LoadModel::OnAnswer(RequestId id, FlowId flow) {
+  const Request& request = this->requests[id];
+  this->SendAcknowledgement(flow);
+  if (request.arrival.keeps_flow && this->IsPresent(id, flow) &&
+      this->flows[flow].answered < kMostRequestsPerFlow) {
+    this->callers[request.arrival.caller].idle.push_back(flow);
+  } else {
+    this->SendEnd(flow);
+  }
+  if (request.flow == flow) {
     this->Finish(id, true);
   }
 }
 
-void LoadModel::FailTry(RequestId id, std::uint16_t port) {
-  const Request& request = this->requests[id];
-  if (request.done || request.port != port) {
+void LoadModel::FailTry(RequestId id, FlowId flow) {
+  if (!this->IsPresent(id, flow)) {
     return;
   }
-  if (request.tries >= kTries) {
+  if (this->requests[id].tries >= kTries) {
     this->Finish(id, false);
     return;
   }
-  this->After(kTriesAgainAfter, [this, id, port] {
-    const Request& again = this->requests[id];
-    if (!again.done && again.port == port) {
+  this->events.After(kTriesAgainAfter, [this, id, flow] {
+    if (this->IsPresent(id, flow)) {
       this->StartTry(id);
     }
   });
 }
 
+void LoadModel::GiveUp(RequestId id) {
+  const Request& request = this->requests[id];
+  if (!request.done && request.hung) {
+    core::FlowPacket reset = this->PacketOf(request.flow);
+    reset.flags.rst = true;
+    this->SendPacket(request.flow, reset);
+  }
+  this->Finish(id, false);
+}
+
 void LoadModel::Finish(RequestId id, bool served) {
   Request& request = this->requests[id];
   if (request.done) {
     return;
   }
   request.done = true;
-  LoadCell& cell = this->CellOf(request);
-  if (!served) {
-    ++cell.failed;
-    return;
+  const bool in_time = this->events.Now() - request.arrival.at <=
+                       this->scenario.service.objective;
+  const auto count = [&](LoadCell& cell) {
+    (!served ? cell.failed : in_time ? cell.in_time : cell.late) += 1;
+  };
+  count(this->CellOf(request));
+  if (request.arrival.heavy) {
+    count(this->outcome.heavy);
+  }
+}
+
+LoadCell& LoadModel::CellOf(const Request& request) {
+  const auto second = static_cast<std::size_t>(request.arrival.at / 1s);
+  while (this->outcome.cells.size() <= second) {
+    this->outcome.cells.emplace_back(this->scenario.domains.size());
   }
-  const bool in_time =
-      this->now - request.asked_at <= this->scenario.service.objective;
-  (in_time ? cell.in_time : cell.late) += 1;
+  return this->outcome.cells[second][request.arrival.domain];
 }
 
 }  // namespace sassafrasdyke::rig
--- a/rig/load/load_model.h
+++ b/rig/load/load_model.h
@@ -9,14 +9,15 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
-#include <functional>
-#include <memory>
-#include <queue>
+#include <unordered_map>
 #include <vector>
 
-#include "core/fleet/jitter.h"
-#include "rig/load/balancer_variant.h"
+#include "rig/load/event_queue.h"
+#include "rig/load/load_demand.h"
 #include "rig/load/load_scenario.h"
+#include "rig/load/model_fleet.h"
+#include "rig/load/model_troubles.h"
+#include "rig/load/target_model.h"
 
 namespace sassafrasdyke::rig {
 
@@ -31,13 +32,19 @@
 /// By second since the start, and then by domain.
 struct LoadOutcome {
   std::vector<std::vector<LoadCell>> cells;
-  int turned_away{0};  ///< Tries that a full target refused.
+  LoadCell heavy;       ///< Of the callers that bring half of the load.
+  int turned_away{0};   ///< Tries that a target rejected or reset.
+  int refused{0};       ///< Tries that an instance reset.
+  int other_domain{0};  ///< New flows at targets of another domain.
+  int further{0};       ///< Requests on flows that had one before.
   /// New flows that reached targets of a domain whose evacuation every instance
   /// knew of.
   int at_evacuated{0};
   int most_at_cold{0};  ///< New flows at one cold target within a second.
 
   LoadCell Sum() const;
+  /// Of all callers but the heavy ones.
+  LoadCell Others() const;
 };
 
 /// The part of the requests that is served, late ones at three tenths.
@@ -50,95 +57,63 @@
   LoadOutcome Play();
 
  private:
-  using Time = std::chrono::microseconds;
+  using Time = EventQueue::Time;
   using RequestId = std::size_t;
+  using FlowId = std::size_t;
 
   struct Request {
-    std::size_t domain{0};
-    Time asked_at{0};
-    Time work{0};
+    LoadArrival arrival;
     unsigned tries{0};
-    std::uint16_t port{0};  ///< Of the present try's flow.
-    std::uint32_t word{0};  ///< Of the target that opened it; 0 before.
+    FlowId flow{0};         ///< Of the present try.
     bool at_target{false};  ///< Its target has the request.
+    bool hung{false};       ///< Its target doesn't answer it.
     bool done{false};
   };
-  struct Instance {
-    std::size_t domain{0};
-    std::unique_ptr<BalancerVariant> balancer;  ///< Null while it is off.
+  struct Flow {
+    RequestId request{0};  ///< The one that it carries.
+    common::Endpoint caller;
+    std::uint32_t word{0};      ///< Of the target that opened it; 0 before.
+    std::uint32_t answered{0};  ///< Requests.
   };
-  struct Target {
-    std::size_t domain{0};
-    std::deque<std::function<void()>> waiting;
-    std::size_t in_work{0};
-    bool dead{false};
-    bool slow{false};
-    bool cold{false};
-    std::deque<Time> opened;  ///< Its new flows of the last second while cold.
+  struct Caller {
+    std::uint16_t last_port{0};
+    std::vector<FlowId> idle;
   };
-  struct Event {
-    Time at{0};
-    std::uint64_t order{0};
-    std::function<void()> run;
-    bool operator>(const Event& other) const {
-      return std::tie(this->at, this->order) > std::tie(other.at, other.order);
-    }
-  };
-
-  void After(Time wait, std::function<void()> run);
-  std::chrono::milliseconds Now() const;
-  double Uniform();
 
-  void Publish(std::size_t target, bool draining, Time learnt_within,
-               std::chrono::milliseconds warmup_left = {});
-  void Remove(std::size_t target);
-  void Tell(const std::string& key, const std::optional<std::string>& value,
-            Time learnt_within);
-  void StartInstance(std::size_t instance);
-  void ScheduleTrouble();
-  void ScheduleEvacuation();
-  void CountOpening(std::size_t target);
-  /// Whether a cut lies between the two domains now.
-  bool IsCut(std::size_t one, std::size_t other) const;
-  void ScheduleArrivals(std::size_t domain);
-  void ScheduleTicks(std::size_t instance);
-  std::vector<std::size_t> Affected() const;
-
-  void Ask(std::size_t domain);
+  void StartRequest(LoadArrival arrival);
   void StartTry(RequestId id);
-  void SendSyn(RequestId id, std::uint16_t port, std::uint32_t copy);
-  void SendData(RequestId id, std::uint16_t port, std::uint32_t word,
-                unsigned repeats);
-  void SendEnd(RequestId id, std::uint16_t port, std::uint32_t word);
-  void SendPacket(RequestId id, const core::FlowPacket& packet);
-  void Forward(std::size_t instance, const std::vector<Forwarded>& packets);
-  void OnSynAtTarget(RequestId id, std::uint16_t port, std::size_t target);
-  void OnDataAtTarget(RequestId id, std::uint16_t port, std::size_t target);
-  void Work(std::size_t target, RequestId id, std::uint16_t port);
-  void OnAnswer(RequestId id, std::uint16_t port, std::uint32_t word);
-  void FailTry(RequestId id, std::uint16_t port);
+  FlowId OpenFlow(RequestId id);
+  /// Whether the request waits for what comes back on this flow.
+  bool IsPresent(RequestId id, FlowId flow) const;
+  void SendSyn(RequestId id, FlowId flow, std::uint32_t copy);
+  void SendData(RequestId id, FlowId flow, unsigned repeats);
+  void SendAcknowledgement(FlowId flow);
+  void SendEnd(FlowId flow);
+  void SendPacket(FlowId flow, const core::FlowPacket& packet);
+  core::FlowPacket PacketOf(FlowId flow) const;
+
+  void OnForwarded(std::size_t instance_domain, const Forwarded& out);
+  void OnSynAtTarget(RequestId id, FlowId flow, std::size_t target);
+  void OnDataAtTarget(RequestId id, FlowId flow, std::size_t target);
+  void OnProcessed(RequestId id, FlowId flow, std::size_t target);
+  void OnAnswer(RequestId id, FlowId flow);
+  void CountOpening(RequestId id, std::size_t target);
+
+  void FailTry(RequestId id, FlowId flow);
+  void GiveUp(RequestId id);
   void Finish(RequestId id, bool served);
-
-  core::FlowPacket PacketOf(RequestId id, std::uint16_t port) const;
-  std::optional<std::size_t> InstanceFor(const core::FlowPacket& packet,
-                                         std::size_t domain) const;
-  Time DelayTo(std::size_t instance, std::size_t target) const;
+  bool IsCut(RequestId id, std::size_t target) const;
   LoadCell& CellOf(const Request& request);
 
   const LoadScenario scenario;
-  const PolicyVariant variant;
-  core::Jitter arrivals;  ///< Apart from the rest: the same for every policy.
-  core::Jitter chances;
-  ModelPublication publication;
-  std::vector<std::pair<std::string, std::optional<std::string>>> published;
-  std::uint64_t revision{0};
+  EventQueue events;
+  std::deque<TargetModel> targets;
+  ModelFleet fleet;
+  ModelTroubles troubles;
   std::vector<Request> requests;
-  std::vector<Instance> instances;
-  std::vector<Target> targets;
-  std::priority_queue<Event, std::vector<Event>, std::greater<>> events;
-  std::uint64_t last_order{0};
-  Time now{0};
-  bool evacuated{false};  ///< The first domain is, and every instance knows.
+  std::vector<Flow> flows;
+  std::unordered_map<std::uint32_t, Caller> callers;
+  std::unordered_map<std::uint64_t, FlowId> flows_by_caller;
   LoadOutcome outcome;
 };
 
--- a/rig/load/load_scenario.cc
+++ b/rig/load/load_scenario.cc
@@ -4,6 +4,8 @@
 #include <array>
 #include <cstdio>
 #include <nlohmann/json.hpp>
+#include <span>
+#include <stdexcept>
 #include <utility>
 
 #include "core/fleet/jitter.h"
@@ -18,7 +20,7 @@
 /// plays take minutes.
 constexpr double kMostRequestsPerSecond = 600;
 
-constexpr std::array<std::pair<LoadTrouble, std::string_view>, 8> kTroubles{{
+constexpr std::array<std::pair<LoadTrouble, std::string_view>, 14> kTroubles{{
     {LoadTrouble::kNone, "none"},
     {LoadTrouble::kOutage, "outage"},
     {LoadTrouble::kJoin, "join"},
@@ -27,10 +29,23 @@
     {LoadTrouble::kDie, "die"},
     {LoadTrouble::kEvacuate, "evacuate"},
     {LoadTrouble::kCut, "cut"},
+    {LoadTrouble::kUneven, "uneven"},
+    {LoadTrouble::kMove, "move"},
+    {LoadTrouble::kHeavy, "heavy"},
+    {LoadTrouble::kHang, "hang"},
+    {LoadTrouble::kReject, "reject"},
+    {LoadTrouble::kReset, "reset"},
 }};
-/// Only the first troubles are drawn, so that a seed's deployment stays the
-/// same when others are added.
+/// DrawLoadScenario draws only the first ones, so that a seed's deployment
+/// stays the same when others are added.
 constexpr std::size_t kDrawnTroubles = 6;
+/// DrawHardLoadScenario draws one of the first of these and others of all.
+constexpr LoadTrouble kUnevenTroubles[] = {
+    LoadTrouble::kUneven, LoadTrouble::kMove, LoadTrouble::kHeavy};
+constexpr LoadTrouble kHardTroubles[] = {
+    LoadTrouble::kSlow,   LoadTrouble::kDie,   LoadTrouble::kHang,
+    LoadTrouble::kReject, LoadTrouble::kReset, LoadTrouble::kLeave,
+    LoadTrouble::kCut,    LoadTrouble::kUneven};
 
 milliseconds Ms(const Json& json, const char* name, milliseconds otherwise) {
   return milliseconds(json.value(name, otherwise.count()));
@@ -49,9 +64,32 @@
   event.share = json.value("share", event.share);
   event.factor = json.value("factor", event.factor);
   event.warmup_rate = json.value("warmup_rate", event.warmup_rate);
+  event.domain = json.value("domain", event.domain);
+  event.part = json.value("part", event.part);
   return event;
 }
 
+/// One `event` or several `events`.
+std::vector<LoadEvent> ReadEvents(const Json& json) {
+  std::vector<LoadEvent> events;
+  if (json.contains("event")) {
+    events.push_back(ReadEvent(json.at("event")));
+  }
+  for (const Json& event : json.value("events", Json::array())) {
+    events.push_back(ReadEvent(event));
+  }
+  return events;
+}
+
+void CheckDomains(const LoadScenario& scenario) {
+  for (const LoadEvent& event : scenario.events) {
+    // A scenario without domains is empty, and its event concerns none.
+    if (event.domain >= std::max<std::size_t>(scenario.domains.size(), 1)) {
+      throw std::invalid_argument("event.domain: no such domain");
+    }
+  }
+}
+
 LoadService ReadService(const Json& json) {
   LoadService service;
   service.slots = json.value("slots", service.slots);
@@ -76,6 +114,9 @@
   std::size_t Count(std::size_t low, std::size_t high) {
     return low + this->random.Below(high - low + 1);
   }
+  LoadTrouble OneOf(std::span<const LoadTrouble> troubles) {
+    return troubles[this->random.Below(troubles.size())];
+  }
 
  private:
   core::Jitter random;
@@ -116,7 +157,10 @@
                                   domain.at("requests_per_s").get<double>()});
     }
     scenario.service = ReadService(json.at("service"));
-    scenario.event = ReadEvent(json.value("event", Json::object()));
+    scenario.events = ReadEvents(json);
+    scenario.callers = json.value("callers", scenario.callers);
+    scenario.long_flows = json.value("long_flows", scenario.long_flows);
+    CheckDomains(scenario);
     return scenario;
   } catch (const std::exception& error) {
     return tl::unexpected(std::string(error.what()));
@@ -154,7 +198,7 @@
   for (LoadDomain& domain : scenario.domains) {
     domain.requests_per_s = all / static_cast<double>(domains);
   }
-  LoadEvent& event = scenario.event;
+  LoadEvent& event = scenario.events.emplace_back();
   event.trouble = kTroubles.at(draw.Count(0, kDrawnTroubles - 1)).first;
   event.at = milliseconds(2000);
   event.lasts = milliseconds(draw.Count(500, 2500));
@@ -163,6 +207,64 @@
   return scenario;
 }
 
+LoadScenario DrawHardLoadScenario(std::uint64_t seed) {
+  Draw draw(seed);
+  LoadScenario scenario;
+  scenario.name = "hard-" + std::to_string(seed);
+  scenario.seed = seed;
+  scenario.client_delay = milliseconds(1);
+  scenario.domain_delay = milliseconds(draw.Count(1, 5));
+  LoadService& service = scenario.service;
+  service.slots = static_cast<std::uint32_t>(draw.Count(1, 4));
+  service.work_ms = draw.Between(10, 40);
+  service.work_spread = draw.Between(0.2, 0.8);
+  service.objective = milliseconds(draw.Count(250, 800));
+  service.deadline = service.objective * static_cast<int>(draw.Count(5, 8));
+  const std::size_t domains = draw.Count(2, 4);
+  std::size_t targets = 0;
+  for (std::size_t i = 0; i < domains; ++i) {
+    scenario.domains.push_back({draw.Count(2, 8), draw.Count(4, 12), 0});
+    targets += scenario.domains.back().targets;
+  }
+  const double capacity =
+      static_cast<double>(targets * service.slots) * 1000 / service.work_ms;
+  const double all =
+      std::min(kMostRequestsPerSecond, capacity * draw.Between(0.1, 0.5));
+  for (LoadDomain& domain : scenario.domains) {
+    domain.requests_per_s = all / static_cast<double>(domains);
+  }
+  scenario.callers = static_cast<std::uint32_t>(draw.Count(40, 400));
+  scenario.long_flows =
+      static_cast<double>(draw.Count(0, 1)) * draw.Between(0.2, 0.9);
+  for (std::size_t i = draw.Count(2, 3); i > 0; --i) {
+    LoadEvent event;
+    event.trouble = scenario.events.empty() ? draw.OneOf(kUnevenTroubles)
+                                            : draw.OneOf(kHardTroubles);
+    event.at = milliseconds(draw.Count(1500, 4000));
+    event.lasts = milliseconds(draw.Count(1000, 4000));
+    event.share = draw.Between(0.1, 0.4);
+    event.factor = draw.Between(2, 8);
+    event.domain = draw.Count(0, domains - 1);
+    event.part = draw.Between(0.2, 1);
+    scenario.events.push_back(event);
+  }
+  return scenario;
+}
+
+bool LoadScenario::Has(LoadTrouble trouble) const {
+  return std::ranges::find(this->events, trouble, &LoadEvent::trouble) !=
+         this->events.end();
+}
+
+bool LoadScenario::IsCut(std::size_t one, std::size_t other,
+                         std::chrono::microseconds at) const {
+  return std::ranges::any_of(this->events, [&](const LoadEvent& event) {
+    return event.trouble == LoadTrouble::kCut &&
+           (one == event.domain) != (other == event.domain) && at >= event.at &&
+           at < event.at + event.lasts;
+  });
+}
+
 std::string Describe(const LoadScenario& scenario) {
   std::size_t targets = 0;
   std::size_t instances = 0;
@@ -175,6 +277,11 @@
   const LoadService& service = scenario.service;
   const double load = rate * service.work_ms /
                       (1000.0 * static_cast<double>(targets) * service.slots);
+  std::string troubles;
+  for (const LoadEvent& event : scenario.events) {
+    troubles +=
+        (troubles.empty() ? "" : "+") + std::string(Word(event.trouble));
+  }
   char line[256];
   std::snprintf(line, sizeof(line),
                 "%zu domains, %zu instances, %zu targets of %u slots, work "
@@ -182,7 +289,7 @@
                 scenario.domains.size(), instances, targets, service.slots,
                 service.work_ms, service.work_spread,
                 static_cast<long long>(service.objective.count()), load,
-                std::string(Word(scenario.event.trouble)).c_str());
+                troubles.empty() ? "none" : troubles.c_str());
   return line;
 }
 
--- a/rig/load/main.cc
+++ b/rig/load/main.cc
@@ -6,6 +6,7 @@
 #include <iomanip>
 #include <iostream>
 #include <iterator>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -18,11 +19,16 @@
 
 void PrintLine(const LoadComparison& compared) {
   std::cout << std::fixed << std::setprecision(4) << compared.scenario.name;
-  for (const PolicyVariant variant : kPolicyVariants) {
-    std::cout << "  " << Word(variant) << " " << compared.Worth(variant);
+  for (const auto& [variant, outcome] : compared.outcomes) {
+    std::cout << "  " << Word(variant) << " " << WorthOf(outcome.Sum());
+    if (compared.scenario.Has(LoadTrouble::kHeavy)) {
+      std::cout << " (others " << WorthOf(outcome.Others()) << ")";
+    }
   }
-  std::cout << "  ratio " << compared.Ratio() << "  "
-            << Describe(compared.scenario) << "\n";
+  if (compared.outcomes.contains(PolicyVariant::kThisVersion)) {
+    std::cout << "  ratio " << compared.Ratio();
+  }
+  std::cout << "  " << Describe(compared.scenario) << "\n";
 }
 
 void WriteCsv(const LoadComparison& compared, std::ostream& out) {
@@ -39,53 +45,75 @@
   }
 }
 
-/// `trouble` replaces the drawn one.
-LoadScenario DrawWith(std::uint64_t seed, std::optional<LoadTrouble> trouble) {
-  LoadScenario scenario = DrawLoadScenario(seed);
-  scenario.event.trouble = trouble.value_or(scenario.event.trouble);
+/// What the command line asks for.
+struct Request {
+  std::size_t drawn{0};
+  std::uint64_t first_seed{1};
+  bool hard{false};
+  std::optional<LoadTrouble> trouble;  ///< In place of the drawn ones.
+  std::vector<PolicyVariant> variants;
+  std::string csv;
+};
+
+LoadScenario DrawWith(std::uint64_t seed, const Request& request) {
+  LoadScenario scenario =
+      request.hard ? DrawHardLoadScenario(seed) : DrawLoadScenario(seed);
+  if (request.trouble) {
+    scenario.events.resize(1);
+    scenario.events.front().trouble = *request.trouble;
+  }
   return scenario;
 }
 
-int PlayDrawn(std::uint64_t first_seed, std::size_t count,
-              std::optional<LoadTrouble> trouble) {
+int PlayDrawn(const Request& request) {
   constexpr std::size_t kShown = 10;
   std::vector<LoadComparison> all;
-  for (std::size_t i = 0; i < count; ++i) {
-    all.push_back(Compare(DrawWith(first_seed + i, trouble)));
+  for (std::size_t i = 0; i < request.drawn; ++i) {
+    all.push_back(
+        Compare(DrawWith(request.first_seed + i, request), request.variants));
   }
   std::ranges::sort(all, {}, &LoadComparison::Ratio);
   double sum = 0;
   std::size_t below = 0;
+  std::map<PolicyVariant, double> worths;
   for (const LoadComparison& compared : all) {
     sum += compared.Ratio();
     below += compared.Ratio() < kLeastRatio ? 1 : 0;
+    for (const PolicyVariant variant : request.variants) {
+      worths[variant] += compared.Worth(variant);
+    }
   }
-  std::cout << count << " drawn deployments, mean ratio " << std::fixed
-            << std::setprecision(4) << sum / static_cast<double>(count) << ", "
-            << below << " below " << std::setprecision(2) << kLeastRatio
-            << "; the lowest:\n";
+  const auto count = static_cast<double>(request.drawn);
+  std::cout << request.drawn << " drawn deployments, mean ratio " << std::fixed
+            << std::setprecision(4) << sum / count << ", " << below << " below "
+            << std::setprecision(2) << kLeastRatio << "; mean worth"
+            << std::setprecision(4);
+  for (const auto& [variant, worth] : worths) {
+    std::cout << "  " << Word(variant) << " " << worth / count;
+  }
+  std::cout << "; the lowest:\n";
   for (std::size_t i = 0; i < std::min(kShown, all.size()); ++i) {
     PrintLine(all[i]);
   }
   return EXIT_SUCCESS;
 }
 
-int PlayOne(const LoadScenario& scenario, const std::string& csv) {
-  const LoadComparison compared = Compare(scenario);
+int PlayOne(const LoadScenario& scenario, const Request& request) {
+  const LoadComparison compared = Compare(scenario, request.variants);
   PrintLine(compared);
-  if (csv.empty()) {
+  if (request.csv.empty()) {
     return EXIT_SUCCESS;
   }
-  std::ofstream out(csv);
+  std::ofstream out(request.csv);
   WriteCsv(compared, out);
   if (!out) {
-    std::cerr << csv << ": can't be written\n";
+    std::cerr << request.csv << ": can't be written\n";
     return EXIT_FAILURE;
   }
   return EXIT_SUCCESS;
 }
 
-int PlayFile(const std::string& path, const std::string& csv) {
+int PlayFile(const std::string& path, const Request& request) {
   std::ifstream file(path);
   const std::string text{std::istreambuf_iterator<char>(file), {}};
   const auto scenario = ReadLoadScenario(text);
@@ -94,7 +122,32 @@
               << "\n";
     return EXIT_FAILURE;
   }
-  return PlayOne(*scenario, csv);
+  return PlayOne(*scenario, request);
+}
+
+/// Nothing, with a message, if a word is unknown.
+std::optional<Request> ReadRequest(const cxxopts::ParseResult& given) {
+  Request request;
+  request.drawn = given["drawn"].as<std::size_t>();
+  request.first_seed = given["seed"].as<std::uint64_t>();
+  request.hard = given["hard"].as<bool>();
+  request.csv = given["csv"].as<std::string>();
+  const auto word = given["trouble"].as<std::string>();
+  request.trouble = TroubleOf(word);
+  if (!request.trouble && !word.empty()) {
+    std::cerr << "no such trouble: " << word << "\n";
+    return std::nullopt;
+  }
+  for (const auto& name : given["variants"].as<std::vector<std::string>>()) {
+    const auto variant = VariantOf(name);
+    if (!variant) {
+      std::cerr << "no such variant: " << name << ", but " << VariantNames()
+                << "\n";
+      return std::nullopt;
+    }
+    request.variants.push_back(*variant);
+  }
+  return request;
 }
 
 int Main(int argc, char** argv) {
@@ -108,30 +161,33 @@
        cxxopts::value<std::string>()->default_value(""))               //
       ("drawn",
        "how many deployments to draw in place of a scenario; with 1 there is "
-       "a CSV",                                                      //
-       cxxopts::value<std::size_t>()->default_value("0"))            //
+       "a CSV",                                            //
+       cxxopts::value<std::size_t>()->default_value("0"))  //
+      ("hard",
+       "draw deployments with uneven demand, failing targets and long flows",
+       cxxopts::value<bool>()->default_value("false"))               //
       ("trouble", "in place of the drawn ones: evacuate, cut, ...",  //
        cxxopts::value<std::string>()->default_value(""))             //
-      ("seed", "of the first drawn deployment",                      //
-       cxxopts::value<std::uint64_t>()->default_value("1"))          //
+      ("variants", "policies to play, of " + VariantNames(),         //
+       cxxopts::value<std::vector<std::string>>()->default_value(
+           "this-version,no-admission,hash"))                //
+      ("seed", "of the first drawn deployment",              //
+       cxxopts::value<std::uint64_t>()->default_value("1"))  //
       ("help", "this text");
   try {
     const auto given = options.parse(argc, argv);
-    if (const auto drawn = given["drawn"].as<std::size_t>(); drawn > 0) {
-      const auto seed = given["seed"].as<std::uint64_t>();
-      const auto word = given["trouble"].as<std::string>();
-      const auto trouble = TroubleOf(word);
-      if (!trouble && !word.empty()) {
-        std::cerr << "no such trouble: " << word << "\n";
-        return EXIT_FAILURE;
-      }
-      return drawn == 1 ? PlayOne(DrawWith(seed, trouble),
-                                  given["csv"].as<std::string>())
-                        : PlayDrawn(seed, drawn, trouble);
+    const auto request = ReadRequest(given);
+    if (!request) {
+      return EXIT_FAILURE;
+    }
+    if (request->drawn > 1) {
+      return PlayDrawn(*request);
+    }
+    if (request->drawn == 1) {
+      return PlayOne(DrawWith(request->first_seed, *request), *request);
     }
     if (given.count("scenario") > 0 && given.count("help") == 0) {
-      return PlayFile(given["scenario"].as<std::string>(),
-                      given["csv"].as<std::string>());
+      return PlayFile(given["scenario"].as<std::string>(), *request);
     }
     std::cout << options.help();
     return given.count("help") > 0 ? EXIT_SUCCESS : EXIT_FAILURE;
--- /dev/null
+++ b/rig/load/shared_parts.h
@@ -0,0 +1,43 @@
+/// The parts of one instance that share observations with others, as the
+/// settings switch them on.
+#pragma once
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "config/front_settings.h"
+#include "core/load/observation_exchange.h"
+#include "core/steering/shared_observations.h"
+#include "core/view/live_view.h"
+#include "rig/load/balancer_variant.h"
+
+namespace sassafrasdyke::rig {
+
+class SharedParts {
+ public:
+  /// `view` must outlive the parts.
+  SharedParts(const config::FrontLoadSettings& settings,
+              const ModelPlace& place, const core::LiveView& view);
+
+  /// What FlowSteering gets; valid as long as the parts are.
+  const core::SharedObservations& Observations() const {
+    return this->observations;
+  }
+  void OnTick(std::chrono::milliseconds now);
+  void Append(core::PeerObservations& observations,
+              std::chrono::milliseconds now);
+  void OnObservations(const common::Endpoint& sender, const std::string& domain,
+                      const core::PeerObservations& observations,
+                      std::chrono::milliseconds now);
+
+ private:
+  std::unique_ptr<core::FleetLoad> load;
+  std::unique_ptr<core::TargetWeights> weights;
+  std::unique_ptr<core::LocalityPolicy> locality;
+  std::vector<core::ObservationExchange*> exchanges;
+  core::SharedObservations observations;
+};
+
+}  // namespace sassafrasdyke::rig
--- a/tests/rig/load_model_test.cc
+++ b/tests/rig/load_model_test.cc
@@ -70,8 +70,8 @@
 // All instances are off for a second. Callers of that second come back.
 BOOST_AUTO_TEST_CASE(an_outage_is_survived) {
   LoadScenario scenario = TwoDomains();
-  scenario.event = {LoadTrouble::kOutage, std::chrono::milliseconds(1500),
-                    std::chrono::milliseconds(1000), 0, 1};
+  scenario.events = {{LoadTrouble::kOutage, std::chrono::milliseconds(1500),
+                      std::chrono::milliseconds(1000), 0, 1}};
   const LoadCell sum =
       LoadModel(scenario, PolicyVariant::kThisVersion).Play().Sum();
 
@@ -106,12 +106,9 @@
   for (int i = 0; i < 3; ++i) {
     scenario.domains.push_back({4, 10, row.requests_per_s});
   }
-  scenario.event = {LoadTrouble::kEvacuate,
-                    std::chrono::milliseconds(1500),
-                    std::chrono::milliseconds(2500),
-                    0,
-                    1.6,
-                    row.warmup_rate};
+  scenario.events = {{LoadTrouble::kEvacuate, std::chrono::milliseconds(1500),
+                      std::chrono::milliseconds(2500), 0, 1.6,
+                      row.warmup_rate}};
 
   const LoadOutcome outcome =
       LoadModel(scenario, PolicyVariant::kThisVersion).Play();
@@ -138,7 +135,24 @@
   BOOST_TEST(scenario->domains.size() == 2U);
   BOOST_TEST(scenario->service.slots == 3U);
   BOOST_TEST(scenario->service.objective.count() == 80);
-  BOOST_TEST((scenario->event.trouble == LoadTrouble::kSlow));
+  BOOST_TEST((scenario->events.front().trouble == LoadTrouble::kSlow));
+}
+
+BOOST_AUTO_TEST_CASE(a_scenario_may_have_several_events) {
+  const auto scenario = ReadLoadScenario(R"({
+    "domains": [{"instances": 2, "targets": 4, "requests_per_s": 50},
+                {"instances": 2, "targets": 4, "requests_per_s": 50}],
+    "service": {}, "callers": 30, "long_flows": 0.4,
+    "events": [{"trouble": "uneven", "domain": 1, "factor": 6},
+               {"trouble": "hang", "part": 0.5}]})");
+
+  BOOST_REQUIRE(scenario.has_value());
+  BOOST_TEST(scenario->callers == 30U);
+  BOOST_TEST(scenario->long_flows == 0.4);
+  BOOST_REQUIRE(scenario->events.size() == 2U);
+  BOOST_TEST(scenario->events[0].domain == 1U);
+  BOOST_TEST((scenario->events[1].trouble == LoadTrouble::kHang));
+  BOOST_TEST(scenario->events[1].part == 0.5);
 }
 
 const std::string kWrong[] = {
@@ -147,7 +161,8 @@
     R"({"domains":[]})",
     R"({"domains":[{}],"service":{}})",
     R"({"domains":[],"service":{"slots":"two"}})",
-    R"({"domains":[],"service":{},"event":{"trouble":"flood"}})"};
+    R"({"domains":[],"service":{},"event":{"trouble":"flood"}})",
+    R"({"domains":[],"service":{},"event":{"domain":1}})"};
 
 BOOST_DATA_TEST_CASE(a_wrong_scenario_is_refused, kWrong, text) {
   BOOST_TEST(!ReadLoadScenario(text).has_value());
