Load model: instances share load, and probe targets that seem silent

Cause: the variants of the load model have no parts that share observations, and silent targets are never confirmed. Change: LoadMeter and LoadBoard are constructed for variants that share load. Instances probe in scenarios that switch it on; a fleet takes a factory of its instances, so that a test sees the digests.

--- a/rig/load/balancer_variant.cc
+++ b/rig/load/balancer_variant.cc
@@ -86,6 +86,34 @@
     return out;
   }
 
+  std::vector<std::uint32_t> TakeProbes(milliseconds now) override {
+    std::vector<std::uint32_t> words;
+    for (const core::TargetIndex target :
+         this->steering.Watch().TakeProbes(now)) {
+      if (this->view.Targets().Has(target)) {
+        words.push_back(this->view.Targets().At(target).word.value);
+      }
+    }
+    return words;
+  }
+
+  std::vector<Forwarded> OnProbed(std::uint32_t word, bool answered,
+                                  milliseconds started,
+                                  milliseconds now) override {
+    std::vector<Forwarded> resets;
+    const auto target = this->view.Targets().IndexOf({word});
+    const auto outcome =
+        answered ? core::ProbeOutcome::kAnswered : core::ProbeOutcome::kSilent;
+    if (target &&
+        this->steering.Watch().OnProbed(*target, outcome, started, now)) {
+      for (const core::FlowPacket& packet :
+           this->steering.TakeFlowsOf(*target)) {
+        resets.push_back({packet, 0});
+      }
+    }
+    return resets;
+  }
+
   void AppendObservations(core::PeerObservations& observations,
                           milliseconds now) override {
     this->shared.Append(observations, now);
--- a/rig/load/balancer_variant.h
+++ b/rig/load/balancer_variant.h
@@ -79,6 +79,19 @@
   /// Ten times a second.
   virtual std::vector<Forwarded> OnTick(std::chrono::milliseconds now) = 0;
 
+  /// Words of the targets that the instance probes now.
+  virtual std::vector<std::uint32_t> TakeProbes(
+      std::chrono::milliseconds /*now*/) {
+    return {};
+  }
+  /// Returns resets of the flows of a target that has turned out silent.
+  virtual std::vector<Forwarded> OnProbed(std::uint32_t /*word*/,
+                                          bool /*answered*/,
+                                          std::chrono::milliseconds /*started*/,
+                                          std::chrono::milliseconds /*now*/) {
+    return {};
+  }
+
   /// Adds what a digest of this instance carries.
   virtual void AppendObservations(core::PeerObservations& /*observations*/,
                                   std::chrono::milliseconds /*now*/) {}
--- a/rig/load/load_model.cc
+++ b/rig/load/load_model.cc
@@ -19,8 +19,6 @@
 /// When a client repeats a request that no target has; the pauses double.
 constexpr Time kRepeat = 200ms;
 constexpr unsigned kRepeats = 4;
-/// Within a failure domain, one way.
-constexpr Time kNearDelay = 100us;
 /// A client's own time between an answer and its next try.
 constexpr Time kTriesAgainAfter = 1ms;
 constexpr std::uint32_t kRequestBytes = 100;
@@ -64,10 +62,13 @@
 
 LoadModel::LoadModel(const LoadScenario& scenario, PolicyVariant variant)
     : scenario(scenario),
-      fleet(this->scenario, variant, this->events,
-            [this](std::size_t domain, const Forwarded& out) {
-              this->OnForwarded(domain, out);
-            }),
+      fleet(
+          this->scenario,
+          [variant](const ModelPlace& place,
+                    const core::Publication& publication) {
+            return MakeBalancer(variant, place, publication);
+          },
+          this->events, *this),
       troubles(this->scenario, this->events, this->targets, this->fleet) {
   for (std::size_t d = 0; d < scenario.domains.size(); ++d) {
     for (std::size_t i = 0; i < scenario.domains[d].targets; ++i) {
@@ -109,6 +110,7 @@
   ++request.tries;
   request.at_target = request.hung = false;
   std::vector<FlowId>& idle = this->callers[request.arrival.caller].idle;
+  std::erase_if(idle, [this](FlowId flow) { return this->flows[flow].reset; });
   if (request.tries == 1 && request.arrival.keeps_flow && !idle.empty()) {
     const FlowId flow = idle.back();
     idle.pop_back();
@@ -209,11 +211,18 @@
                               this->events.Now());
 }
 
-void LoadModel::OnForwarded(std::size_t instance_domain, const Forwarded& out) {
+bool LoadModel::Accepts(std::size_t instance_domain, std::uint32_t word) const {
+  const TargetModel& target = this->targets[word - 1];
+  return !target.dead && !this->scenario.IsCut(instance_domain, target.Domain(),
+                                               this->events.Now());
+}
+
+void LoadModel::Send(std::size_t instance_domain, const Forwarded& out) {
   const FlowId flow = this->flows_by_caller.at(KeyOf(out.packet.flow.caller));
   const RequestId id = this->flows[flow].request;
   if (out.word == 0) {
     ++this->outcome.refused;
+    this->flows[flow].reset = true;
     this->events.After(this->scenario.client_delay,
                        [this, id, flow] { this->FailTry(id, flow); });
     return;
@@ -223,9 +232,7 @@
   if (this->scenario.IsCut(instance_domain, domain, this->events.Now())) {
     return;
   }
-  const Time delay = instance_domain == domain
-                         ? kNearDelay
-                         : Time(this->scenario.domain_delay);
+  const Time delay = DelayBetween(this->scenario, instance_domain, domain);
   if (out.packet.flags.syn) {
     this->events.After(delay, [this, id, flow, target] {
       this->OnSynAtTarget(id, flow, target);
--- a/rig/load/load_model.h
+++ b/rig/load/load_model.h
@@ -34,7 +34,7 @@
   std::vector<std::vector<LoadCell>> cells;
   LoadCell heavy;       ///< Of the callers that bring half of the load.
   int turned_away{0};   ///< Tries that a target rejected or reset.
-  int refused{0};       ///< Tries that an instance reset.
+  int refused{0};       ///< Flows that an instance reset.
   int other_domain{0};  ///< New flows at targets of another domain.
   int further{0};       ///< Requests on flows that had one before.
   /// New flows that reached targets of a domain whose evacuation every instance
@@ -51,7 +51,7 @@
 double WorthOf(const LoadCell& cell);
 
 /// One play.
-class LoadModel {
+class LoadModel final : private ModelNetwork {
  public:
   LoadModel(const LoadScenario& scenario, PolicyVariant variant);
   LoadOutcome Play();
@@ -74,6 +74,7 @@
     common::Endpoint caller;
     std::uint32_t word{0};      ///< Of the target that opened it; 0 before.
     std::uint32_t answered{0};  ///< Requests.
+    bool reset{false};          ///< By an instance.
   };
   struct Caller {
     std::uint16_t last_port{0};
@@ -92,7 +93,8 @@
   void SendPacket(FlowId flow, const core::FlowPacket& packet);
   core::FlowPacket PacketOf(FlowId flow) const;
 
-  void OnForwarded(std::size_t instance_domain, const Forwarded& out);
+  void Send(std::size_t instance_domain, const Forwarded& out) override;
+  bool Accepts(std::size_t instance_domain, std::uint32_t word) const override;
   void OnSynAtTarget(RequestId id, FlowId flow, std::size_t target);
   void OnDataAtTarget(RequestId id, FlowId flow, std::size_t target);
   void OnProcessed(RequestId id, FlowId flow, std::size_t target);
--- a/rig/load/load_scenario.cc
+++ b/rig/load/load_scenario.cc
@@ -159,6 +159,7 @@
     scenario.service = ReadService(json.at("service"));
     scenario.events = ReadEvents(json);
     scenario.callers = json.value("callers", scenario.callers);
+    scenario.probes = json.value("probes", scenario.probes);
     scenario.long_flows = json.value("long_flows", scenario.long_flows);
     CheckDomains(scenario);
     return scenario;
@@ -233,6 +234,7 @@
   for (LoadDomain& domain : scenario.domains) {
     domain.requests_per_s = all / static_cast<double>(domains);
   }
+  scenario.probes = true;
   scenario.callers = static_cast<std::uint32_t>(draw.Count(40, 400));
   scenario.long_flows =
       static_cast<double>(draw.Count(0, 1)) * draw.Between(0.2, 0.9);
--- a/rig/load/load_scenario.h
+++ b/rig/load/load_scenario.h
@@ -81,6 +81,9 @@
   std::vector<LoadEvent> events;
   /// Callers of each domain; 0: each request has a caller of its own.
   std::uint32_t callers{0};
+  /// Whether instances probe targets that seem silent; off in the deployments
+  /// that were drawn before the model had probes.
+  bool probes{false};
   double long_flows{0};  ///< Part of the callers that keep their flows open.
 
   bool Has(LoadTrouble trouble) const;
--- a/rig/load/model_fleet.cc
+++ b/rig/load/model_fleet.cc
@@ -15,6 +15,8 @@
 constexpr Time kDigestInterval = 500ms;
 /// Within a domain, one way.
 constexpr Time kNearDelay = 100us;
+constexpr Time kProbeAnswer = 10ms;
+constexpr Time kProbeDeadline = 200ms;
 /// Machines that were off don't start at the same moment.
 constexpr std::uint64_t kLongestStartUs = 300'000;
 constexpr std::uint64_t kChanceSalt = 0x6368616E;
@@ -33,12 +35,17 @@
   return "domain-" + std::to_string(domain);
 }
 
-ModelFleet::ModelFleet(const LoadScenario& scenario, PolicyVariant variant,
-                       EventQueue& events, Sender send)
+EventQueue::Time DelayBetween(const LoadScenario& scenario, std::size_t one,
+                              std::size_t other) {
+  return one == other ? kNearDelay : Time(scenario.domain_delay);
+}
+
+ModelFleet::ModelFleet(const LoadScenario& scenario, Factory make,
+                       EventQueue& events, ModelNetwork& network)
     : scenario(scenario),
-      variant(variant),
+      make(std::move(make)),
       events(events),
-      send(std::move(send)),
+      network(network),
       chances(common::HashNumbers(scenario.seed, 0, kChanceSalt)),
       peers(common::HashNumbers(scenario.seed, 0, kPeerSalt)) {
   for (std::size_t d = 0; d < scenario.domains.size(); ++d) {
@@ -98,11 +105,10 @@
 void ModelFleet::StartInstance(std::size_t instance) {
   Instance& started = this->instances[instance];
   started.balancer =
-      MakeBalancer(this->variant,
-                   {DomainName(started.domain),
-                    this->scenario.domains[started.domain].instances,
-                    this->instances.size()},
-                   this->publication);
+      this->make({DomainName(started.domain),
+                  this->scenario.domains[started.domain].instances,
+                  this->instances.size()},
+                 this->publication);
   core::ChangeBatch batch;
   for (std::size_t i = 0; i < this->published.size(); ++i) {
     const auto& [key, value] = this->published[i];
@@ -140,14 +146,11 @@
     return;
   }
   core::PeerObservations observations;
+  observations.sent_at = this->events.NowMs();
   sender->AppendObservations(observations, this->events.NowMs());
-  if (observations.Empty()) {
-    return;
-  }
-  const Time delay =
-      domain == other ? kNearDelay : Time(this->scenario.domain_delay);
   this->events.After(
-      delay, [this, from, to, observations = std::move(observations)] {
+      DelayBetween(this->scenario, domain, other),
+      [this, from, to, observations = std::move(observations)] {
         if (BalancerVariant* const up = this->instances[to].balancer.get()) {
           up->OnObservations(EndpointOf(from),
                              DomainName(this->instances[from].domain),
@@ -181,11 +184,32 @@
 
 void ModelFleet::Send(std::size_t instance,
                       const std::vector<Forwarded>& packets) {
+  const Instance& sender = this->instances[instance];
   for (const Forwarded& out : packets) {
-    this->send(this->instances[instance].domain, out);
+    this->network.Send(sender.domain, out);
+  }
+  if (this->scenario.probes) {
+    for (const std::uint32_t word :
+         sender.balancer->TakeProbes(this->events.NowMs())) {
+      this->StartProbe(instance, word);
+    }
   }
 }
 
+void ModelFleet::StartProbe(std::size_t instance, std::uint32_t word) {
+  const bool accepted =
+      this->network.Accepts(this->instances[instance].domain, word);
+  const auto started = this->events.NowMs();
+  this->events.After(accepted ? kProbeAnswer : kProbeDeadline, [this, instance,
+                                                                word, accepted,
+                                                                started] {
+    if (BalancerVariant* const up = this->instances[instance].balancer.get()) {
+      this->Send(instance,
+                 up->OnProbed(word, accepted, started, this->events.NowMs()));
+    }
+  });
+}
+
 // A router hashes over the instances that are up; the flows of one that ends
 // move, others stay.
 std::optional<std::size_t> ModelFleet::InstanceFor(
--- a/rig/load/model_fleet.h
+++ b/rig/load/model_fleet.h
@@ -23,15 +23,31 @@
 /// Time within which an instance learns of a change.
 inline constexpr EventQueue::Time kPropagation = std::chrono::milliseconds(300);
 
+/// What instances send packets and probes to.
+class ModelNetwork {
+ public:
+  virtual ~ModelNetwork() = default;
+
+  virtual void Send(std::size_t instance_domain, const Forwarded& out) = 0;
+  /// Whether the target of this word accepts connections from the domain.
+  virtual bool Accepts(std::size_t instance_domain,
+                       std::uint32_t word) const = 0;
+};
+
+/// One way between an instance and whatever else is in a domain.
+EventQueue::Time DelayBetween(const LoadScenario& scenario, std::size_t one,
+                              std::size_t other);
+
 class ModelFleet {
  public:
   using Time = EventQueue::Time;
-  using Sender =
-      std::function<void(std::size_t instance_domain, const Forwarded& out)>;
+  /// Makes an instance that has not been told anything.
+  using Factory = std::function<std::unique_ptr<BalancerVariant>(
+      const ModelPlace&, const core::Publication&)>;
 
-  /// The references must outlive the fleet. `send` gets what instances forward.
-  ModelFleet(const LoadScenario& scenario, PolicyVariant variant,
-             EventQueue& events, Sender send);
+  /// The references must outlive the fleet.
+  ModelFleet(const LoadScenario& scenario, Factory make, EventQueue& events,
+             ModelNetwork& network);
 
   /// Starts all instances, which have what was published until then.
   void Start();
@@ -54,14 +70,16 @@
   void ScheduleDigests(std::size_t instance, Time wait, bool to_own_domain);
   void SendDigest(std::size_t from, std::size_t to);
   std::optional<std::size_t> DrawPeer(std::size_t instance, bool of_own_domain);
+  /// Sends what an instance forwards, and its probes.
   void Send(std::size_t instance, const std::vector<Forwarded>& packets);
+  void StartProbe(std::size_t instance, std::uint32_t word);
   std::optional<std::size_t> InstanceFor(const core::FlowPacket& packet,
                                          std::size_t domain) const;
 
   const LoadScenario& scenario;
-  const PolicyVariant variant;
+  const Factory make;
   EventQueue& events;
-  const Sender send;
+  ModelNetwork& network;
   core::Jitter chances;
   core::Jitter peers;  ///< Digests must not change the other draws.
   ModelPublication publication;
--- a/rig/load/shared_parts.cc
+++ b/rig/load/shared_parts.cc
@@ -1,20 +1,38 @@
 #include "rig/load/shared_parts.h"
 
+#include <utility>
+
 namespace sassafrasdyke::rig {
+namespace {
+
+/// How long an instance that has just started knows of no other.
+constexpr std::chrono::milliseconds kMeetsOthersAfter{1000};
+
+}  // namespace
 
 SharedParts::SharedParts(const config::FrontLoadSettings& settings,
-                         const ModelPlace& /*place*/,
-                         const core::LiveView& /*view*/)
-    : load(std::make_unique<core::UnknownFleetLoad>()),
-      weights(std::make_unique<core::EqualTargetWeights>()),
-      locality(std::make_unique<core::OwnDomainLocality>()),
-      observations{*this->load,
-                   *this->weights,
-                   *this->locality,
-                   {},
-                   settings.fair_admission} {}
-
-void SharedParts::OnTick(std::chrono::milliseconds /*now*/) {}
+                         ModelPlace place, const core::LiveView& view)
+    : place(std::move(place)) {
+  const core::FleetLoad* load = &this->unknown_load;
+  std::vector<core::RequestObserver*> observers;
+  if (settings.share_load) {
+    core::LoadMeter& measured = this->meter.emplace(view.Targets());
+    load = &this->board.emplace(this->place.domain, measured);
+    observers.push_back(&measured);
+    this->exchanges.push_back(&*this->board);
+  }
+  this->observations.emplace(
+      core::SharedObservations{*load, this->equal_weights, this->own_domain,
+                               std::move(observers), settings.fair_admission});
+}
+
+void SharedParts::OnTick(std::chrono::milliseconds now) {
+  this->started_at = this->started_at.value_or(now);
+  const bool knows_others = now - *this->started_at >= kMeetsOthersAfter;
+  if (this->board) {
+    this->board->OnTick(now, knows_others ? this->place.domain_instances : 1);
+  }
+}
 
 void SharedParts::Append(core::PeerObservations& observations,
                          std::chrono::milliseconds now) {
--- a/rig/load/shared_parts.h
+++ b/rig/load/shared_parts.h
@@ -3,11 +3,13 @@
 #pragma once
 
 #include <chrono>
-#include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "config/front_settings.h"
+#include "core/load/load_board.h"
+#include "core/load/load_meter.h"
 #include "core/load/observation_exchange.h"
 #include "core/steering/shared_observations.h"
 #include "core/view/live_view.h"
@@ -18,12 +20,12 @@
 class SharedParts {
  public:
   /// `view` must outlive the parts.
-  SharedParts(const config::FrontLoadSettings& settings,
-              const ModelPlace& place, const core::LiveView& view);
+  SharedParts(const config::FrontLoadSettings& settings, ModelPlace place,
+              const core::LiveView& view);
 
   /// What FlowSteering gets; valid as long as the parts are.
   const core::SharedObservations& Observations() const {
-    return this->observations;
+    return *this->observations;
   }
   void OnTick(std::chrono::milliseconds now);
   void Append(core::PeerObservations& observations,
@@ -33,11 +35,17 @@
                       std::chrono::milliseconds now);
 
  private:
-  std::unique_ptr<core::FleetLoad> load;
-  std::unique_ptr<core::TargetWeights> weights;
-  std::unique_ptr<core::LocalityPolicy> locality;
+  const ModelPlace place;
+  std::optional<std::chrono::milliseconds> started_at;
+  /// Both only while load is shared.
+  std::optional<core::LoadMeter> meter;
+  std::optional<core::LoadBoard> board;
+  // In place of parts that are switched off.
+  core::UnknownFleetLoad unknown_load;
+  core::EqualTargetWeights equal_weights;
+  core::OwnDomainLocality own_domain;
   std::vector<core::ObservationExchange*> exchanges;
-  core::SharedObservations observations;
+  std::optional<core::SharedObservations> observations;
 };
 
 }  // namespace sassafrasdyke::rig
