Soak: targets turn slow and failing, callers gather in one domain

Cause: the soak has no load of docs/design/hard-load.md. Change: two load faults, drawn from numbers of their own; instances of even seeds have a section `load` in their settings. Seeds of regressions.txt keep the faults that they had. Clients reset flows whose request has no answer.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -36,6 +36,8 @@
                        "metrics": f"{self.ip}:{METRICS_PORT}"},
             "store": f"127.0.0.1:{self.proxy.port}",
             "seeds": [f"{seed}:1" for seed in seeds], "times": times}
+        if self.world.load_settings:
+            settings["load"] = self.world.load_settings
         path = self.folder / f"{self.name}.json"
         path.write_text("// Written by the soak.\n" + json.dumps(settings))
         return path
--- a/soak/run.py
+++ b/soak/run.py
@@ -2,7 +2,8 @@
 """A randomized soak of the real program as separate processes on loopback.
 
 Everything follows from the seed but the machine's own timing: which instance,
-store, target or connection fails when, for how long, and what overlaps. While
+store, target or connection fails when, for how long, and what overlaps; and
+whether the instances' settings switch on decisions by shared load. While
 it runs, clients and targets check what the system promises:
 
   route    a flow opens only at a target of a service that a configuration allows
@@ -41,6 +42,9 @@
 JUDGED = 4.0  # Seconds of the last judgement.
 LANES = 60  # Each has four of the networks 127.0 to 127.239.
 LANE_PORT = 7999  # Of the address by which a run holds its lane.
+# Seeds of regressions.txt that failed before there were load faults; they play
+# the faults of then.
+BEFORE_LOAD = {77, 102, 103, 104, 315, 320, 2034, 8102}
 SERVED = 0.97  # Share of requests that must be served in them.
 HICCUP = 0.3
 
@@ -51,6 +55,11 @@
     def __init__(self, options, folder):
         self.options, self.folder = options, folder
         self.random = random.Random(options.seed)
+        # Load faults draw from their own numbers, so that a seed keeps the
+        # others that it had before there were any.
+        self.load_random = random.Random(f"{options.seed}/load")
+        self.load_faults = options.seed not in BEFORE_LOAD
+        self.load_settings = self.draw_load_settings()
         self.store = store.Store()
         self.packet_port = world.PACKET_PORT
         self.instances, self.targets, self.clients = [], {}, []
@@ -67,6 +76,16 @@
         self.free_addresses = []
         self.evacuated = {}  # Time of publication, by failure domain.
 
+    def draw_load_settings(self):
+        """The section `load` of the instances' settings, for even seeds."""
+        choose = self.load_random
+        if not self.load_faults or self.options.seed % 2:
+            return {}
+        return {"share_load": True,
+                "locality": choose.choice(["headroom", "proportional"]),
+                "eject_targets": choose.random() < 0.8,
+                "fair_admission": choose.random() < 0.8}
+
     @staticmethod
     def now():
         return asyncio.get_running_loop().time()
@@ -162,6 +181,8 @@
     def check_stray(self, client, flow, packet):
         """A target that doesn't hold the flow got a packet of it."""
         own = self.targets.get(flow.target)
+        if own is not None and (client.address, flow.port) in own.dropped:
+            return
         instance = self.came_through.get((client.address, flow.port))
         if own is not None and own.alive and instance.calm():
             self.broken("flow", f"{client.address}:{flow.port} at "
@@ -349,6 +370,32 @@
             self.configure(dict(routes))
             await asyncio.sleep(self.random.uniform(0.05, 0.5))
 
+    # Load faults, beside the others ---------------------------------------
+
+    async def trouble_targets(self):
+        """Part of the targets turn slow or failing for a while."""
+        choose = self.load_random
+        live = sorted(self.live(), key=lambda one: one.name)
+        chosen = choose.sample(live, choose.randint(1, max(1, len(live) // 3)))
+        failure, part = choose.choice(world.FAILURES), choose.uniform(0.2, 1)
+        for one in chosen:
+            one.failure, one.part = failure, part
+        await asyncio.sleep(choose.uniform(1, 6))
+        for one in chosen:
+            one.failure = None
+
+    async def trouble_gather(self):
+        """Callers enter at one failure domain for a while."""
+        choose = self.load_random
+        domain = choose.choice(DOMAINS)
+        chosen = choose.sample(self.clients, choose.randint(
+            len(self.clients) // 2, len(self.clients)))
+        for client in chosen:
+            client.domain = domain
+        await asyncio.sleep(choose.uniform(1, 6))
+        for client in chosen:
+            client.domain = client.home
+
     def restart(self):
         return self.options.program, [one.ip for one in self.instances[:3]]
 
@@ -395,13 +442,14 @@
                 for one in self.instances:
                     asyncio.create_task(one.check_ready())
 
-    async def inject(self, end):
-        kinds = sorted(name for name in dir(self) if name.startswith("fault_"))
+    async def inject(self, end, prefix, choose):
+        """Starts functions whose names have the prefix."""
+        kinds = sorted(name for name in dir(self) if name.startswith(prefix))
         running = set()
         while self.now() < end:
-            await asyncio.sleep(self.random.uniform(0.1, 1.6))
-            kind = self.random.choice(kinds)
-            self.faults[kind[6:]] += 1
+            await asyncio.sleep(choose.uniform(0.1, 1.6))
+            kind = choose.choice(kinds)
+            self.faults[kind.removeprefix("fault_")] += 1
             task = asyncio.create_task(getattr(self, kind)())
             running.add(task)
             task.add_done_callback(running.discard)
@@ -421,7 +469,11 @@
         work = [asyncio.create_task(client.run(f"{self.options.seed}/{i}"))
                 for i, client in enumerate(self.clients)]
         await asyncio.sleep(1)
-        await self.inject(self.now() + self.options.seconds)
+        end = self.now() + self.options.seconds
+        faults = [self.inject(end, "fault_", self.random)]
+        if self.load_faults:
+            faults.append(self.inject(end, "trouble_", self.load_random))
+        await asyncio.gather(*faults)
         for one in self.instances:
             one.proxy.mode = store.PASS
         await asyncio.sleep(SETTLE)
@@ -445,7 +497,8 @@
         print(f"seed {self.options.seed}: {len(self.found)} broken, "
               f"{served} of {len(self.outcomes)} requests served, "
               f"{self.store.calls} calls, {self.hiccups} own pauses, "
-              f"faults {dict(sorted(self.faults.items()))}", flush=True)
+              f"faults {dict(sorted(self.faults.items()))}, "
+              f"load {self.load_settings}", flush=True)
 
 
 def claim_lane(first):
--- a/soak/world.py
+++ b/soak/world.py
@@ -8,6 +8,10 @@
 from soak import wire
 
 PACKET_PORT = 18172
+# What a failing target does with part of its requests.
+FAILURES = ("slow", "hang", "reject", "reset")
+SLOWDOWN = 20
+REJECTED = "rejected"  # In place of the target's name: it has not run.
 REPEATS = (0.2, 0.4, 0.8, 1.6)  # Seconds between copies of a packet.
 DEADLINE = 2.0
 
@@ -48,6 +52,9 @@
         self.ended_at = None
         self.sequence = 0
         self.hidden_until = 0.0  # The store doesn't hear it.
+        self.failure, self.part = None, 0.0  # One of FAILURES, of what part.
+        self.running = set()  # Requests.
+        self.dropped = set()  # Flows that it has reset.
 
     async def start(self):
         host, port = self.address.split(":")
@@ -94,7 +101,7 @@
         elif flow not in self.flows or packet.ack != self.seq + 1:
             # No such flow, or it was opened at another target.
             self.reply(packet, wire.RST, b"")
-        elif packet.flags & wire.FIN:
+        elif packet.flags & (wire.FIN | wire.RST):
             self.flows.pop(flow)
         else:
             self.flows[flow] = packet.echo
@@ -103,11 +110,32 @@
 
     def run(self, packet):
         request = packet.data.decode()
+        if request in self.running:
+            return
+        choose = random.Random(request)
+        work = choose.uniform(0.002, 0.03)
+        failure = self.failure if choose.random() < self.part else None
+        if failure == "reject":
+            self.reply(packet, wire.ACK, f"{request} {REJECTED}".encode())
+            return
+        if failure == "reset":
+            self.reply(packet, wire.RST, b"")
+            flow = (packet.src, packet.sport)
+            self.flows.pop(flow)
+            self.dropped.add(flow)
+            return
         # A repeated packet is answered again, and not run again.
         self.world.note_run(request, self)
-        work = random.Random(request).uniform(0.002, 0.03)
+        if failure == "hang":
+            return
+        self.running.add(request)
         asyncio.get_running_loop().call_later(
-            work, self.reply, packet, wire.ACK, f"{request} {self.name}".encode())
+            work * (SLOWDOWN if failure == "slow" else 1), self.answer, request,
+            packet)
+
+    def answer(self, request, packet):
+        self.running.discard(request)
+        self.reply(packet, wire.ACK, f"{request} {self.name}".encode())
 
     def reply(self, packet, flags, data):
         if not self.alive:
@@ -137,6 +165,7 @@
 
     def __init__(self, world, address, domain):
         self.world, self.address, self.domain = world, address, domain
+        self.home = domain
         self.flows = {}
         self.last_port = 1024
 
@@ -218,18 +247,21 @@
         answer = await self.exchange(
             flow, self.packet(flow, wire.ACK, name.encode()))
         if answer is None:
-            self.flows.pop(flow.port, None)
+            self.abandon(flow)
             return False
         while answer is not None and not answer.data:
             flow.waiting = asyncio.get_running_loop().create_future()
             done, _ = await asyncio.wait([flow.waiting], timeout=DEADLINE)
             answer = flow.waiting.result() if done else None
         if answer is None:
-            self.flows.pop(flow.port, None)
+            self.abandon(flow)
             return False
         got, _, target = answer.data.decode().partition(" ")
         if got != name:
             return await self.request_again(flow, name)
+        if target == REJECTED:
+            self.close(flow)
+            return False
         if flow.target and flow.target != target:
             self.world.broken("flow", f"{self.address}:{flow.port} moved from "
                               f"{flow.target} to {target}")
@@ -238,6 +270,15 @@
         self.world.route_packet(self, self.packet(flow, wire.ACK))
         return True
 
+    def abandon(self, flow):
+        """Gives up on a flow whose request has no answer."""
+        if self.flows.pop(flow.port, None) and self.world.load_faults:
+            self.world.route_packet(self, self.packet(flow, wire.RST))
+
+    def close(self, flow):
+        self.world.route_packet(self, self.packet(flow, wire.FIN))
+        self.flows.pop(flow.port, None)
+
     async def request_again(self, flow, name):
         """The answer to an earlier copy came first; wait for the own one."""
         flow.waiting = asyncio.get_running_loop().create_future()
@@ -267,8 +308,7 @@
             name = self.name_of(flow.port, flow.route)
             self.world.note_outcome(name, request, good)
             if good and choose.random() < 0.05:
-                self.world.route_packet(self, self.packet(flow, wire.FIN))
-                self.flows.pop(flow.port, None)
+                self.close(flow)
 
 
 def pick(nodes, client, packet):
