Admission by share: limits, order of the queue, refusal of SYNs that can't be served

Cause: within a priority who opens the most flows gets the most slots, initial limits are all slots of the domain at each instance, and SYNs wait that can't be served. Change: behind SharedObservations::fair_admission, the initial limit is the instance's share, other domains get flows beyond it, queued SYNs leave by turns of callers, and those whose clients give up before their turn are refused. Result: builds; the existing tests of limits, queue and admission pass.

--- a/source/core/steering/admission_control.cc
+++ b/source/core/steering/admission_control.cc
@@ -3,9 +3,37 @@
 #include <algorithm>
 
 namespace sassafrasdyke::core {
+namespace {
 
 using std::chrono::milliseconds;
 
+/// SYNs that a full queue loses before their order is determined anew.
+constexpr std::size_t kLastInLine = 64;
+
+std::unique_ptr<SynOrder> OrderFor(const SharedObservations& shared) {
+  if (shared.fair_admission) {
+    return std::make_unique<FairOrder>();
+  }
+  return std::make_unique<RankOrder>();
+}
+
+}  // namespace
+
+const OverloadPolicy& DefaultOverloadPolicy() {
+  static const RefuseHopeless policy;
+  return policy;
+}
+
+AdmissionControl::AdmissionControl(const RouteTable& routes,
+                                   const FlowSteering& steering,
+                                   const SharedObservations& shared,
+                                   const OverloadPolicy& overload)
+    : routes(routes),
+      steering(steering),
+      fair(shared.fair_admission),
+      overload(overload),
+      order(OrderFor(shared)) {}
+
 std::optional<AdmissionGrant> AdmissionControl::Admit(
     const FlowPacket& packet, std::span<const std::uint8_t> bytes,
     milliseconds arrived_at, milliseconds now) {
@@ -13,6 +41,7 @@
     // The flow was opened through another instance that got a copy of the SYN.
     // Forwarding the queued SYN now would open it at a second target.
     this->queue.Forget(packet.flow);
+    this->copies.Forget(packet.flow);
     return AdmissionGrant{};
   }
   const Route* const route = this->routes.Find(packet.flow.service);
@@ -23,51 +52,162 @@
   // all of them.
   if (this->queue.Size() == 0) {
     if (auto grant = this->steering.Limiter().GrantFor(*route, now)) {
+      this->copies.Forget(packet.flow);
       return grant;
     }
   }
   // If a SYN flood fills the queue, further SYNs are admitted at once.
-  const bool waits = this->queue.Hold(packet, bytes, arrived_at);
+  const bool waits = this->Hold(packet, bytes, arrived_at, now);
   return waits ? std::nullopt : std::make_optional<AdmissionGrant>();
 }
 
+bool AdmissionControl::Hold(const FlowPacket& packet,
+                            std::span<const std::uint8_t> bytes,
+                            milliseconds arrived_at, milliseconds now) {
+  const std::uint32_t rank = this->RankOf(packet.flow.service);
+  this->refused_by_rank.try_emplace(rank);
+  if (!this->fair) {
+    return this->queue.Hold(packet, bytes, arrived_at);
+  }
+  this->copies.OnHeld(packet, arrived_at);
+  this->departures.OnWaiting(now);
+  if (this->queue.Hold(packet, bytes, arrived_at)) {
+    return true;
+  }
+  if (this->MakeRoom(rank, now)) {
+    this->queue.Hold(packet, bytes, arrived_at);
+  } else if (JudgeLastInFullQueue(this->copies.HasAll(packet.flow)).refuse) {
+    this->OnRefused({packet.flow, {bytes.begin(), bytes.end()}}, rank);
+  }
+  return true;
+}
+
+bool AdmissionControl::MakeRoom(std::uint32_t rank, milliseconds now) {
+  std::erase_if(this->last_in_line, [this](const SynPlace& place) {
+    return !this->queue.Contains(place.flow);
+  });
+  if (this->last_in_line.empty()) {
+    this->queue.Expire(now);
+    const auto line = this->order->Line(this->queue, this->WaitingRoutes(), now);
+    const std::size_t count = std::min(line.size(), kLastInLine);
+    this->last_in_line.assign(line.end() - static_cast<std::ptrdiff_t>(count),
+                              line.end());
+  }
+  if (this->last_in_line.empty()) {
+    return true;
+  }
+  const SynPlace last = this->last_in_line.back();
+  if (last.rank < rank) {
+    return false;
+  }
+  this->last_in_line.pop_back();
+  auto syn = this->queue.Take(last.flow);
+  if (syn && JudgeLastInFullQueue(this->copies.HasAll(last.flow)).refuse) {
+    this->OnRefused(std::move(*syn), last.rank);
+  }
+  return true;
+}
+
 std::optional<ReleasedSyn> AdmissionControl::TakeNext(milliseconds now) {
   if (this->queue.Size() == 0) {
     return std::nullopt;
   }
-  std::optional<common::Endpoint> best;
-  std::uint32_t best_rank = 0;
-  AdmissionGrant best_grant;
-  for (const common::Endpoint& address : this->queue.Routes()) {
-    const Route* const route = this->routes.Find(address);
-    const std::uint32_t rank = route == nullptr ? 0 : route->rank;
-    if (best && rank >= best_rank) {
-      continue;
-    }
+  std::vector<WaitingRoute> open;
+  std::map<common::Endpoint, AdmissionGrant> grants;
+  for (const WaitingRoute& waiting : this->WaitingRoutes()) {
+    const Route* const route = this->routes.Find(waiting.address);
     // FlowSteering refuses the flow of a route that was withdrawn meanwhile.
-    const auto grant = route == nullptr
-                           ? std::make_optional<AdmissionGrant>()
-                           : this->steering.Limiter().GrantFor(*route, now);
+    auto grant = route == nullptr
+                     ? std::make_optional<AdmissionGrant>()
+                     : this->steering.Limiter().GrantFor(*route, now);
     if (grant) {
-      best = address;
-      best_rank = rank;
-      best_grant = *grant;
+      open.push_back(waiting);
+      grants.emplace(waiting.address, std::move(*grant));
     }
   }
-  if (!best) {
-    return std::nullopt;
-  }
-  const Route* const route = this->routes.Find(*best);
-  const milliseconds in_time =
-      route == nullptr ? milliseconds{0} : this->LongestTimelyWait(*route);
-  auto syn = this->queue.Take(*best, in_time, now);
+  auto syn = this->order->TakeNext(this->queue, open, now);
   if (!syn) {
-    return std::nullopt;  // All that waited have been superseded.
+    return std::nullopt;  // None may go, or all have been superseded.
   }
-  return ReleasedSyn{std::move(*syn), std::move(best_grant)};
+  this->departures.OnLeft(now);
+  this->copies.Forget(syn->flow);
+  AdmissionGrant grant = std::move(grants.at(syn->flow.service));
+  return ReleasedSyn{std::move(*syn), std::move(grant)};
 }
 
-void AdmissionControl::OnTick(milliseconds now) { this->queue.Expire(now); }
+std::vector<WaitingRoute> AdmissionControl::WaitingRoutes() const {
+  std::vector<WaitingRoute> waiting;
+  for (const common::Endpoint& address : this->queue.Routes()) {
+    const Route* const route = this->routes.Find(address);
+    waiting.push_back({address, route == nullptr ? 0 : route->rank,
+                       route == nullptr ? milliseconds{0}
+                                        : this->LongestTimelyWait(*route)});
+  }
+  return waiting;
+}
+
+void AdmissionControl::OnTick(milliseconds now) {
+  this->queue.Expire(now);
+  if (!this->fair) {
+    return;
+  }
+  this->copies.Expire(now);
+  if (this->queue.Size() > 0) {
+    this->departures.OnWaiting(now);
+    this->RefuseHopelessSyns(now);
+  }
+}
+
+// Those behind a refused SYN move up.
+void AdmissionControl::RefuseHopelessSyns(milliseconds now) {
+  const auto leave_per_s = this->departures.PerSecond(now);
+  if (!leave_per_s) {
+    return;
+  }
+  std::size_t gone = 0;
+  for (const SynPlace& place :
+       this->order->Line(this->queue, this->WaitingRoutes(), now)) {
+    const SynOutlook outlook{place.ahead - std::min(gone, place.ahead),
+                             now - place.first_sent, leave_per_s,
+                             this->copies.HasAll(place.flow)};
+    if (this->overload.Judge(outlook).refuse) {
+      if (auto syn = this->queue.Take(place.flow)) {
+        this->OnRefused(std::move(*syn), place.rank);
+        ++gone;
+      }
+    }
+  }
+}
+
+void AdmissionControl::OnRefused(QueuedSyn syn, std::uint32_t rank) {
+  this->copies.Forget(syn.flow);
+  ++this->refused_by_rank[rank];
+  this->refused.push_back(std::move(syn));
+}
+
+void AdmissionControl::OnPause() {
+  this->queue.Clear();
+  this->order->Clear();
+  this->copies.Clear();
+  this->departures.Clear();
+  this->last_in_line.clear();
+}
+
+std::map<std::uint32_t, std::size_t> AdmissionControl::WaitingByRank() const {
+  std::map<std::uint32_t, std::size_t> waiting;
+  for (const auto& [rank, refused] : this->refused_by_rank) {
+    waiting.emplace(rank, 0);
+  }
+  for (const auto& [address, syns] : this->queue.ByRoute()) {
+    waiting[this->RankOf(address)] += syns.size();
+  }
+  return waiting;
+}
+
+std::uint32_t AdmissionControl::RankOf(const common::Endpoint& address) const {
+  const Route* const route = this->routes.Find(address);
+  return route == nullptr ? 0 : route->rank;
+}
 
 milliseconds AdmissionControl::LongestTimelyWait(const Route& route) const {
   return std::max(ObjectiveOf(route) - this->steering.Pending().AnswerTime(),
--- a/source/core/steering/admission_control.h
+++ b/source/core/steering/admission_control.h
@@ -11,10 +11,19 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
+#include <memory>
 #include <optional>
 #include <span>
+#include <utility>
+#include <vector>
 
+#include "core/steering/departure_rate.h"
 #include "core/steering/flow_steering.h"
+#include "core/steering/held_copies.h"
+#include "core/steering/overload_policy.h"
+#include "core/steering/shared_observations.h"
+#include "core/steering/syn_order.h"
 #include "core/steering/syn_queue.h"
 
 namespace sassafrasdyke::core {
@@ -26,12 +35,16 @@
   AdmissionGrant grant;
 };
 
+/// Refuses SYNs that can't be served before their clients give up.
+const OverloadPolicy& DefaultOverloadPolicy();
+
 /// Times are monotonic, since process start.
 class AdmissionControl {
  public:
-  /// Both must outlive this.
-  AdmissionControl(const RouteTable& routes, const FlowSteering& steering)
-      : routes(routes), steering(steering) {}
+  /// All must outlive this. `overload` decides only with fair admission.
+  AdmissionControl(const RouteTable& routes, const FlowSteering& steering,
+                   const SharedObservations& shared = NoSharedObservations(),
+                   const OverloadPolicy& overload = DefaultOverloadPolicy());
 
   /// Returns where the flow that the packet opens may be placed, or nothing
   /// when it has to wait; then a copy of the packet is queued. `arrived_at`:
@@ -42,22 +55,58 @@
                                       std::chrono::milliseconds arrived_at,
                                       std::chrono::milliseconds now);
   /// Removes and returns a SYN that may be forwarded now, that of the route
-  /// with the lowest rank first.
+  /// with the lowest rank first; with fair admission, others have their turns.
   std::optional<ReleasedSyn> TakeNext(std::chrono::milliseconds now);
+  /// Returns the SYNs that were refused since the last call, for
+  /// RefusalReason::kOverloaded. Nothing of their flows was forwarded.
+  std::vector<QueuedSyn> TakeRefused() {
+    return std::exchange(this->refused, {});
+  }
   void OnTick(std::chrono::milliseconds now);
   /// The process was paused: clients have retransmitted the queued SYNs.
-  void OnPause() { this->queue.Clear(); }
+  void OnPause();
 
   std::size_t Waiting() const { return this->queue.Size(); }
+  bool Waits(const common::FlowKey& flow) const {
+    return this->queue.Contains(flow);
+  }
+  /// Numbers by rank, of each rank of which a SYN has ever waited.
+  std::map<std::uint32_t, std::size_t> WaitingByRank() const;
+  const std::map<std::uint32_t, std::uint64_t>& RefusedByRank() const {
+    return this->refused_by_rank;
+  }
 
  private:
   /// Longest time that a client of the route may have waited and still be
   /// served in time.
   std::chrono::milliseconds LongestTimelyWait(const Route& route) const;
+  /// Rank of the route at this address; 0 when there is none.
+  std::uint32_t RankOf(const common::Endpoint& address) const;
+  /// The routes for which SYNs wait.
+  std::vector<WaitingRoute> WaitingRoutes() const;
+  /// Whether the SYN waits now; otherwise it is admitted at once.
+  bool Hold(const FlowPacket& packet, std::span<const std::uint8_t> bytes,
+            std::chrono::milliseconds arrived_at,
+            std::chrono::milliseconds now);
+  /// Removes the queued SYN that would be served last. `rank` is that of the
+  /// arriving SYN; returns false if it is the one.
+  bool MakeRoom(std::uint32_t rank, std::chrono::milliseconds now);
+  void RefuseHopelessSyns(std::chrono::milliseconds now);
+  void OnRefused(QueuedSyn syn, std::uint32_t rank);
 
   const RouteTable& routes;
   const FlowSteering& steering;
+  const bool fair;
+  const OverloadPolicy& overload;
   SynQueue queue;
+  std::unique_ptr<SynOrder> order;
+  HeldCopies copies;
+  DepartureRate departures;
+  /// Those that a full queue loses next, the last in line at the back. Computed
+  /// for several at once, since a SYN flood fills the queue again at once.
+  std::vector<SynPlace> last_in_line;
+  std::vector<QueuedSyn> refused;
+  std::map<std::uint32_t, std::uint64_t> refused_by_rank;
 };
 
 }  // namespace sassafrasdyke::core
--- a/source/core/steering/concurrency_limiter.cc
+++ b/source/core/steering/concurrency_limiter.cc
@@ -1,6 +1,7 @@
 #include "core/steering/concurrency_limiter.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace sassafrasdyke::core {
@@ -9,6 +10,13 @@
 /// Minimum initial limit, as a multiple of one target's slots: as many requests
 /// again may wait in its queue.
 constexpr double kInitialSlotsFactor = 2.0;
+/// Standard deviations of the number of an instance's requests that its initial
+/// limit leaves room for. The number varies like a Poisson variable, so an
+/// instance of even load exceeds three of them once in some 700 flows.
+constexpr double kShareDeviations = 3.0;
+/// A domain accepts flows of another only while its utilization is lower by at
+/// least this, so that domains of equal load exchange none.
+constexpr double kMinLoadGap = 0.2;
 /// Initial limit, in requests, of another failure domain, to which every
 /// instance of the fleet may turn at once: the least that yields any answer
 /// times.
@@ -127,6 +135,14 @@
   if (pending.empty() || !this->pending.MostAnswersSeen()) {
     return AdmissionGrant{};
   }
+  if (const auto own = pending.find(this->domain);
+      this->fair_admission && own != pending.end() &&
+      own->second >= this->InitialLimit(service, this->domain,
+                                        this->SharingInstances())) {
+    if (auto other = this->DomainWithCapacity(service, pending, now)) {
+      return AdmissionGrant{std::move(other)};
+    }
+  }
   std::optional<AdmissionGrant> grant;
   double least_utilization = 1.0;
   for (const auto& [domain, requests] : pending) {
@@ -145,6 +161,41 @@
   return grant;
 }
 
+std::optional<std::string> ConcurrencyLimiter::DomainWithCapacity(
+    const std::string& service, const PendingRequestsByDomain& pending,
+    std::chrono::milliseconds now) const {
+  const std::vector<DomainLoad>& loads = this->load.Of(service);
+  const auto own = std::ranges::find(loads, this->domain, &DomainLoad::domain);
+  const std::size_t instances = this->SharingInstances();
+  const double own_slots = this->UsableSlots(service, this->domain, now);
+  if (own == loads.end() || instances == 0 || own_slots <= 0) {
+    return std::nullopt;
+  }
+  const double accepted = own->concurrency / own_slots - kMinLoadGap;
+  std::optional<std::string> best;
+  double least_used = 1.0;
+  for (const DomainLoad& other : loads) {
+    const auto here = pending.find(other.domain);
+    if (other.domain == this->domain || !other.reachable ||
+        here == pending.end()) {
+      continue;
+    }
+    const double slots = this->UsableSlots(service, other.domain, now);
+    const double headroom =
+        std::min(accepted, 1.0 - kMinLoadGap) * slots - other.concurrency;
+    // All instances of the domain may turn to it until the next reports.
+    const double part = headroom / static_cast<double>(instances);
+    const Limit limit = this->LimitOf(service, other.domain);
+    const double most =
+        limit.congested ? limit.requests : std::max(limit.requests, part);
+    if (headroom > 0 && here->second / most < least_used) {
+      least_used = here->second / most;
+      best = other.domain;
+    }
+  }
+  return best;
+}
+
 bool ConcurrencyLimiter::WaitsForColdTargets(
     const Route& route, std::chrono::milliseconds now) const {
   return std::ranges::any_of(route.shares, [&](const ServiceShare& share) {
@@ -160,18 +211,39 @@
 
 ConcurrencyLimiter::Limit ConcurrencyLimiter::LimitOf(
     const std::string& service, const std::string& domain) const {
+  const std::size_t instances = this->SharingInstances();
   if (const auto limits = this->limits.find(service);
       limits != this->limits.end()) {
     if (const auto limit = limits->second.find(domain);
         limit != limits->second.end()) {
-      return limit->second;
+      return this->Rescaled(limit->second, service, domain, instances);
     }
   }
-  return {this->InitialLimit(service, domain)};
+  Limit limit{this->InitialLimit(service, domain, instances)};
+  limit.instances = instances;
+  return limit;
+}
+
+// After a restart of the whole fleet the number of instances becomes known only
+// after the first answers, whose limits are those of an instance alone.
+ConcurrencyLimiter::Limit ConcurrencyLimiter::Rescaled(
+    Limit limit, const std::string& service, const std::string& domain,
+    std::size_t instances) const {
+  if (instances == 0 || instances == limit.instances) {
+    return limit;
+  }
+  const double ratio =
+      this->InitialLimit(service, domain, instances) /
+      this->InitialLimit(service, domain, limit.instances);
+  limit.requests = std::max(kMinLimit, limit.requests * ratio);
+  limit.slow_start_threshold *= ratio;
+  limit.instances = instances;
+  return limit;
 }
 
 double ConcurrencyLimiter::InitialLimit(const std::string& service,
-                                        const std::string& domain) const {
+                                        const std::string& domain,
+                                        std::size_t instances) const {
   const ServingTargets& serving = this->targets.ServingByDomain(service);
   const bool has_local = serving.contains(this->domain);
   const auto targets = serving.find(domain);
@@ -187,19 +259,44 @@
     largest = std::max(largest, slots);
   }
   const double parts = has_local ? 1.0 : static_cast<double>(serving.size());
-  return std::max(all, kInitialSlotsFactor * largest) / parts;
+  const double most = std::max(all, kInitialSlotsFactor * largest) / parts;
+  if (instances == 0) {
+    return most;
+  }
+  const double share = all / parts / static_cast<double>(instances);
+  return std::min(most, std::max(share + kShareDeviations * std::sqrt(share),
+                                 kInitialSlotsFactor * largest));
+}
+
+bool ConcurrencyLimiter::Usable(TargetIndex index,
+                                std::chrono::milliseconds now) const {
+  return !this->watch.Suspected(index, now) && this->warmup.Allows(index, now);
+}
+
+double ConcurrencyLimiter::UsableSlots(const std::string& service,
+                                       const std::string& domain,
+                                       std::chrono::milliseconds now) const {
+  const ServingTargets& serving = this->targets.ServingByDomain(service);
+  double slots = 0;
+  if (const auto found = serving.find(domain); found != serving.end()) {
+    for (const TargetIndex index : found->second) {
+      slots += this->Usable(index, now)
+                   ? static_cast<double>(this->targets.At(index).published.slots)
+                   : 0.0;
+    }
+  }
+  return slots;
 }
 
 // Requests at a suspected or silent target won't be answered and must not keep
 // flows from the targets that serve. Few of thousands of targets have requests
 // of one instance, so only these are visited.
-std::map<std::string, double> ConcurrencyLimiter::PendingByDomain(
+ConcurrencyLimiter::PendingRequestsByDomain ConcurrencyLimiter::PendingByDomain(
     const std::string& service, std::chrono::milliseconds now) const {
   const auto usable = [this, now](TargetIndex index) {
-    return !this->watch.Suspected(index, now) &&
-           this->warmup.Allows(index, now);
+    return this->Usable(index, now);
   };
-  std::map<std::string, double> pending;
+  PendingRequestsByDomain pending;
   for (const auto& [domain, indexes] : this->targets.ServingByDomain(service)) {
     if (std::ranges::any_of(indexes, usable)) {
       pending.emplace(domain, 0.0);
--- a/source/core/steering/concurrency_limiter.h
+++ b/source/core/steering/concurrency_limiter.h
@@ -22,8 +22,10 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "core/steering/pending_requests.h"
+#include "core/steering/shared_observations.h"
 #include "core/steering/target_watch.h"
 #include "core/steering/warmup_budget.h"
 #include "core/view/region_map.h"
@@ -44,8 +46,11 @@
   /// `domain` is the own failure domain.
   ConcurrencyLimiter(std::string domain, const TargetTable& targets,
                      const RegionMap& regions, const TargetWatch& watch,
-                     const PendingRequests& pending, const WarmupBudget& warmup)
-      : domain(std::move(domain)),
+                     const PendingRequests& pending, const WarmupBudget& warmup,
+                     const SharedObservations& shared = NoSharedObservations())
+      : load(shared.load),
+        fair_admission(shared.fair_admission),
+        domain(std::move(domain)),
         targets(targets),
         regions(regions),
         watch(watch),
@@ -88,7 +93,12 @@
     double min_target_ms{0};
     unsigned answers{0};
     Round round{};
+    /// The number of instances that share the domain's callers, for which
+    /// `requests` was adapted; 0 while it isn't known.
+    std::size_t instances{0};
   };
+  /// Requests at a domain's targets.
+  using PendingRequestsByDomain = std::map<std::string, double>;
   /// Ends a round: if it was congested, decreases the limit in proportion to
   /// its late answers. If each late answer decreased it, hundreds of requests
   /// sent before the first decrease would bring the limit to its minimum at
@@ -101,6 +111,10 @@
   using Limits = std::map<std::string, Limit, std::less<>>;
 
   Limit LimitOf(const std::string& service, const std::string& domain) const;
+  /// The limit after a change of the number of instances that share the
+  /// domain's callers, in proportion to the initial limits for both numbers.
+  Limit Rescaled(Limit limit, const std::string& service,
+                 const std::string& domain, std::size_t instances) const;
   /// Limit of a domain before any answer. For the own domain: the requests that
   /// its targets process concurrently. With few instances, less would leave
   /// targets idle for several answer times, and callers that return after an
@@ -110,12 +124,33 @@
   /// Without targets in the own domain, as while it is evacuated, the other
   /// domains take its place in equal parts; at the limit for relief its callers
   /// would wait until answers have raised it.
-  double InitialLimit(const std::string& service,
-                      const std::string& domain) const;
+  ///
+  /// With fair admission it is this instance's share of that, plus what the
+  /// number of its requests varies by. The total of the shares stays bounded
+  /// then, however many instances share the targets.
+  double InitialLimit(const std::string& service, const std::string& domain,
+                      std::size_t instances) const;
+  /// The number of instances by which limits are divided: 0, which divides
+  /// nothing, while it isn't known or admission isn't fair.
+  std::size_t SharingInstances() const {
+    return this->fair_admission ? this->load.DomainInstances().value_or(0) : 0;
+  }
+  /// The other domain that a flow goes to when the own one has reached the
+  /// soft limit: one that has less load than the own by the reports, and fewer
+  /// requests of this instance than its part of what that domain accepts.
+  std::optional<std::string> DomainWithCapacity(
+      const std::string& service, const PendingRequestsByDomain& pending,
+      std::chrono::milliseconds now) const;
   /// Requests pending at each domain that has usable targets of the service.
-  std::map<std::string, double> PendingByDomain(
-      const std::string& service, std::chrono::milliseconds now) const;
+  PendingRequestsByDomain PendingByDomain(const std::string& service,
+                                          std::chrono::milliseconds now) const;
+  bool Usable(TargetIndex index, std::chrono::milliseconds now) const;
+  /// Slots of the domain's usable targets.
+  double UsableSlots(const std::string& service, const std::string& domain,
+                     std::chrono::milliseconds now) const;
 
+  const FleetLoad& load;
+  const bool fair_admission;
   const std::string domain;
   const TargetTable& targets;
   const RegionMap& regions;
--- a/source/core/steering/flow_steering.h
+++ b/source/core/steering/flow_steering.h
@@ -50,7 +50,7 @@
         choice(domain, view.targets, view.regions, this->watch, this->pending,
                this->answer_times, this->warmup),
         limiter(domain, view.targets, view.regions, this->watch, this->pending,
-                this->warmup),
+                this->warmup, shared),
         memory(view.routes.FlowLife()) {}
 
   /// Decides what to do with `packet`. `grant` says where a flow that the
--- a/source/core/steering/syn_queue.cc
+++ b/source/core/steering/syn_queue.cc
@@ -13,7 +13,7 @@
 /// Times at which a client sends the copies of a SYN, after the first; at the
 /// last one it gives up.
 constexpr std::array<milliseconds, 4> kSynSendTimes{
-    milliseconds{0}, milliseconds{200}, milliseconds{600}, milliseconds{1400}};
+    milliseconds{0}, milliseconds{200}, milliseconds{600}, kSynLife};
 /// A queued SYN is dropped this long before its next copy is sent, so that the
 /// two are never in flight together.
 constexpr milliseconds kRetransmitMargin{20};
@@ -69,6 +69,14 @@
   return std::nullopt;
 }
 
+std::optional<QueuedSyn> SynQueue::Take(const common::FlowKey& flow) {
+  const auto position = this->positions.find(flow);
+  if (position == this->positions.end()) {
+    return std::nullopt;
+  }
+  return this->Remove(this->queues.find(flow.service), position->second);
+}
+
 std::size_t SynQueue::Expire(milliseconds now) {
   std::vector<common::FlowKey> superseded;
   for (const auto& [flow, position] : this->positions) {
--- a/source/core/steering/syn_queue.h
+++ b/source/core/steering/syn_queue.h
@@ -4,8 +4,8 @@
 /// be served in time go before late ones, newest first: in the order of
 /// arrival, each would wait until it is late as well. Late ones go oldest
 /// first, so that as many as possible are served before their callers give up.
-/// No SYN is refused for waiting: its client retransmits it, perhaps to an
-/// instance that has capacity.
+/// The queue itself refuses no SYN for waiting: its client retransmits it,
+/// perhaps to an instance that has capacity.
 #pragma once
 
 #include <chrono>
@@ -34,9 +34,16 @@
   std::chrono::milliseconds superseded_at{0};
 };
 
+/// A client gives up this long after the first copy of its SYN.
+inline constexpr std::chrono::milliseconds kSynLife{1400};
+
 /// Bounded in number. Times are monotonic.
 class SynQueue {
  public:
+  /// SYNs of one route, ordered by when the client sent the first copy.
+  using Queue = std::multimap<std::chrono::milliseconds, QueuedSyn>;
+  using Queues = std::unordered_map<common::Endpoint, Queue, EndpointHash>;
+
   /// Queues the SYN that arrived at `arrived_at` and replaces an earlier copy.
   /// Returns false when the queue is full.
   bool Hold(const FlowPacket& packet, std::span<const std::uint8_t> bytes,
@@ -49,6 +56,8 @@
   std::optional<QueuedSyn> Take(const common::Endpoint& route,
                                 std::chrono::milliseconds in_time,
                                 std::chrono::milliseconds now);
+  /// Removes and returns the flow's SYN, superseded or not.
+  std::optional<QueuedSyn> Take(const common::FlowKey& flow);
   /// Drops superseded SYNs; returns their number.
   std::size_t Expire(std::chrono::milliseconds now);
   /// Drops all.
@@ -57,12 +66,13 @@
   /// The routes for which SYNs wait.
   std::vector<common::Endpoint> Routes() const;
   std::size_t Size() const { return this->positions.size(); }
+  bool Contains(const common::FlowKey& flow) const {
+    return this->positions.contains(flow);
+  }
+  /// The queued SYNs by route; superseded ones may be among them.
+  const Queues& ByRoute() const { return this->queues; }
 
  private:
-  /// Ordered by when the client sent the first copy.
-  using Queue = std::multimap<std::chrono::milliseconds, QueuedSyn>;
-  using Queues = std::unordered_map<common::Endpoint, Queue, EndpointHash>;
-
   QueuedSyn Remove(Queues::iterator queue, Queue::iterator queued);
 
   Queues queues;
--- a/source/front/flow_port.cc
+++ b/source/front/flow_port.cc
@@ -39,7 +39,7 @@
                {context.view.Routes(), context.view.Targets(),
                 context.view.Contact(), context.view.Regions()},
                self.tolerance, self.seed, self.shared),
-      admission(context.view.Routes(), this->steering),
+      admission(context.view.Routes(), this->steering, self.shared),
       prober(loop, *this),
       readable(loop),
       awake_at(context.clock.Now()) {
@@ -57,6 +57,7 @@
   this->steering.OnFleetSize(instances, now);
   this->steering.OnTick(now);
   this->admission.OnTick(now);
+  this->ResetRefused();
   this->ReleaseHeld();
   this->port->Flush();
   this->StartProbes();
@@ -119,9 +120,10 @@
   if (const auto grant = this->admission.Admit(*packet, bytes, came_at,
                                                this->context.clock.Now())) {
     this->Steer(*packet, bytes, *grant);
-  } else {
+  } else if (this->admission.Waits(packet->flow)) {
     this->LogDecision(*packet, core::HoldBack{});
   }
+  this->ResetRefused();
 }
 
 void FlowPort::Steer(const core::FlowPacket& packet,
@@ -143,6 +145,17 @@
   }
 }
 
+void FlowPort::ResetRefused() {
+  const core::SteeringAction action =
+      core::Refuse{core::RefusalReason::kOverloaded};
+  for (const core::QueuedSyn& syn : this->admission.TakeRefused()) {
+    if (const auto packet = this->context.format.Read(syn.bytes)) {
+      this->Act(*packet, action, syn.bytes);
+      this->LogDecision(*packet, action);
+    }
+  }
+}
+
 void FlowPort::TakeEarlyPackets() {
   for (const EarlyPackets::Kept& kept :
        this->early.Take(this->context.clock.Now())) {
--- a/source/front/flow_port.h
+++ b/source/front/flow_port.h
@@ -5,6 +5,9 @@
 #include <ev++.h>
 
 #include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <span>
@@ -63,6 +66,12 @@
   const PortCounts& Counts() const { return this->port->Counts(); }
   const core::FlowSteering& Steering() const { return this->steering; }
   std::size_t OpeningsWaiting() const { return this->admission.Waiting(); }
+  std::map<std::uint32_t, std::size_t> OpeningsWaitingByRank() const {
+    return this->admission.WaitingByRank();
+  }
+  const std::map<std::uint32_t, std::uint64_t>& OpeningsRefusedByRank() const {
+    return this->admission.RefusedByRank();
+  }
   std::size_t EarlyPacketCount() const { return this->early.Size(); }
   std::chrono::milliseconds LastPacket() const { return this->last_packet; }
 
@@ -81,6 +90,8 @@
              const core::AdmissionGrant& grant);
   /// Sends on the held SYNs for which targets have room now.
   void ReleaseHeld();
+  /// Sends resets for the SYNs that can't be served in time.
+  void ResetRefused();
   void Act(const core::FlowPacket& packet, const core::SteeringAction& action,
            std::span<const std::uint8_t> bytes);
   void LogDecision(const core::FlowPacket& packet,
--- a/source/front/flow_story.cc
+++ b/source/front/flow_story.cc
@@ -100,6 +100,9 @@
     Meaning{"refused", "target-silent",
             "It was cut: its target took no connections while others did. A "
             "request on it may have run."},
+    Meaning{"refused", "overloaded",
+            "It was refused: no target could have served its SYN before its "
+            "client gave up. Nothing has run."},
     Meaning{"dropped", "no-view",
             "Its packet was dropped: the instance knew nothing yet."},
     Meaning{"dropped", "stale-view",
--- a/source/front/front_metrics.cc
+++ b/source/front/front_metrics.cc
@@ -52,6 +52,24 @@
     metric.gauge.value = value;
     this->Add(name, help, MetricType::Gauge, {metric});
   }
+  /// A value for each priority.
+  template <typename Count>
+  void ByRank(const std::string& name, const std::string& help, MetricType type,
+              const std::map<std::uint32_t, Count>& counts) {
+    std::vector<ClientMetric> metrics;
+    for (const auto& [rank, count] : counts) {
+      ClientMetric metric;
+      metric.label.push_back({"rank", std::to_string(rank)});
+      const auto value = static_cast<double>(count);
+      if (type == MetricType::Counter) {
+        metric.counter.value = value;
+      } else {
+        metric.gauge.value = value;
+      }
+      metrics.push_back(std::move(metric));
+    }
+    this->Add(name, help, type, std::move(metrics));
+  }
   void Histogram(const std::string& name, const std::string& help,
                  const prometheus::Histogram& histogram) {
     this->Add(name, help, MetricType::Histogram, {histogram.Collect()});
@@ -149,6 +167,12 @@
              static_cast<double>(state.openings));
   page.Gauge("sassafrasdyke_openings_waiting", "SYNs that are held back now.",
              static_cast<double>(state.openings_waiting));
+  page.ByRank("sassafrasdyke_openings_waiting_by_rank",
+              "SYNs that are held back now, by priority.", MetricType::Gauge,
+              state.openings_waiting_by_rank);
+  page.ByRank("sassafrasdyke_openings_refused_total",
+              "SYNs refused as overloaded, by priority.", MetricType::Counter,
+              state.openings_refused_by_rank);
   page.Gauge("sassafrasdyke_remembered_flows",
              "Open flows whose clients would be told of their target's end.",
              static_cast<double>(state.remembered_flows));
--- a/source/front/front_metrics.h
+++ b/source/front/front_metrics.h
@@ -37,6 +37,8 @@
   std::size_t members{0};
   std::size_t openings{0};
   std::size_t openings_waiting{0};
+  std::map<std::uint32_t, std::size_t> openings_waiting_by_rank;
+  std::map<std::uint32_t, std::uint64_t> openings_refused_by_rank;
   std::size_t remembered_flows{0};
   bool reads_store{false};
   bool ready{false};
--- a/source/front/front_process.cc
+++ b/source/front/front_process.cc
@@ -168,6 +168,8 @@
   state.members = this->sync.Members().Size();
   state.openings = this->flows->Steering().HalfOpenFlows();
   state.openings_waiting = this->flows->OpeningsWaiting();
+  state.openings_waiting_by_rank = this->flows->OpeningsWaitingByRank();
+  state.openings_refused_by_rank = this->flows->OpeningsRefusedByRank();
   state.remembered_flows = this->flows->Steering().RememberedFlows();
   state.reads_store = this->reading;
   state.ready = this->Ready();
