--- a/source/core/steering/admission_control.cc
+++ b/source/core/steering/admission_control.cc
@@ -88,7 +88,8 @@
   });
   if (this->last_in_line.empty()) {
     this->queue.Expire(now);
-    const auto line = this->order->Line(this->queue, this->WaitingRoutes(), now);
+    const auto line =
+        this->order->Line(this->queue, this->WaitingRoutes(), now);
     const std::size_t count = std::min(line.size(), kLastInLine);
     this->last_in_line.assign(line.end() - static_cast<std::ptrdiff_t>(count),
                               line.end());
@@ -139,9 +140,9 @@
   std::vector<WaitingRoute> waiting;
   for (const common::Endpoint& address : this->queue.Routes()) {
     const Route* const route = this->routes.Find(address);
-    waiting.push_back({address, route == nullptr ? 0 : route->rank,
-                       route == nullptr ? milliseconds{0}
-                                        : this->LongestTimelyWait(*route)});
+    waiting.push_back(
+        {address, route == nullptr ? 0 : route->rank,
+         route == nullptr ? milliseconds{0} : this->LongestTimelyWait(*route)});
   }
   return waiting;
 }
--- a/source/core/steering/concurrency_limiter.cc
+++ b/source/core/steering/concurrency_limiter.cc
@@ -137,8 +137,7 @@
   }
   if (const auto own = pending.find(this->domain);
       this->fair_admission && own != pending.end() &&
-      own->second >= this->InitialLimit(service, this->domain,
-                                        this->SharingInstances())) {
+      own->second >= this->InitialLimit(service, this->domain)) {
     if (auto other = this->DomainWithCapacity(service, pending, now)) {
       return AdmissionGrant{std::move(other)};
     }
@@ -211,39 +210,18 @@
 
 ConcurrencyLimiter::Limit ConcurrencyLimiter::LimitOf(
     const std::string& service, const std::string& domain) const {
-  const std::size_t instances = this->SharingInstances();
   if (const auto limits = this->limits.find(service);
       limits != this->limits.end()) {
     if (const auto limit = limits->second.find(domain);
         limit != limits->second.end()) {
-      return this->Rescaled(limit->second, service, domain, instances);
+      return limit->second;
     }
   }
-  Limit limit{this->InitialLimit(service, domain, instances)};
-  limit.instances = instances;
-  return limit;
-}
-
-// After a restart of the whole fleet the number of instances becomes known only
-// after the first answers, whose limits are those of an instance alone.
-ConcurrencyLimiter::Limit ConcurrencyLimiter::Rescaled(
-    Limit limit, const std::string& service, const std::string& domain,
-    std::size_t instances) const {
-  if (instances == 0 || instances == limit.instances) {
-    return limit;
-  }
-  const double ratio =
-      this->InitialLimit(service, domain, instances) /
-      this->InitialLimit(service, domain, limit.instances);
-  limit.requests = std::max(kMinLimit, limit.requests * ratio);
-  limit.slow_start_threshold *= ratio;
-  limit.instances = instances;
-  return limit;
+  return {this->InitialLimit(service, domain)};
 }
 
 double ConcurrencyLimiter::InitialLimit(const std::string& service,
-                                        const std::string& domain,
-                                        std::size_t instances) const {
+                                        const std::string& domain) const {
   const ServingTargets& serving = this->targets.ServingByDomain(service);
   const bool has_local = serving.contains(this->domain);
   const auto targets = serving.find(domain);
@@ -260,6 +238,7 @@
   }
   const double parts = has_local ? 1.0 : static_cast<double>(serving.size());
   const double most = std::max(all, kInitialSlotsFactor * largest) / parts;
+  const std::size_t instances = this->SharingInstances();
   if (instances == 0) {
     return most;
   }
@@ -280,9 +259,10 @@
   double slots = 0;
   if (const auto found = serving.find(domain); found != serving.end()) {
     for (const TargetIndex index : found->second) {
-      slots += this->Usable(index, now)
-                   ? static_cast<double>(this->targets.At(index).published.slots)
-                   : 0.0;
+      slots +=
+          this->Usable(index, now)
+              ? static_cast<double>(this->targets.At(index).published.slots)
+              : 0.0;
     }
   }
   return slots;
--- a/source/core/steering/concurrency_limiter.h
+++ b/source/core/steering/concurrency_limiter.h
@@ -93,9 +93,6 @@
     double min_target_ms{0};
     unsigned answers{0};
     Round round{};
-    /// The number of instances that share the domain's callers, for which
-    /// `requests` was adapted; 0 while it isn't known.
-    std::size_t instances{0};
   };
   /// Requests at a domain's targets.
   using PendingRequestsByDomain = std::map<std::string, double>;
@@ -111,10 +108,6 @@
   using Limits = std::map<std::string, Limit, std::less<>>;
 
   Limit LimitOf(const std::string& service, const std::string& domain) const;
-  /// The limit after a change of the number of instances that share the
-  /// domain's callers, in proportion to the initial limits for both numbers.
-  Limit Rescaled(Limit limit, const std::string& service,
-                 const std::string& domain, std::size_t instances) const;
   /// Limit of a domain before any answer. For the own domain: the requests that
   /// its targets process concurrently. With few instances, less would leave
   /// targets idle for several answer times, and callers that return after an
@@ -128,8 +121,8 @@
   /// With fair admission it is this instance's share of that, plus what the
   /// number of its requests varies by. The total of the shares stays bounded
   /// then, however many instances share the targets.
-  double InitialLimit(const std::string& service, const std::string& domain,
-                      std::size_t instances) const;
+  double InitialLimit(const std::string& service,
+                      const std::string& domain) const;
   /// The number of instances by which limits are divided: 0, which divides
   /// nothing, while it isn't known or admission isn't fair.
   std::size_t SharingInstances() const {
--- a/source/core/steering/overload_policy.h
+++ b/source/core/steering/overload_policy.h
@@ -21,12 +21,12 @@
 
 /// Why a SYN is refused or goes on waiting.
 enum class OverloadReason : std::uint8_t {
-  kCanBeServed,      ///< It gets its turn before its client gives up.
-  kRateUnknown,      ///< Too few SYNs have waited to tell.
-  kMaybeForwarded,   ///< A copy may have been forwarded: a refusal could lie.
-  kCannotBeServed,   ///< Its client gives up before its turn.
-  kQueueFull,        ///< It would be the last one served.
-  kNeverRefused,     ///< The policy refuses none.
+  kCanBeServed,     ///< It gets its turn before its client gives up.
+  kRateUnknown,     ///< Too few SYNs have waited to tell.
+  kMaybeForwarded,  ///< A copy may have been forwarded: a refusal could lie.
+  kCannotBeServed,  ///< Its client gives up before its turn.
+  kQueueFull,       ///< It would be the last one served.
+  kNeverRefused,    ///< The policy refuses none.
 };
 
 struct OverloadDecision {
--- a/source/core/steering/syn_order.cc
+++ b/source/core/steering/syn_order.cc
@@ -14,6 +14,9 @@
 /// Maximum number of buckets of callers: as many as SYNs can wait.
 constexpr std::uint32_t kCallerBuckets = 1024;
 constexpr std::uint64_t kCallerSalt = 0x63616C6C6572ULL;
+/// SYNs of a caller in one turn. With one, a caller's newest SYN would wait for
+/// older ones of callers that have had as many slots, until it is late as well.
+constexpr std::uint64_t kSynsPerTurn = 4;
 /// Of this many SYNs that leave, one is not of the most urgent rank.
 constexpr unsigned kTurnsPerOtherRank = 8;
 
@@ -65,17 +68,19 @@
              : std::max(finish->second, this->virtual_time);
 }
 
-void FairOrder::Turns::OnTaken(std::uint32_t bucket) {
-  this->virtual_time = std::max(this->virtual_time, this->StartTag(bucket));
-  this->finish_tags[bucket] = this->virtual_time + 1;
+void FairOrder::Turns::OnTaken(std::uint32_t bucket,
+                               std::uint64_t least_waiting) {
+  const std::uint64_t tag = this->StartTag(bucket);
+  this->virtual_time = std::max(this->virtual_time, least_waiting);
+  this->finish_tags[bucket] = tag + 1;
   std::erase_if(this->finish_tags, [this](const auto& finish) {
     return finish.second <= this->virtual_time;
   });
 }
 
 bool FairOrder::Candidate::Before(const Candidate& other) const {
-  if (std::tie(this->tag, this->late) != std::tie(other.tag, other.late)) {
-    return std::tie(this->tag, this->late) < std::tie(other.tag, other.late);
+  if (std::tie(this->late, this->tag) != std::tie(other.late, other.tag)) {
+    return std::tie(this->late, this->tag) < std::tie(other.late, other.tag);
   }
   return this->late ? this->first_sent < other.first_sent
                     : this->first_sent > other.first_sent;
@@ -135,11 +140,19 @@
   std::erase_if(candidates, [rank](const Candidate& candidate) {
     return candidate.rank != rank;
   });
+  const bool late = std::ranges::all_of(candidates, &Candidate::late);
+  std::erase_if(candidates, [late](const Candidate& candidate) {
+    return candidate.late != late;
+  });
+  const std::uint64_t least =
+      std::ranges::min(candidates, {}, &Candidate::tag).tag;
+  for (Candidate& candidate : candidates) {
+    candidate.tag = std::max(candidate.tag, least + kSynsPerTurn - 1);
+  }
   const Candidate next = *std::ranges::min_element(
-      candidates, [](const Candidate& a, const Candidate& b) {
-        return a.Before(b);
-      });
-  this->turns[rank].OnTaken(next.bucket);
+      candidates,
+      [](const Candidate& a, const Candidate& b) { return a.Before(b); });
+  this->turns[rank].OnTaken(next.bucket, least);
   return queue.Take(common::FlowKey(next.syn->flow));
 }
 
--- a/source/core/steering/syn_order.h
+++ b/source/core/steering/syn_order.h
@@ -37,8 +37,9 @@
  public:
   virtual ~SynOrder() = default;
 
-  /// Removes the SYN that leaves next from `queue` and returns it. Only `routes`
-  /// are considered, which have a grant each. Superseded SYNs aren't returned.
+  /// Removes the SYN that leaves next from `queue` and returns it. Only
+  /// `routes` are considered, which have a grant each. Superseded SYNs aren't
+  /// returned.
   virtual std::optional<QueuedSyn> TakeNext(
       SynQueue& queue, std::span<const WaitingRoute> routes,
       std::chrono::milliseconds now) = 0;
@@ -87,7 +88,7 @@
     std::unordered_map<std::uint32_t, std::uint64_t> finish_tags;
 
     std::uint64_t StartTag(std::uint32_t bucket) const;
-    void OnTaken(std::uint32_t bucket);
+    void OnTaken(std::uint32_t bucket, std::uint64_t least_waiting);
   };
   /// A queued SYN with what the order compares.
   struct Candidate {
--- a/tests/core/view/sample_publication.h
+++ b/tests/core/view/sample_publication.h
@@ -1,8 +1,8 @@
 /// A Publication with a simple text format, so that tests of the core don't
 /// depend on a platform's adapter. A configuration is
-/// "VERSION ADDRESS=SERVICE[,SERVICE][@REGION]... [warmup:SERVICE=RATE]...", a
-/// target is "SERVICE DOMAIN ADDRESS [draining] [cold=MS]", and an evacuation
-/// is
+/// "VERSION ADDRESS=SERVICE[,SERVICE][@REGION][#RANK]...
+/// [warmup:SERVICE=RATE]...", a target is "SERVICE DOMAIN ADDRESS [draining]
+/// [cold=MS]", and an evacuation is
 /// "{}" under the key "evacuation/DOMAIN". Other texts can't be decoded.
 #pragma once
 
@@ -114,6 +114,11 @@
       }
       PublishedRoute route{*common::Endpoint::Parse(word.substr(0, equals)),
                            {}};
+      if (const std::size_t at = word.find('#'); at != std::string::npos) {
+        route.rank =
+            static_cast<std::uint32_t>(std::stoul(word.substr(at + 1)));
+        word.resize(at);
+      }
       if (const std::size_t at = word.find('@'); at != std::string::npos) {
         route.allowed_regions = {word.substr(at + 1)};
         word.resize(at);
