Explain flows that leave by load, and ignore unreliable times

Cause: `explain` had no sentence for the reason `shared`, and a domain with few requests, or none whose answer was seen, gave the time by which demand is computed. Change: the sentence and the load lines around a flow; DemandOf ignores domains without answers or with under 5% of the busiest one's requests.

--- a/source/core/load/demand.cc
+++ b/source/core/load/demand.cc
@@ -1,21 +1,30 @@
 #include "core/load/demand.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace sassafrasdyke::core {
 namespace {
 
+/// Domains with a smaller fraction of the requests of the busiest one don't
+/// count: the mean time of few requests is unreliable.
+constexpr double kMinRateRatio = 0.05;
+
 /// Least mean time at the targets of any domain, queueing included, in s; 0
-/// while there are no requests.
+/// while no answer has shown one.
 double LeastTime(const std::vector<DomainLoad>& loads) {
-  double least = std::numeric_limits<double>::infinity();
+  double busiest = 0;
+  for (const DomainLoad& load : loads) {
+    busiest = std::max(busiest, load.requests_per_s);
+  }
+  std::optional<double> least;
   for (const DomainLoad& load : loads) {
-    if (load.requests_per_s > 0) {
-      least = std::min(least, load.concurrency / load.requests_per_s);
+    if (load.concurrency > 0 &&
+        load.requests_per_s >= busiest * kMinRateRatio) {
+      const double time = load.concurrency / load.requests_per_s;
+      least = std::min(least.value_or(time), time);
     }
   }
-  return least == std::numeric_limits<double>::infinity() ? 0 : least;
+  return least.value_or(0);
 }
 
 }  // namespace
--- a/source/front/flow_story.cc
+++ b/source/front/flow_story.cc
@@ -72,6 +72,9 @@
     Meaning{"placed", "relieved",
             "Its SYN went to another failure domain, as the own targets had "
             "enough to do."},
+    Meaning{"placed", "shared",
+            "Its SYN went to another failure domain, as the callers of the own "
+            "needed more than its share."},
     Meaning{"placed", "evacuated",
             "Its SYN went to another failure domain, as the operator had "
             "evacuated the own."},
@@ -136,7 +139,8 @@
     "targets", "published", "replaced",      "gone_age_ms",  "answered_age_ms",
     "probe",   "outcome",   "silent_now",    "probe_age_ms", "why",
     "for_ms",  "version",   "configuration", "revision",     "view_age_ms",
-    "source",  "waiting"};
+    "source",  "waiting",   "about",         "service",      "demand",
+    "slots",   "age_ms",    "reporters"};
 
 std::string Describe(const LogLine& line) {
   std::string text = line.event;
@@ -155,7 +159,8 @@
   if (line.channel == "process" || line.event == "lines-left-out" ||
       line.event == "configuration-in-force" ||
       line.event == "evacuation-in-force" ||
-      line.event == "evacuation-lifted") {
+      line.event == "evacuation-lifted" || line.event == "domain-over-share" ||
+      line.event == "domain-below-share") {
     return true;
   }
   return line.channel == "view" && targets.contains(line.target);
--- a/tests/front/flow_story_test.cc
+++ b/tests/front/flow_story_test.cc
@@ -84,6 +84,13 @@
      {"evacuation-in-force evacuated=north targets=40 published=7",
       "placed reason=evacuated"},
      "the operator had evacuated"},
+    {"sent away by the load",
+     {Line(500, "front-1", "load", "domain-over-share",
+           R"(,"about":"south","service":"diary","demand":90,"slots":80)"),
+      FlowLine(1000, "placed", R"(,"reason":"shared","target":"t4")")},
+     {"domain-over-share about=south service=diary demand=90 slots=80",
+      "placed reason=shared"},
+     "needed more than its share"},
 };
 
 // A user complains about one request. Whoever is on call has the instances'
@@ -131,6 +138,7 @@
     {"placed", Word(SteeringReason::kLocal)},
     {"placed", Word(SteeringReason::kSpilled)},
     {"placed", Word(SteeringReason::kRelieved)},
+    {"placed", Word(SteeringReason::kShared)},
     {"placed", Word(SteeringReason::kEvacuated)},
     {"placed", Word(SteeringReason::kSuspected)},
     {"placed", Word(SteeringReason::kRepeated)},
--- a/tests/front/locality_setting_test.cc
+++ b/tests/front/locality_setting_test.cc
@@ -10,9 +10,9 @@
 namespace {
 
 struct Row {
+  double utilization;  ///< Of the own domain.
   bool share_load;
   config::LocalityMode mode;
-  double utilization;  ///< Of the own domain.
   bool leaves;
 };
 
@@ -21,12 +21,12 @@
 }
 
 const Row kRows[] = {
-    {true, config::LocalityMode::kLocal, 2.0, false},
-    {true, config::LocalityMode::kProportional, 2.0, true},
-    {true, config::LocalityMode::kHeadroom, 2.0, true},
-    {true, config::LocalityMode::kProportional, 0.8, false},
-    {true, config::LocalityMode::kHeadroom, 0.8, false},
-    {false, config::LocalityMode::kProportional, 2.0, false},
+    {2.0, true, config::LocalityMode::kLocal, false},
+    {2.0, true, config::LocalityMode::kProportional, true},
+    {2.0, true, config::LocalityMode::kHeadroom, true},
+    {0.8, true, config::LocalityMode::kProportional, false},
+    {0.8, true, config::LocalityMode::kHeadroom, false},
+    {2.0, false, config::LocalityMode::kProportional, false},
 };
 
 // Guards against a bound or a policy that the settings don't reach.
