--- a/tests/core/steering/locality_policy_test.cc
+++ b/tests/core/steering/locality_policy_test.cc
@@ -154,9 +154,10 @@
   }
 }
 
-/// Ten instances in each of three domains with 40 targets of two slots and a
-/// queue of eight, in steps. All decide by the mean load of the last but one
-/// second. Targets of a domain are modelled as one queue.
+/// Three domains with 40 targets of two slots and a queue of eight each, in
+/// steps; a domain's targets are modelled as one queue. All instances decide by
+/// the same mean load of the last but one second. Policies have no state, so
+/// one object stands for any number of instances.
 class FleetPlay {
  public:
   static constexpr std::size_t kCount = 3;
