--- a/tests/core/load/load_scene.h
+++ b/tests/core/load/load_scene.h
@@ -53,7 +53,7 @@
         return load;
       }
     }
-    return {domain, 0, 0, false, {}, 0};
+    return {domain, 0, 0, {}, false, {}, 0};
   }
 
   std::chrono::milliseconds now{0};
