--- a/tests/core/steering/admission_share_test.cc
+++ b/tests/core/steering/admission_share_test.cc
@@ -360,8 +360,8 @@
 BOOST_DATA_TEST_CASE(decisions_are_as_before_without_overload, kSame, row) {
   ShareScene scene(row.fair_admission);
   scene.load.instances = 27;
-  scene.load.loads["diary"] = {{"north", 0, 80, true, 0ms, 20},
-                               {"south", 0, 0, true, 0ms, 20}};
+  scene.load.loads["diary"] = {{"north", 0, 80, {}, true, 0ms, 20},
+                               {"south", 0, 0, {}, true, 0ms, 20}};
   Reference reference;
   Jitter random(row.seed);
   std::deque<std::pair<Time, FlowPacket>> open;
--- a/tests/core/steering/share_limit_test.cc
+++ b/tests/core/steering/share_limit_test.cc
@@ -144,8 +144,9 @@
   }
   scene.load.instances = 27;
   scene.RaiseOwnLimit();
-  scene.load.loads["diary"] = {{"north", 0, row.own, true, 0ms, 20},
-                               {"south", 0, row.other, row.reachable, 0ms, 20}};
+  scene.load.loads["diary"] = {
+      {"north", 0, row.own, {}, true, 0ms, 20},
+      {"south", 0, row.other, {}, row.reachable, 0ms, 20}};
   const auto grant = scene.Grant();
 
   BOOST_REQUIRE(grant.has_value());
@@ -158,8 +159,8 @@
 BOOST_AUTO_TEST_CASE(instances_share_the_capacity_of_another_domain) {
   ShareScene scene(40);
   scene.load.instances = 8;
-  scene.load.loads["diary"] = {{"north", 0, 80, true, 0ms, 20},
-                               {"south", 0, 24, true, 0ms, 20}};
+  scene.load.loads["diary"] = {{"north", 0, 80, {}, true, 0ms, 20},
+                               {"south", 0, 24, {}, true, 0ms, 20}};
   scene.RaiseOwnLimit();
   scene.Fill(0xa101, "north");
 
