Let target weights scale new flows, and report each failed request once

Cause: TargetChoice knows no health of targets beyond suspicion, and an observer of requests is told of every copy of an unanswered request and of resets after an answer, so that fractions of failures would exceed one. Change: targets of weight 0 are used only when no other is left, lower weights reduce the capacity in start tags, and FlowMemory tells the first sign that a request failed. Without weights the tags are the same numbers as before.

--- a/source/core/load/request_observer.h
+++ b/source/core/load/request_observer.h
@@ -22,10 +22,11 @@
   virtual void OnAnswer(TargetIndex target, const AnswerTiming& timing,
                         std::chrono::milliseconds now) = 0;
   /// A client retransmitted a SYN or a request that the target has left
-  /// unanswered.
+  /// unanswered; told once for each of them.
   virtual void OnUnanswered(TargetIndex target,
                             std::chrono::milliseconds now) = 0;
-  /// A client reset the flow.
+  /// A client reset the flow, whose last request the target has left unanswered
+  /// without that being told before.
   virtual void OnClientReset(TargetIndex target,
                              std::chrono::milliseconds now) = 0;
   /// The process was paused: what was seen before shows nothing.
--- a/source/core/steering/fair_scheduler.cc
+++ b/source/core/steering/fair_scheduler.cc
@@ -13,17 +13,20 @@
 
 }  // namespace
 
-double FairScheduler::StartTag(TargetIndex target,
-                               const std::string& service) const {
-  return std::max(ValueOr0(this->finish_tags, target),
-                  ValueOr0(this->virtual_times, service));
+double FairScheduler::StartTag(TargetIndex target, const std::string& service,
+                               double capacity) const {
+  const double virtual_time = ValueOr0(this->virtual_times, service);
+  const auto last = this->start_tags.find(target);
+  return last == this->start_tags.end()
+             ? virtual_time
+             : std::max(last->second + 1.0 / capacity, virtual_time);
 }
 
 void FairScheduler::OnPlaced(TargetIndex target, const std::string& service,
-                             std::uint32_t slots) {
-  const double start_tag = this->StartTag(target, service);
+                             double capacity) {
+  const double start_tag = this->StartTag(target, service, capacity);
   this->virtual_times[service] = start_tag;
-  this->finish_tags[target] = start_tag + 1.0 / std::max(slots, 1U);
+  this->start_tags[target] = start_tag;
 }
 
 }  // namespace sassafrasdyke::core
--- a/source/core/steering/fair_scheduler.h
+++ b/source/core/steering/fair_scheduler.h
@@ -9,7 +9,6 @@
 /// the current virtual time.
 #pragma once
 
-#include <cstdint>
 #include <string>
 #include <unordered_map>
 
@@ -17,22 +16,25 @@
 
 namespace sassafrasdyke::core {
 
-/// Start and finish tags are virtual times, in flows per slot; they never
-/// decrease. An instance counts its own flows only.
+/// Start and finish tags are virtual times, in flows per slot. An instance
+/// counts its own flows only. A target's capacity is what it can work on, in
+/// slots, which its health may reduce.
 class FairScheduler {
  public:
   /// Start tag of the target's next flow; the eligible target with the least is
   /// chosen.
-  double StartTag(TargetIndex target, const std::string& service) const;
-  /// A flow was placed at the target. `slots`: requests that it processes
-  /// concurrently, its weight.
+  double StartTag(TargetIndex target, const std::string& service,
+                  double capacity) const;
+  /// A flow was placed at the target.
   void OnPlaced(TargetIndex target, const std::string& service,
-                std::uint32_t slots);
-  void Forget(TargetIndex target) { this->finish_tags.erase(target); }
+                double capacity);
+  void Forget(TargetIndex target) { this->start_tags.erase(target); }
 
  private:
-  /// Finish tag of the last flow that was placed at each target.
-  std::unordered_map<TargetIndex, double> finish_tags;
+  /// Start tag of the last flow that was placed at each target. The finish tag
+  /// follows from the present capacity: a target whose capacity was tiny would
+  /// otherwise get nothing for long after it has recovered.
+  std::unordered_map<TargetIndex, double> start_tags;
   /// Virtual time by service: the start tag of the flow that was placed last.
   std::unordered_map<std::string, double> virtual_times;
 };
--- a/source/core/steering/flow_memory.cc
+++ b/source/core/steering/flow_memory.cc
@@ -23,27 +23,43 @@
 FlowProgress FlowMemory::OnForwarded(const FlowPacket& packet,
                                      TargetIndex target,
                                      std::chrono::milliseconds now) {
+  const auto found = this->flows.find(packet.flow);
   if (packet.flags.fin || packet.flags.rst) {
-    this->flows.erase(packet.flow);
-    return {};
+    return this->OnEnd(packet, found);
   }
   const std::uint32_t next_sequence = packet.sequence + packet.payload_bytes;
-  const auto found = this->flows.find(packet.flow);
   if (found == this->flows.end()) {
     if (this->flows.size() < kMaxFlows) {
-      this->flows.emplace(packet.flow, Entry{target, packet.acknowledgement,
-                                             next_sequence, now});
+      this->flows.emplace(
+          packet.flow, Entry{target, packet.acknowledgement, next_sequence, now,
+                             packet.payload_bytes > 0});
     }
-    return {false, packet.payload_bytes > 0};
+    return {false, packet.payload_bytes > 0, false};
   }
   Entry& entry = found->second;
   const bool same = entry.target == target;
-  const FlowProgress progress{
-      same && IsAfter(packet.acknowledgement, entry.acknowledgement),
-      packet.payload_bytes > 0 &&
-          (!same || IsAfter(next_sequence, entry.next_sequence))};
-  entry = {target, packet.acknowledgement, next_sequence, now};
-  return progress;
+  const bool answered =
+      same && IsAfter(packet.acknowledgement, entry.acknowledgement);
+  const bool requests = packet.payload_bytes > 0 &&
+                        (!same || IsAfter(next_sequence, entry.next_sequence));
+  const bool repeats = packet.payload_bytes > 0 && !answered && !requests;
+  const bool fails = repeats && entry.awaits_answer;
+  const bool awaits_answer =
+      requests || (entry.awaits_answer && !answered && !fails);
+  entry = {target, packet.acknowledgement, next_sequence, now, awaits_answer};
+  return {answered, requests, fails};
+}
+
+FlowProgress FlowMemory::OnEnd(const FlowPacket& packet, Flows::iterator flow) {
+  if (flow == this->flows.end()) {
+    return {};
+  }
+  const bool answered =
+      IsAfter(packet.acknowledgement, flow->second.acknowledgement);
+  const bool fails =
+      packet.flags.rst && flow->second.awaits_answer && !answered;
+  this->flows.erase(flow);
+  return {false, false, fails};
 }
 
 bool FlowMemory::HasFlowsOf(TargetIndex target) const {
--- a/source/core/steering/flow_memory.h
+++ b/source/core/steering/flow_memory.h
@@ -33,6 +33,9 @@
   bool answered{false};
   /// It carries new data: a request, no retransmission.
   bool requests{false};
+  /// It is the first packet to show that the flow's last request failed: a
+  /// retransmission, or a reset by the client before any answer.
+  bool shows_failure{false};
 };
 
 /// Bounded in number: beyond the bound new flows aren't remembered.
@@ -61,10 +64,15 @@
     /// The sequence number after the last byte.
     std::uint32_t next_sequence{0};
     std::chrono::milliseconds seen_at{0};
+    bool awaits_answer{false};  ///< And its failure hasn't been shown.
   };
+  using Flows = std::unordered_map<common::FlowKey, Entry, FlowHash>;
+
+  /// The client closes or resets the flow.
+  FlowProgress OnEnd(const FlowPacket& packet, Flows::iterator flow);
 
   std::chrono::milliseconds flow_life;
-  std::unordered_map<common::FlowKey, Entry, FlowHash> flows;
+  Flows flows;
   std::chrono::milliseconds expired_at{0};
 };
 
--- a/source/core/steering/flow_steering.cc
+++ b/source/core/steering/flow_steering.cc
@@ -208,7 +208,7 @@
                                  std::chrono::milliseconds now) {
   if (packet.flags.fin || packet.flags.rst) {
     this->pending.OnEnd(packet.flow);
-    if (packet.flags.rst) {
+    if (progress.shows_failure) {
       for (RequestObserver* const observer : this->observers) {
         observer->OnClientReset(target, now);
       }
@@ -235,7 +235,7 @@
         observer->OnRequest(target, now);
       }
     }
-  } else if (packet.payload_bytes > 0) {
+  } else if (progress.shows_failure) {
     this->OnUnanswered(target, now);
   }
 }
--- a/source/core/steering/flow_steering.h
+++ b/source/core/steering/flow_steering.h
@@ -48,7 +48,7 @@
         observers(shared.observers),
         warmup(view.routes, view.targets, tolerance, seed),
         choice(domain, view.targets, view.regions, this->watch, this->pending,
-               this->answer_times, this->warmup),
+               this->answer_times, this->warmup, shared.weights),
         limiter(domain, view.targets, view.regions, this->watch, this->pending,
                 this->warmup),
         memory(view.routes.FlowLife()) {}
--- a/source/core/steering/target_choice.cc
+++ b/source/core/steering/target_choice.cc
@@ -88,9 +88,16 @@
 
 bool TargetChoice::Usable(TargetIndex index, const ChoiceQuery& query) const {
   return query.excluded != index && !this->watch.Suspected(index, query.now) &&
+         this->weights.WeightOf(index) > 0 &&
          this->warmup.Allows(index, query.now);
 }
 
+double TargetChoice::CapacityOf(TargetIndex index) const {
+  const double slots = std::max(this->targets.At(index).published.slots, 1U);
+  const double weight = this->weights.WeightOf(index);
+  return weight > 0 ? slots * weight : slots;
+}
+
 std::optional<Choice> TargetChoice::ChooseOf(const std::string& service,
                                              const ChoiceQuery& query) const {
   const ServingTargets& serving = this->targets.ServingByDomain(service);
@@ -201,7 +208,8 @@
   std::uint64_t least_hash = 0;
   for (const TargetIndex index : options) {
     const PublishedTarget& target = this->targets.At(index).published;
-    const double start_tag = this->scheduler.StartTag(index, target.service);
+    const double start_tag = this->scheduler.StartTag(index, target.service,
+                                                      this->CapacityOf(index));
     const std::size_t waiting = this->pending.UnansweredAt(index);
     // Ties are broken by the flow's hash: instances that start together would
     // otherwise all begin with the same target.
@@ -221,7 +229,7 @@
 
 void TargetChoice::OnPlaced(TargetIndex target) {
   const PublishedTarget& placed = this->targets.At(target).published;
-  this->scheduler.OnPlaced(target, placed.service, placed.slots);
+  this->scheduler.OnPlaced(target, placed.service, this->CapacityOf(target));
 }
 
 TargetIndex TargetChoice::LeastSuspected(
--- a/source/core/steering/target_choice.h
+++ b/source/core/steering/target_choice.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "common/ids.h"
+#include "core/health/target_weights.h"
 #include "core/steering/answer_times.h"
 #include "core/steering/fair_scheduler.h"
 #include "core/steering/flow_packet.h"
@@ -41,7 +42,8 @@
 /// requests of this instance; fair queueing decides among equals. Flows spill
 /// to other domains when the own has no usable target, and a part of them when
 /// it has far fewer of the service's usable targets than the others, unless the
-/// additional network time exceeds what its targets take for a request.
+/// additional network time exceeds what its targets take for a request. Targets
+/// of a weight below 1 get a smaller share of the flows.
 ///
 /// Unanswered requests are the first symptom of a slow target: if it still got
 /// its share of the flows, it would answer all of them late, while other
@@ -52,14 +54,15 @@
   TargetChoice(std::string domain, const TargetTable& targets,
                const RegionMap& regions, const TargetWatch& watch,
                const PendingRequests& pending, const AnswerTimes& answer_times,
-               const WarmupBudget& warmup)
+               const WarmupBudget& warmup, const TargetWeights& weights)
       : domain(std::move(domain)),
         targets(targets),
         regions(regions),
         watch(watch),
         pending(pending),
         answer_times(answer_times),
-        warmup(warmup) {}
+        warmup(warmup),
+        weights(weights) {}
 
   /// A flow was placed at the target.
   void OnPlaced(TargetIndex target);
@@ -76,7 +79,11 @@
   std::optional<Choice> ChooseOfAll(const std::string& service,
                                     const std::vector<TargetIndex>& local,
                                     const ChoiceQuery& query) const;
+  /// Ejected targets aren't, as suspected ones: both are used only when no
+  /// other is left.
   bool Usable(TargetIndex index, const ChoiceQuery& query) const;
+  /// What the target can work on, reduced by its weight; in slots.
+  double CapacityOf(TargetIndex index) const;
   /// Why a flow leaves the own domain: `reason`, or its evacuation.
   SteeringReason ReasonToLeave(SteeringReason reason) const;
   /// Those of the usable targets that are warming up.
@@ -93,6 +100,7 @@
   const PendingRequests& pending;
   const AnswerTimes& answer_times;
   const WarmupBudget& warmup;
+  const TargetWeights& weights;
   FairScheduler scheduler;
 };
 
--- a/tests/core/steering/flow_steering_test.cc
+++ b/tests/core/steering/flow_steering_test.cc
@@ -317,5 +317,84 @@
   BOOST_TEST(scene.steering.TakeFlowsOf(target).empty());
 }
 
+/// Counts what an observer is told.
+struct CountingObserver final : public RequestObserver {
+  void OnOpening(TargetIndex /*target*/,
+                 std::chrono::milliseconds /*now*/) override {
+    ++this->openings;
+  }
+  void OnRequest(TargetIndex /*target*/,
+                 std::chrono::milliseconds /*now*/) override {
+    ++this->requests;
+  }
+  void OnAnswer(TargetIndex /*target*/, const AnswerTiming& /*timing*/,
+                std::chrono::milliseconds /*now*/) override {
+    ++this->answers;
+  }
+  void OnUnanswered(TargetIndex /*target*/,
+                    std::chrono::milliseconds /*now*/) override {
+    ++this->failures;
+  }
+  void OnClientReset(TargetIndex /*target*/,
+                     std::chrono::milliseconds /*now*/) override {
+    ++this->failures;
+  }
+  void OnPause(std::chrono::milliseconds /*now*/) override {}
+
+  int openings{0};
+  int requests{0};
+  int answers{0};
+  int failures{0};
+};
+
+/// What a client sends on one flow after the SYN: `d` a request, `r` the same
+/// again, `a` an acknowledgement of new data, `f` a FIN, `x` a reset, `X` a
+/// reset that acknowledges new data.
+struct ObservedFlow {
+  std::string packets;
+  int requests;  ///< After the first.
+  int failures;
+};
+
+std::ostream& operator<<(std::ostream& out, const ObservedFlow& row) {
+  return out << row.packets;
+}
+
+const ObservedFlow kObservedFlows[] = {
+    {"daf", 0, 0},    {"drrrx", 0, 1}, {"dx", 0, 1},  {"dax", 0, 0},
+    {"dX", 0, 0},     {"drax", 0, 1},  {"dad", 1, 0}, {"dadrx", 1, 1},
+    {"drdrrx", 1, 2}, {"df", 0, 0}};
+
+// Guards against a failed request that counts with each of its copies, and
+// against flows that clients reset after their answer.
+BOOST_DATA_TEST_CASE(each_request_fails_at_most_once, kObservedFlows, row) {
+  CountingObserver observer;
+  const SharedObservations& none = NoSharedObservations();
+  const SharedObservations shared{
+      none.load, none.weights, none.locality, {&observer}};
+  SteeringScene scene("north", {}, 0, shared);
+  scene.Configure("1 198.18.0.1:443=diary", 0ms);
+  scene.Publish("a1", TargetText("diary", "north", "10.0.0.1:80"), 0ms);
+  auto now = 10ms;
+  scene.steering.OnPacket(SteeringScene::Syn(1000), now);
+  FlowPacket last = SteeringScene::Ack(1000, 0xA1);
+  last.sequence = 1;
+  last.acknowledgement = 1;
+  for (const char kind : row.packets) {
+    now += 200ms;
+    last.sequence += kind == 'd' ? 100 : 0;
+    last.payload_bytes = kind == 'd' || kind == 'r' ? 100 : 0;
+    last.acknowledgement += kind == 'a' || kind == 'X' ? 1000 : 0;
+    FlowPacket packet = last;
+    packet.flags.fin = kind == 'f';
+    packet.flags.rst = kind == 'x' || kind == 'X';
+    scene.steering.OnPacket(packet, now);
+  }
+
+  BOOST_TEST(observer.openings == 1);
+  BOOST_TEST(observer.requests == row.requests);
+  BOOST_TEST(observer.failures == row.failures);
+}
+
 }  // namespace
 }  // namespace sassafrasdyke::core
--- a/tests/core/steering/steering_scene.h
+++ b/tests/core/steering/steering_scene.h
@@ -10,13 +10,15 @@
 
 /// An instance with its view.
 struct SteeringScene {
-  explicit SteeringScene(const std::string& domain = "north",
-                         WarmupTolerance tolerance = {}, std::uint64_t seed = 0)
+  explicit SteeringScene(
+      const std::string& domain = "north", WarmupTolerance tolerance = {},
+      std::uint64_t seed = 0,
+      const SharedObservations& shared = NoSharedObservations())
       : view(publication, std::chrono::seconds(60)),
         steering(domain,
                  {this->view.Routes(), this->view.Targets(),
                   this->view.Contact(), this->view.Regions()},
-                 tolerance, seed) {}
+                 tolerance, seed, shared) {}
 
   /// Publishes a target; `value` as SamplePublication reads it.
   void Publish(const std::string& id, const std::string& value,
--- a/tests/core/steering/target_choice_test.cc
+++ b/tests/core/steering/target_choice_test.cc
@@ -3,12 +3,14 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <cmath>
 #include <map>
 #include <memory>
 #include <ostream>
 #include <string>
 #include <vector>
 
+#include "core/health/fixed_target_weights.h"
 #include "core/steering/steering_scene.h"
 
 namespace sassafrasdyke::core {
@@ -137,5 +139,79 @@
   BOOST_TEST(local <= row.most_local);
 }
 
+/// Weights of a domain's targets, and the part of 1,000 flows each gets.
+struct WeightRow {
+  std::vector<double> weights;
+  std::vector<double> parts;
+  std::string_view reason;
+};
+
+std::ostream& operator<<(std::ostream& out, const WeightRow& row) {
+  for (const double weight : row.weights) {
+    out << weight << " ";
+  }
+  return out;
+}
+
+const WeightRow kWeights[] = {
+    {{1, 1, 1, 1}, {0.25, 0.25, 0.25, 0.25}, "local"},
+    {{0.25, 1, 1, 1}, {0.077, 0.308, 0.308, 0.308}, "local"},
+    {{0, 1, 1, 1}, {0, 0.333, 0.333, 0.333}, "local"},
+    {{0, 0, 0, 0.5}, {0, 0, 0, 1}, "local"},
+    {{0, 0, 0, 0}, {}, "suspected-only"},
+};
+
+// Guards against flows to ejected targets while others are left, and against
+// refusals when none is.
+BOOST_DATA_TEST_CASE(weights_scale_the_flows_of_targets, kWeights, row) {
+  constexpr std::uint16_t kFlows = 1000;
+  FixedTargetWeights weights;
+  const SharedObservations shared{NoSharedObservations().load,
+                                  weights,
+                                  NoSharedObservations().locality,
+                                  {}};
+  SteeringScene scene("north", {}, 0, shared);
+  scene.Configure("1 198.18.0.1:443=diary", 0ms);
+  for (std::size_t i = 0; i < row.weights.size(); ++i) {
+    const std::string number = std::to_string(i + 1);
+    scene.Publish(
+        number, TargetText("diary", "north", "10.0.0." + number + ":80"), 0ms);
+    weights.weights[*scene.view.Targets().IndexOf({static_cast<std::uint32_t>(
+        i + 1)})] = {row.weights[i], OutlierState::kSlow};
+  }
+  std::map<std::uint32_t, double> flows;
+  auto now = 10ms;
+  for (std::uint16_t i = 0; i < kFlows; ++i) {
+    const auto port = static_cast<std::uint16_t>(1024 + i);
+    const auto action = scene.steering.OnPacket(SteeringScene::Syn(port), now);
+    const std::uint32_t word = scene.WordOf(action);
+    BOOST_REQUIRE(WordOf(action) == row.reason);
+    flows[word] += 1;
+    // An answer at once leaves no target with unanswered requests.
+    FlowPacket fin = SteeringScene::Ack(port, word);
+    fin.flags.fin = true;
+    scene.steering.OnPacket(fin, now += 10ms);
+  }
+
+  for (std::size_t i = 0; i < row.parts.size(); ++i) {
+    const double part = flows[static_cast<std::uint32_t>(i + 1)] / kFlows;
+    BOOST_TEST(std::abs(part - row.parts[i]) <= 0.01);
+  }
+}
+
+// Guards against a target that gets nothing for long after its health returns,
+// because its weight was tiny.
+BOOST_AUTO_TEST_CASE(a_weight_that_grows_takes_effect_at_once) {
+  FairScheduler scheduler;
+  const TargetIndex slow{1};
+  const TargetIndex other{2};
+  scheduler.OnPlaced(slow, "diary", 0.01);
+  scheduler.OnPlaced(other, "diary", 2.0);
+  scheduler.OnPlaced(other, "diary", 2.0);
+
+  BOOST_TEST(scheduler.StartTag(slow, "diary", 0.01) == 100.0);
+  BOOST_TEST(scheduler.StartTag(slow, "diary", 2.0) == 0.5);
+}
+
 }  // namespace
 }  // namespace sassafrasdyke::core
