Detect slow, failing and silent targets by the observations of a domain

Cause: one of 27 instances sends each of 40 targets about one request a second, too few to judge a target by; without sharing, slow and failing ones keep their share of new flows as long as they are in trouble. Change: TargetObservations, TargetReports, OutlierDetector and its rules, entries of digests with answers and the sender's verdict, the log channel health, the gauge of targets by health, and the operators' page. Nothing is wired yet.

--- /dev/null
+++ b/source/core/health/outlier_detector.cc
@@ -0,0 +1,655 @@
+#include "core/health/outlier_detector.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace sassafrasdyke::core {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kFirstEjection{2000};
+constexpr milliseconds kMaxEjection{16'000};
+/// After this many doublings the longest ejection is reached.
+constexpr unsigned kMaxDoublings = 3;
+/// Health of this length ends the doubling.
+constexpr milliseconds kBackoffMemory{16'000};
+
+/// Interval of trial flows, of all instances of the domain together.
+constexpr milliseconds kTrialInterval{1000};
+/// A failed request shows up to 0.6 s later, and digests take a second.
+constexpr milliseconds kMinTrial{2000};
+/// A trial without enough evidence ends after this time.
+constexpr milliseconds kMaxTrial{5000};
+/// Requests without a failure that end a trial.
+constexpr std::uint32_t kTrialSuccesses = 3;
+/// Failures, if also a third of the requests, after which a returning target is
+/// ejected again.
+constexpr std::uint32_t kTrialFailures = 2;
+constexpr milliseconds kSlowStart{2000};
+constexpr double kMinSlowStartWeight = 0.1;
+
+/// A slow target gets few flows, so fewer answers decide whether it stays so.
+constexpr double kMinAnswersToKeepSlow = 2;
+/// A slow target without new answers returns after this time.
+constexpr milliseconds kSlowMemory{10'000};
+/// Weight of the slowest target, so that it goes on being measured.
+constexpr double kMinSlowWeight = 0.02;
+
+/// How long a report of silence counts.
+constexpr milliseconds kSilenceRetention{3000};
+/// A sign of life refutes reports of silence for this time.
+constexpr milliseconds kLifeRetention{2000};
+constexpr milliseconds kProbeRequestInterval{1000};
+
+/// Minimum time between two urgent digests to the readers.
+constexpr milliseconds kUrgentInterval{500};
+/// Number of instances of a domain that send such a digest in each interval.
+constexpr double kMaxUrgentSenders = 30;
+/// Urgent digests to the readers: six at once, then one in ten seconds. Some
+/// requests always fail, and must not cost a digest each.
+constexpr std::size_t kTokensOfDigest = 10;
+constexpr common::BucketLimits kUrgentDigests{1, 6 * kTokensOfDigest};
+/// Answers this many medians above what is notable are worth an urgent digest.
+constexpr double kAlarmingExcess = 8.0;
+/// Requests of the domain to a target in the long period from which a second is
+/// enough: twice what a verdict needs.
+constexpr double kRequestsForShortPeriod = 40;
+/// Random numbers with this many values decide by probability.
+constexpr std::uint64_t kDraws = 1U << 20U;
+
+milliseconds EjectionTime(unsigned ejections) {
+  const unsigned doublings =
+      std::min(std::max(ejections, 1U) - 1, kMaxDoublings);
+  return std::min(kFirstEjection * (1U << doublings), kMaxEjection);
+}
+
+bool Draw(Jitter& random, double probability) {
+  return static_cast<double>(random.Below(kDraws)) <
+         probability * static_cast<double>(kDraws);
+}
+
+}  // namespace
+
+OutlierDetector::OutlierDetector(std::string domain, const TargetTable& targets,
+                                 const FleetLoad& load, TargetObservations& own,
+                                 double max_ejected, std::uint64_t seed)
+    : domain(std::move(domain)),
+      targets(targets),
+      load(load),
+      own(own),
+      max_ejected(max_ejected),
+      random(seed),
+      reader_digests(kUrgentDigests) {}
+
+std::string_view Word(HealthEvent event) {
+  switch (event) {
+    case HealthEvent::kEjected:
+      return "target-ejected";
+    case HealthEvent::kSlow:
+      return "target-slow";
+    case HealthEvent::kBack:
+      return "target-back";
+  }
+  return "unknown";
+}
+
+double OutlierDetector::WeightOf(TargetIndex target) const {
+  if (const auto found = this->silent.find(target);
+      found != this->silent.end() && found->second.avoided) {
+    return 0;
+  }
+  const auto found = this->records.find(target);
+  if (found == this->records.end()) {
+    return 1.0;
+  }
+  const Record& record = found->second;
+  if (record.state == OutlierState::kReturning && record.trial) {
+    return record.trial_open && this->own.Openings(target) <= record.openings
+               ? 1.0
+               : 0.0;
+  }
+  return record.weight;
+}
+
+OutlierState OutlierDetector::StateOf(TargetIndex target) const {
+  if (const auto found = this->silent.find(target);
+      found != this->silent.end() && found->second.avoided) {
+    return OutlierState::kSilent;
+  }
+  const auto found = this->records.find(target);
+  return found == this->records.end() ? OutlierState::kHealthy
+                                      : found->second.state;
+}
+
+void OutlierDetector::Append(PeerObservations& observations, Time now) {
+  std::vector<ToldJudgement> judged;
+  for (const auto& [target, entry] : this->silent) {
+    if (entry.confirmed) {
+      judged.push_back({target, true, 1.0, now - entry.since});
+    }
+  }
+  for (const auto& [target, record] : this->records) {
+    const bool is_silent = this->StateOf(target) == OutlierState::kSilent;
+    if (is_silent || record.state == OutlierState::kHealthy) {
+      continue;
+    }
+    const bool back = record.state == OutlierState::kReturning && !record.trial;
+    const bool told = record.supported && !back;
+    // What a returning target does is told as well, though nothing is wrong.
+    judged.push_back({target, false, told ? record.weight : 1.0,
+                      told ? now - record.judged_at : Time{0}});
+  }
+  observations.targets = this->own.Worst(std::move(judged), now, this->period);
+}
+
+void OutlierDetector::OnObservations(const common::Endpoint& sender,
+                                     const std::string& domain,
+                                     const PeerObservations& observations,
+                                     Time now) {
+  // A digest without room for observations says nothing.
+  if (domain == this->domain && !observations.Empty()) {
+    this->reports.Take(sender, observations.targets, this->targets, now);
+  }
+}
+
+void OutlierDetector::OnTick(TargetWatch& watch, Time now) {
+  const Time elapsed = now - std::exchange(this->ticked_at, now).value_or(now);
+  this->own.Expire(now);
+  this->reports.Expire(now);
+  this->UpdateSilent(watch, now);
+  this->ForgetUnpublished();
+  this->AgeRecords(now);
+  this->OpenTrials(elapsed);
+  this->period = this->CountPeriod(now);
+  const CountsByTarget counts = this->own.Counts(now, this->period);
+  const Groups groups =
+      GroupEvidence(counts, this->reports.All(), this->targets);
+  for (const auto& [key, group] : groups) {
+    this->JudgeGroup(group, now);
+  }
+  for (const auto& [target, told] : this->CollectTold(groups, counts)) {
+    const auto group = groups.find(GroupOf(this->targets.At(target).published));
+    OutlierVerdict verdict = Judge(group->second, target);
+    verdict.reporters = told.tellers;
+    this->AdoptTold(target, told, verdict, now);
+  }
+  this->WantDigest(counts, groups, now);
+}
+
+std::optional<UrgentAudience> OutlierDetector::TakeUrgent() {
+  return std::exchange(this->urgent, std::nullopt);
+}
+
+std::vector<HealthChange> OutlierDetector::TakeChanges() {
+  return std::exchange(this->changes, {});
+}
+
+std::map<std::string_view, std::size_t> OutlierDetector::CountByState() const {
+  constexpr std::array kStates{OutlierState::kHealthy, OutlierState::kSlow,
+                               OutlierState::kFailing, OutlierState::kSilent,
+                               OutlierState::kReturning};
+  std::map<std::string_view, std::size_t> counts;
+  for (const OutlierState state : kStates) {
+    counts[Word(state)] = 0;
+  }
+  std::size_t outliers = 0;
+  const auto count = [&](TargetIndex target) {
+    if (const OutlierState state = this->StateOf(target);
+        state != OutlierState::kHealthy) {
+      ++counts[Word(state)];
+      ++outliers;
+    }
+  };
+  for (const auto& [target, record] : this->records) {
+    count(target);
+  }
+  for (const auto& [target, entry] : this->silent) {
+    if (!this->records.contains(target)) {
+      count(target);
+    }
+  }
+  const std::size_t serving = this->targets.ServingCount();
+  counts[Word(OutlierState::kHealthy)] = serving - std::min(outliers, serving);
+  return counts;
+}
+
+void OutlierDetector::UpdateSilent(TargetWatch& watch, Time now) {
+  for (const TargetIndex target : watch.SilentTargets()) {
+    if (!this->targets.Has(target) || !this->targets.AcceptsFlows(target)) {
+      continue;
+    }
+    SilentTarget& entry = this->silent[target];
+    if (!std::exchange(entry.confirmed, true)) {
+      entry.since = now;
+      if (!this->IsTold(target)) {
+        this->urgent = UrgentAudience::kDomain;
+      }
+    }
+  }
+  this->NoteSilentReports(now);
+  for (auto& [target, entry] : this->silent) {
+    const bool due = !entry.probe_requested_at ||
+                     now - *entry.probe_requested_at >= kProbeRequestInterval;
+    if (entry.told_at && !watch.Silent(target) && due) {
+      entry.probe_requested_at = now;
+      watch.OnReportedSilent(target);
+    }
+  }
+  this->EndSilences(watch, now);
+}
+
+void OutlierDetector::NoteSilentReports(Time now) {
+  for (const auto& [sender, report] : this->reports.All()) {
+    for (const TargetReport& one : report.targets) {
+      if (!one.silent || !this->targets.Has(one.target) ||
+          !this->targets.AcceptsFlows(one.target)) {
+        continue;
+      }
+      SilentTarget& entry = this->silent[one.target];
+      if (!entry.told_at) {
+        entry.told_at = now;
+      }
+      entry.heard_at = std::max(entry.heard_at, report.received_at);
+    }
+  }
+}
+
+void OutlierDetector::EndSilences(TargetWatch& watch, Time now) {
+  for (auto& [target, entry] : this->silent) {
+    const bool published =
+        this->targets.Has(target) && this->targets.AcceptsFlows(target);
+    entry.confirmed = entry.confirmed && published && watch.Silent(target);
+    if (!published || now - entry.heard_at > kSilenceRetention) {
+      entry.told_at.reset();
+    }
+    const bool reported =
+        entry.told_at && !ShowsLife(watch, target, entry, now);
+    const bool avoided = entry.confirmed || reported;
+    if (std::exchange(entry.avoided, avoided) != avoided && published) {
+      this->changes.push_back(
+          {target,
+           avoided ? HealthEvent::kEjected : HealthEvent::kBack,
+           OutlierState::kSilent,
+           {}});
+    }
+  }
+  std::erase_if(this->silent, [](const auto& entry) {
+    return !entry.second.confirmed && !entry.second.told_at;
+  });
+}
+
+bool OutlierDetector::ShowsLife(const TargetWatch& watch, TargetIndex target,
+                                const SilentTarget& silent, Time now) {
+  const LivenessEvidence evidence = watch.Evidence(target);
+  std::optional<Time> alive = evidence.answered_at;
+  if (evidence.probe == ProbeOutcome::kAnswered) {
+    alive = std::max(alive.value_or(evidence.probed_at), evidence.probed_at);
+  }
+  return alive && *alive >= *silent.told_at && now - *alive < kLifeRetention;
+}
+
+void OutlierDetector::ForgetUnpublished() {
+  std::erase_if(this->records, [this](const auto& entry) {
+    return !this->targets.Has(entry.first) ||
+           !this->targets.AcceptsFlows(entry.first);
+  });
+}
+
+void OutlierDetector::AgeRecords(Time now) {
+  for (auto& [target, record] : this->records) {
+    if (record.state == OutlierState::kFailing) {
+      this->AgeFailing(target, record, now);
+    } else if (record.state == OutlierState::kReturning) {
+      this->AgeReturning(target, record, now);
+    } else if (record.state == OutlierState::kSlow &&
+               now - record.judged_at > kSlowMemory) {
+      this->Return(record, false, now);
+    }
+  }
+  std::erase_if(this->records, [now](const auto& entry) {
+    return entry.second.state == OutlierState::kHealthy &&
+           now - entry.second.since > kBackoffMemory;
+  });
+}
+
+void OutlierDetector::AgeFailing(TargetIndex target, Record& record, Time now) {
+  if (now - record.since < EjectionTime(record.ejections)) {
+    return;
+  }
+  record.ejection_ended = now;
+  record.openings = this->own.Openings(target);
+  this->Return(record, true, now);
+}
+
+void OutlierDetector::AgeReturning(TargetIndex target, Record& record,
+                                   Time now) {
+  const Time since = record.ejection_ended.value_or(record.since);
+  const TargetCounts counts = this->CountsSince(target, since, now);
+  if (counts.failures >= kTrialFailures &&
+      3 * counts.failures >= counts.requests && this->MayEject(target)) {
+    OutlierVerdict verdict = record.evidence;
+    verdict.requests = counts.requests;
+    verdict.failures = counts.failures;
+    this->Eject(target, verdict, now, now);
+    return;
+  }
+  const Time elapsed = now - record.since;
+  if (record.trial) {
+    const bool proven = counts.requests - counts.failures >= kTrialSuccesses;
+    if (elapsed >= kMaxTrial || (proven && elapsed >= kMinTrial)) {
+      this->Return(record, false, now);
+    }
+    return;
+  }
+  if (elapsed >= kSlowStart) {
+    this->changes.push_back(
+        {target, HealthEvent::kBack,
+         record.ejection_ended ? OutlierState::kFailing : OutlierState::kSlow,
+         record.evidence});
+    record.state = OutlierState::kHealthy;
+    record.weight = 1.0;
+    record.since = now;
+    return;
+  }
+  const double part = static_cast<double>(elapsed.count()) /
+                      static_cast<double>(kSlowStart.count());
+  record.weight = std::max({part, record.weight, kMinSlowStartWeight});
+}
+
+// Each instance allows a trial flow as often as makes one per interval for the
+// domain, if all know its number of instances.
+void OutlierDetector::OpenTrials(Time elapsed) {
+  const double probability = static_cast<double>(elapsed.count()) /
+                             static_cast<double>(kTrialInterval.count()) /
+                             this->DomainInstances();
+  for (auto& [target, record] : this->records) {
+    if (record.state != OutlierState::kReturning || !record.trial) {
+      continue;
+    }
+    const std::uint32_t openings = this->own.Openings(target);
+    record.openings = std::min(record.openings, openings);
+    record.trial_open = record.trial_open && openings <= record.openings;
+    if (!record.trial_open && Draw(this->random, probability)) {
+      record.trial_open = true;
+      record.openings = openings;
+    }
+  }
+}
+
+void OutlierDetector::JudgeGroup(const TargetGroup& group, Time now) {
+  std::vector<std::pair<TargetIndex, OutlierVerdict>> failing;
+  for (const auto& [target, evidence] : group.targets) {
+    if (!this->targets.AcceptsFlows(target)) {
+      continue;
+    }
+    const OutlierState state = this->StateOf(target);
+    if (state != OutlierState::kHealthy && state != OutlierState::kSlow) {
+      continue;
+    }
+    const OutlierVerdict verdict = Judge(group, target);
+    if (verdict.state == OutlierState::kFailing) {
+      failing.emplace_back(target, verdict);
+    } else if (verdict.state == OutlierState::kSlow) {
+      this->SetSlow(target, verdict.weight, now, verdict, now);
+    } else if (state == OutlierState::kSlow) {
+      this->KeepOrEndSlow(target, this->records.at(target), group, now);
+    }
+  }
+  std::ranges::sort(failing, [](const auto& a, const auto& b) {
+    return a.second.failures * b.second.requests >
+           b.second.failures * a.second.requests;
+  });
+  for (const auto& [target, verdict] : failing) {
+    if (this->MayEject(target)) {
+      this->Eject(target, verdict, now, now);
+    }
+  }
+}
+
+void OutlierDetector::KeepOrEndSlow(TargetIndex target, Record& record,
+                                    const TargetGroup& group, Time now) {
+  const EvidenceSource total = group.targets.at(target).Total();
+  if (total.answers < kMinAnswersToKeepSlow || group.median_ms <= 0) {
+    return;
+  }
+  if (!total.Slow(group.median_ms)) {
+    this->Return(record, false, now);
+    return;
+  }
+  record.judged_at = now;
+  record.weight = std::max(group.median_ms / total.mean_ms, kMinSlowWeight);
+}
+
+std::unordered_map<TargetIndex, OutlierDetector::ToldVerdict>
+OutlierDetector::CollectTold(const Groups& groups,
+                             const CountsByTarget& counts) const {
+  std::unordered_map<TargetIndex, ToldVerdict> all;
+  for (const auto& [sender, report] : this->reports.All()) {
+    for (const TargetReport& one : report.targets) {
+      if (one.weight < 1.0 && this->targets.Has(one.target)) {
+        ToldVerdict& told = all[one.target];
+        ++told.tellers;
+        told.weight = std::max(told.weight, one.weight);
+        told.judged_at = std::max(told.judged_at, one.judged_at);
+      }
+    }
+  }
+  const auto add = [](ToldVerdict& told, const EvidenceSource& source,
+                      double median_ms) {
+    told.others_see_evil = told.others_see_evil || source.failures > 0 ||
+                           (median_ms > 0 && source.Slow(median_ms));
+    told.others_see_answers = told.others_see_answers || source.answers > 0;
+  };
+  const auto median_of = [&](TargetIndex target) {
+    const auto group = groups.find(GroupOf(this->targets.At(target).published));
+    return group == groups.end() ? 0.0 : group->second.median_ms;
+  };
+  if (all.empty()) {
+    return all;
+  }
+  for (const auto& [sender, report] : this->reports.All()) {
+    for (const TargetReport& one : report.targets) {
+      if (const auto told = all.find(one.target);
+          told != all.end() && one.weight == 1.0) {
+        add(told->second,
+            {static_cast<double>(one.requests),
+             static_cast<double>(one.failures),
+             static_cast<double>(one.answers), one.mean_ms},
+            median_of(one.target));
+      }
+    }
+  }
+  for (auto& [target, told] : all) {
+    if (const auto own = counts.find(target); own != counts.end()) {
+      const TargetCounts& sum = own->second;
+      add(told,
+          {static_cast<double>(sum.requests), static_cast<double>(sum.failures),
+           static_cast<double>(sum.answers), sum.MeanMs()},
+          median_of(target));
+    }
+  }
+  return all;
+}
+
+// A verdict of one instance counts only if somebody else saw the same, or
+// nobody else saw the target answer; else one instance could eject any target.
+void OutlierDetector::AdoptTold(TargetIndex target, const ToldVerdict& told,
+                                const OutlierVerdict& verdict, Time now) {
+  const bool credible =
+      told.tellers > 1 || told.others_see_evil || !told.others_see_answers;
+  const OutlierState state = this->StateOf(target);
+  if (!credible || !this->targets.AcceptsFlows(target) ||
+      state == OutlierState::kSilent || state == OutlierState::kFailing) {
+    return;
+  }
+  const auto found = this->records.find(target);
+  if (told.weight > 0) {
+    const bool newer = found == this->records.end() ||
+                       told.judged_at > found->second.judged_at;
+    if (newer && now - told.judged_at <= kSlowMemory &&
+        state != OutlierState::kReturning) {
+      this->SetSlow(target, told.weight, told.judged_at, verdict, now);
+      this->records.at(target).supported = told.others_see_evil;
+    }
+    return;
+  }
+  const bool of_this_time = found == this->records.end() ||
+                            !found->second.ejection_ended ||
+                            told.judged_at > *found->second.ejection_ended;
+  if (of_this_time && this->MayEject(target)) {
+    this->Eject(target, verdict, told.judged_at, now);
+    this->records.at(target).supported = told.others_see_evil;
+  }
+}
+
+TargetCounts OutlierDetector::CountsSince(TargetIndex target, Time since,
+                                          Time now) const {
+  TargetCounts sum = this->own.CountsOf(target, now, since);
+  for (const auto& [sender, report] : this->reports.All()) {
+    if (report.received_at <= since) {
+      continue;
+    }
+    const auto one =
+        std::ranges::find(report.targets, target, &TargetReport::target);
+    if (one != report.targets.end()) {
+      sum.requests += one->requests;
+      sum.failures += one->failures;
+    }
+  }
+  return sum;
+}
+
+bool OutlierDetector::MayEject(TargetIndex target) const {
+  const PublishedTarget& published = this->targets.At(target).published;
+  const ServingTargets& serving =
+      this->targets.ServingByDomain(published.service);
+  const auto found = serving.find(published.domain);
+  if (found == serving.end()) {
+    return false;
+  }
+  std::size_t ejected = 0;
+  for (const auto& [other, record] : this->records) {
+    const bool out = record.state == OutlierState::kFailing ||
+                     (record.state == OutlierState::kReturning && record.trial);
+    const bool same =
+        GroupOf(this->targets.At(other).published) == GroupOf(published);
+    ejected += out && same && other != target ? 1 : 0;
+  }
+  const double allowed =
+      std::floor(this->max_ejected * static_cast<double>(found->second.size()));
+  return static_cast<double>(ejected + 1) <= allowed;
+}
+
+void OutlierDetector::Eject(TargetIndex target, const OutlierVerdict& verdict,
+                            Time judged_at, Time now) {
+  if (!this->IsTold(target)) {
+    this->urgent = UrgentAudience::kDomain;
+  }
+  Record& record = this->records[target];
+  record.state = OutlierState::kFailing;
+  record.weight = 0;
+  record.since = now;
+  record.judged_at = judged_at;
+  record.supported = true;
+  record.trial = false;
+  record.trial_open = false;
+  ++record.ejections;
+  record.evidence = verdict;
+  this->changes.push_back(
+      {target, HealthEvent::kEjected, OutlierState::kFailing, verdict});
+}
+
+void OutlierDetector::SetSlow(TargetIndex target, double weight, Time judged_at,
+                              const OutlierVerdict& verdict, Time now) {
+  Record& record = this->records[target];
+  if (record.state != OutlierState::kSlow) {
+    if (!this->IsTold(target)) {
+      this->urgent = UrgentAudience::kDomain;
+    }
+    record.state = OutlierState::kSlow;
+    record.since = now;
+    record.evidence = verdict;
+    this->changes.push_back(
+        {target, HealthEvent::kSlow, OutlierState::kSlow, verdict});
+  }
+  record.weight = std::max(weight, kMinSlowWeight);
+  record.judged_at = judged_at;
+  record.supported = true;
+}
+
+void OutlierDetector::Return(Record& record, bool trial, Time now) {
+  if (record.state == OutlierState::kSlow) {
+    record.ejection_ended.reset();
+  }
+  record.state = OutlierState::kReturning;
+  record.since = now;
+  record.trial = trial;
+  record.trial_open = false;
+  record.weight = trial ? 0.0 : std::max(record.weight, kMinSlowStartWeight);
+}
+
+bool OutlierDetector::IsTold(TargetIndex target) const {
+  const auto record = this->records.find(target);
+  const Time since = record == this->records.end()
+                         ? Time::min()
+                         : record->second.ejection_ended.value_or(Time::min());
+  return std::ranges::any_of(this->reports.All(), [&](const auto& entry) {
+    return std::ranges::any_of(
+        entry.second.targets, [&](const TargetReport& one) {
+          return one.target == target && one.judged_at > since &&
+                 (one.silent || one.weight < 1.0);
+        });
+  });
+}
+
+// Readers get more digests than others, but too few to judge within two
+// seconds. Who sees something bad that isn't judged yet tells them at once.
+void OutlierDetector::WantDigest(const CountsByTarget& counts,
+                                 const Groups& groups, Time now) {
+  if (this->urgent || (this->readers_told_at &&
+                       now - *this->readers_told_at < kUrgentInterval)) {
+    return;
+  }
+  const bool alarming = std::ranges::any_of(counts, [&](const auto& entry) {
+    const auto& [target, sum] = entry;
+    if (this->StateOf(target) != OutlierState::kHealthy) {
+      return false;
+    }
+    const double median_ms =
+        groups.at(GroupOf(this->targets.At(target).published)).median_ms;
+    const double excess =
+        sum.answers_ms - kNotableSlowness * median_ms * sum.answers;
+    return sum.failures > 0 ||
+           (median_ms > 0 && excess > kAlarmingExcess * median_ms);
+  });
+  if (!alarming || !this->reader_digests.Take(kTokensOfDigest, now)) {
+    return;
+  }
+  this->readers_told_at = now;
+  if (Draw(this->random, kMaxUrgentSenders / this->DomainInstances())) {
+    this->urgent = UrgentAudience::kReaders;
+  }
+}
+
+milliseconds OutlierDetector::CountPeriod(Time now) const {
+  double requests = 0;
+  const CountsByTarget counts = this->own.Counts(now, kLongPeriod);
+  for (const auto& [target, sum] : counts) {
+    requests += sum.requests;
+  }
+  const double per_target =
+      requests / static_cast<double>(std::max<std::size_t>(counts.size(), 1));
+  return per_target * this->DomainInstances() >= kRequestsForShortPeriod
+             ? kShortPeriod
+             : kLongPeriod;
+}
+
+double OutlierDetector::DomainInstances() const {
+  const std::size_t heard = this->reports.All().size() + 1;
+  return static_cast<double>(
+      std::max(this->load.DomainInstances().value_or(1), heard));
+}
+
+}  // namespace sassafrasdyke::core
--- a/source/core/load/observation_exchange.h
+++ b/source/core/load/observation_exchange.h
@@ -19,9 +19,15 @@
   TargetNumber target;
   std::uint32_t requests{0};
   std::uint32_t failures{0};
-  /// Mean time of an answer at the target, queueing included; 0 without any.
+  /// Answers whose time at the target is known.
+  std::uint32_t answers{0};
+  /// Mean of these times, queueing included; 0 without any.
   std::chrono::milliseconds mean_time{0};
   bool silent{false};  ///< Confirmed by probes.
+  /// Share of new flows that the sender gives it, judged from the counts of
+  /// several instances: 0 when it is ejected, below 1 when it is slow.
+  double weight{1.0};
+  /// Time since the sender judged the target; 0 while it is healthy.
   std::chrono::milliseconds age{0};
 
   friend bool operator==(const TargetObservation&,
--- a/source/core/steering/target_watch.cc
+++ b/source/core/steering/target_watch.cc
@@ -1,6 +1,7 @@
 #include "core/steering/target_watch.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace sassafrasdyke::core {
 namespace {
@@ -72,6 +73,18 @@
   this->probe_candidates.insert(target);
 }
 
+void TargetWatch::OnReportedSilent(TargetIndex target) {
+  this->RequestProbe(target, this->states[target]);
+}
+
+std::vector<TargetIndex> TargetWatch::SilentTargets() const {
+  std::vector<TargetIndex> silent;
+  std::ranges::copy_if(
+      this->probe_candidates, std::back_inserter(silent),
+      [this](TargetIndex target) { return this->Silent(target); });
+  return silent;
+}
+
 void TargetWatch::OnLeaving(TargetIndex target, std::chrono::milliseconds now) {
   this->states[target].leaving_since = now;
 }
--- a/source/core/steering/target_watch.h
+++ b/source/core/steering/target_watch.h
@@ -66,6 +66,11 @@
   /// later. It serves as the control of a probe.
   std::optional<TargetIndex> LastAlive(TargetIndex except,
                                        std::chrono::milliseconds since) const;
+  /// Another instance has confirmed that the target doesn't answer: requests a
+  /// probe, which starts at once unless one ended shortly before.
+  void OnReportedSilent(TargetIndex target);
+  /// The silent targets. Visits only those that may need a probe.
+  std::vector<TargetIndex> SilentTargets() const;
   /// Whether probes have confirmed that the target doesn't answer.
   bool Silent(TargetIndex target) const;
 
--- a/source/front/front_log.cc
+++ b/source/front/front_log.cc
@@ -1,5 +1,6 @@
 #include "front/front_log.h"
 
+#include <cmath>
 #include <variant>
 
 namespace sassafrasdyke::front {
@@ -154,6 +155,21 @@
                     now);
 }
 
+void FrontLog::OnHealthChange(const std::string& target,
+                              const core::HealthChange& change,
+                              std::chrono::milliseconds now) {
+  LineFields fields{{"target", target}, {"why", Word(change.why)}};
+  if (change.why != core::OutlierState::kSilent) {
+    const core::OutlierVerdict& evidence = change.evidence;
+    fields["requests"] = std::llround(evidence.requests);
+    fields["failures"] = std::llround(evidence.failures);
+    fields["mean_ms"] = std::llround(evidence.mean_ms);
+    fields["median_ms"] = std::llround(evidence.median_ms);
+    fields["reporters"] = evidence.reporters;
+  }
+  this->lines.Write(LineKind::kHealth, Word(change.event), fields, now);
+}
+
 void FrontLog::OnNote(std::string_view event, const LineFields& fields,
                       std::chrono::milliseconds now) {
   this->lines.Write(LineKind::kProcess, event, fields, now);
--- a/source/front/front_log.h
+++ b/source/front/front_log.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "core/health/outlier_detector.h"
 #include "core/steering/flow_packet.h"
 #include "core/steering/target_watch.h"
 #include "core/view/live_view.h"
@@ -43,6 +44,10 @@
   /// A trial connection that didn't find the target alive.
   void OnProbe(const std::string& target, core::ProbeOutcome outcome,
                bool silent_now, std::chrono::milliseconds now);
+  /// `target`: its name. Counts are left out when it is silent.
+  void OnHealthChange(const std::string& target,
+                      const core::HealthChange& change,
+                      std::chrono::milliseconds now);
   /// Anything of the process itself.
   void OnNote(std::string_view event, const LineFields& fields,
               std::chrono::milliseconds now);
--- a/source/front/front_metrics.cc
+++ b/source/front/front_metrics.cc
@@ -52,6 +52,17 @@
     metric.gauge.value = value;
     this->Add(name, help, MetricType::Gauge, {metric});
   }
+  void Gauges(const std::string& name, const std::string& help,
+              const std::map<std::string_view, std::size_t>& values) {
+    std::vector<ClientMetric> metrics;
+    for (const auto& [state, value] : values) {
+      ClientMetric metric;
+      metric.label.push_back({"state", std::string(state)});
+      metric.gauge.value = static_cast<double>(value);
+      metrics.push_back(std::move(metric));
+    }
+    this->Add(name, help, MetricType::Gauge, std::move(metrics));
+  }
   void Histogram(const std::string& name, const std::string& help,
                  const prometheus::Histogram& histogram) {
     this->Add(name, help, MetricType::Histogram, {histogram.Collect()});
@@ -137,6 +148,9 @@
   page.Gauge("sassafrasdyke_targets_warming_up",
              "Published targets that have just started and are cold.",
              static_cast<double>(state.targets_cold));
+  page.Gauges("sassafrasdyke_targets_by_health",
+              "Targets that take new flows, by their state of health.",
+              state.targets_by_health);
   page.Gauge("sassafrasdyke_routes", "Routes in force.",
              static_cast<double>(state.routes));
   page.Gauge("sassafrasdyke_members", "Other instances that are known.",
--- a/source/front/front_metrics.h
+++ b/source/front/front_metrics.h
@@ -33,6 +33,8 @@
   std::size_t targets_serving{0};
   std::size_t evacuated_domains{0};
   std::size_t targets_cold{0};
+  /// By the word for their state; empty unless targets may be ejected.
+  std::map<std::string_view, std::size_t> targets_by_health;
   std::size_t routes{0};
   std::size_t members{0};
   std::size_t openings{0};
--- a/source/front/line_log.cc
+++ b/source/front/line_log.cc
@@ -21,6 +21,7 @@
 constexpr common::BucketLimits kPeerLines{10, 100};
 constexpr common::BucketLimits kFlowLines{40, 400};
 constexpr common::BucketLimits kResetLines{40, 400};
+constexpr common::BucketLimits kHealthLines{20, 400};
 
 std::int64_t WallClock() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -40,6 +41,8 @@
     case LineKind::kFlow:
     case LineKind::kReset:
       return "flow";
+    case LineKind::kHealth:
+      return "health";
   }
   return "unknown";
 }
@@ -52,7 +55,8 @@
               Budget{common::TokenBucket(kViewLines)},
               Budget{common::TokenBucket(kPeerLines)},
               Budget{common::TokenBucket(kFlowLines)},
-              Budget{common::TokenBucket(kResetLines)}},
+              Budget{common::TokenBucket(kResetLines)},
+              Budget{common::TokenBucket(kHealthLines)}},
       writable(loop) {
   const int flags = fcntl(descriptor, F_GETFL);
   fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
--- a/source/front/line_log.h
+++ b/source/front/line_log.h
@@ -27,7 +27,8 @@
   kView,
   kPeer,
   kFlow,
-  kReset,  ///< Of an open flow; told in the channel of flows.
+  kReset,   ///< Of an open flow; told in the channel of flows.
+  kHealth,  ///< Of targets, as the instances of the domain observe it.
 };
 
 /// The log's word for a kind; the line's `channel`.
@@ -55,7 +56,7 @@
   std::uint64_t Written() const { return this->written; }
 
  private:
-  static constexpr std::size_t kKinds = 5;
+  static constexpr std::size_t kKinds = 6;
 
   /// One kind's budget and what it has kept out.
   struct Budget {
--- a/tests/front/front_log_test.cc
+++ b/tests/front/front_log_test.cc
@@ -155,5 +155,51 @@
   BOOST_TEST(written.front()["channel"] == "flow");
 }
 
+struct Health {
+  core::HealthEvent event;
+  core::OutlierState why;
+  Json fields;
+};
+
+std::ostream& operator<<(std::ostream& out, const Health& row) {
+  return out << row.fields;
+}
+
+const Health kHealths[] = {{core::HealthEvent::kEjected,
+                            core::OutlierState::kFailing,
+                            {{"event", "target-ejected"},
+                             {"why", "failing"},
+                             {"requests", 40},
+                             {"failures", 15},
+                             {"mean_ms", 31},
+                             {"median_ms", 30},
+                             {"reporters", 7}}},
+                           {core::HealthEvent::kSlow,
+                            core::OutlierState::kSlow,
+                            {{"event", "target-slow"}, {"why", "slow"}}},
+                           {core::HealthEvent::kBack,
+                            core::OutlierState::kSilent,
+                            {{"event", "target-back"}, {"why", "silent"}}}};
+
+// Guards against a change of health without its evidence in the log.
+BOOST_DATA_TEST_CASE(changes_of_health_have_their_evidence, kHealths, row) {
+  Scene scene;
+  core::HealthChange change;
+  change.event = row.event;
+  change.why = row.why;
+  change.evidence = {row.why, 0, 40.4, 14.6, 20, 31.2, 30, 7};
+  scene.log.OnHealthChange("target/a1", change, 500ms);
+  const std::vector<Json> lines = scene.Written(500ms);
+
+  BOOST_REQUIRE(lines.size() == 1U);
+  BOOST_TEST(lines[0]["channel"] == "health");
+  BOOST_TEST(lines[0]["target"] == "target/a1");
+  for (const auto& [key, value] : row.fields.items()) {
+    BOOST_TEST(lines[0][key] == value);
+  }
+  BOOST_TEST(lines[0].contains("requests") ==
+             (row.why != core::OutlierState::kSilent));
+}
+
 }  // namespace
 }  // namespace sassafrasdyke::front
