--- a/source/core/load/load_board.cc
+++ b/source/core/load/load_board.cc
@@ -22,6 +22,11 @@
 /// Limits of what digests can make this instance keep.
 constexpr std::size_t kMaxSenders = 2048;
 constexpr std::size_t kMaxDomains = 64;
+constexpr std::size_t kMaxServices = 64;
+/// Largest plausible number of instances in one domain.
+constexpr double kMaxInstances = 2048;
+/// A domain of which nothing has been heard for this long is forgotten.
+constexpr milliseconds kForgetDomainAfter{60'000};
 constexpr std::size_t kMaxNameBytes = 64;
 /// Largest plausible number in a report.
 constexpr double kMaxValue = 1e6;
@@ -52,7 +57,7 @@
 
 bool IsValid(const DomainReport& report) {
   const auto is_count = [](std::size_t count) {
-    return count >= 1 && static_cast<double>(count) <= kMaxValue;
+    return count >= 1 && static_cast<double>(count) <= kMaxInstances;
   };
   return IsName(report.domain) && is_count(report.instances) &&
          is_count(report.reporters) && report.age >= milliseconds{0} &&
@@ -146,6 +151,14 @@
   std::erase_if(this->relayed, [now](const auto& kept) {
     return now - kept.second.made_at > kMaxDomainReportAge;
   });
+  // Otherwise wrong names, as of a misconfigured instance, would take the
+  // places of real domains until the next restart.
+  std::erase_if(this->heard_at, [now](const auto& domain) {
+    return now - domain.second > kForgetDomainAfter;
+  });
+  std::erase_if(this->was_reachable, [this](const auto& domain) {
+    return !this->heard_at.contains(domain.first);
+  });
 }
 
 void LoadBoard::Append(PeerObservations& observations, milliseconds now) {
@@ -381,7 +394,9 @@
   for (const DomainReport& report : reports) {
     domains.insert(report.domain);
     for (const LoadEntry& entry : report.mean.entries) {
-      domains.insert(entry.target_domain);
+      if (domains.size() < 2 * kMaxDomains) {
+        domains.insert(entry.target_domain);
+      }
     }
   }
   std::vector<DomainLoad> loads;
@@ -413,6 +428,13 @@
     return load;
   };
   for (const LoadEntry& entry : report.mean.entries) {
+    const bool known_domain =
+        std::ranges::find(this->unloaded, entry.target_domain,
+                          &DomainLoad::domain) != this->unloaded.end();
+    if (!known_domain || (this->loads.size() >= kMaxServices &&
+                          !this->loads.contains(entry.service))) {
+      continue;
+    }
     std::vector<DomainLoad>& of_service =
         this->loads.try_emplace(entry.service, this->unloaded).first->second;
     const auto load = add_to(of_service, entry);
--- a/source/core/load/observation_exchange.h
+++ b/source/core/load/observation_exchange.h
@@ -19,9 +19,15 @@
   TargetNumber target;
   std::uint32_t requests{0};
   std::uint32_t failures{0};
-  /// Mean time of an answer at the target, queueing included; 0 without any.
+  /// Answers whose time at the target is known.
+  std::uint32_t answers{0};
+  /// Mean of these times, queueing included; 0 without any.
   std::chrono::milliseconds mean_time{0};
   bool silent{false};  ///< Confirmed by probes.
+  /// Share of new flows that the sender gives it, judged from the counts of
+  /// several instances: 0 when it is ejected, below 1 when it is slow.
+  double weight{1.0};
+  /// Time since the sender judged the target; 0 while it is healthy.
   std::chrono::milliseconds age{0};
 
   friend bool operator==(const TargetObservation&,
@@ -59,6 +65,12 @@
                          const PeerObservations&) = default;
 };
 
+/// Who should get a digest at once.
+enum class UrgentAudience : std::uint8_t {
+  kReaders,  ///< The readers of the own domain, who hear most.
+  kDomain,   ///< The instances of the own domain, some 30 of them.
+};
+
 /// Adds observations to digests and takes those of peers. Times are monotonic.
 class ObservationExchange {
  public:
--- a/source/core/roster/peer_sync.cc
+++ b/source/core/roster/peer_sync.cc
@@ -136,6 +136,20 @@
                                  : this->limits.observation_interval;
 }
 
+SyncActions PeerSync::SendObservations(UrgentAudience audience,
+                                       std::chrono::milliseconds now) {
+  std::vector<common::Endpoint> receivers =
+      audience == UrgentAudience::kReaders
+          ? this->roster.Readers(this->limits.readers, now)
+          : this->roster.Neighbours();
+  std::erase(receivers, this->roster.Self().address);
+  for (std::size_t i = receivers.size(); i > 1; --i) {
+    std::swap(receivers[i - 1], receivers[this->jitter.Below(i)]);
+  }
+  receivers.resize(std::min(receivers.size(), kMaxNotifiedDirectly));
+  return this->MakeDigests(receivers, {}, now);
+}
+
 SyncActions PeerSync::OnStart(std::chrono::milliseconds now) {
   return this->QuerySeeds(now);
 }
--- a/source/core/roster/peer_sync.h
+++ b/source/core/roster/peer_sync.h
@@ -80,6 +80,9 @@
   SyncActions OnPullRefused(const std::optional<common::Endpoint>& instead);
   /// An own call of the store failed.
   void OnStoreFailure(std::chrono::milliseconds now);
+  /// Sends observations that the audience should have before the next digests.
+  SyncActions SendObservations(UrgentAudience audience,
+                               std::chrono::milliseconds now);
   /// This instance is shutting down.
   void OnLeave() { this->leaving = true; }
   void SetSeeds(const std::vector<common::Endpoint>& seeds) {
--- a/source/core/steering/admission_control.cc
+++ b/source/core/steering/admission_control.cc
@@ -103,7 +103,9 @@
   }
   this->last_in_line.pop_back();
   auto syn = this->queue.Take(last.flow);
-  if (syn && JudgeLastInFullQueue(this->copies.HasAll(last.flow)).refuse) {
+  // The client may have sent its next copy through another instance.
+  const bool current = syn && syn->superseded_at > now;
+  if (current && JudgeLastInFullQueue(this->copies.HasAll(last.flow)).refuse) {
     this->OnRefused(std::move(*syn), last.rank);
   }
   return true;
--- a/source/core/steering/concurrency_limiter.cc
+++ b/source/core/steering/concurrency_limiter.cc
@@ -146,7 +146,7 @@
   double least_utilization = 1.0;
   for (const auto& [domain, requests] : pending) {
     const double used = requests / this->LimitOf(service, domain).requests;
-    if (used >= 1.0) {
+    if (used >= 1.0 || !this->Reachable(service, domain)) {
       continue;
     }
     if (domain == this->domain) {
@@ -212,9 +212,9 @@
     const std::string& service, const std::string& domain) const {
   if (const auto limits = this->limits.find(service);
       limits != this->limits.end()) {
-    if (const auto limit = limits->second.find(domain);
-        limit != limits->second.end()) {
-      return limit->second;
+    if (const auto found = limits->second.find(domain);
+        found != limits->second.end()) {
+      return found->second;
     }
   }
   return {this->InitialLimit(service, domain)};
@@ -247,6 +247,13 @@
                                  kInitialSlotsFactor * largest));
 }
 
+bool ConcurrencyLimiter::Reachable(const std::string& service,
+                                   const std::string& domain) const {
+  const std::vector<DomainLoad>& loads = this->load.Of(service);
+  const auto found = std::ranges::find(loads, domain, &DomainLoad::domain);
+  return domain == this->domain || found == loads.end() || found->reachable;
+}
+
 bool ConcurrencyLimiter::Usable(TargetIndex index,
                                 std::chrono::milliseconds now) const {
   return !this->watch.Suspected(index, now) && this->warmup.Allows(index, now);
--- a/source/core/steering/target_choice.cc
+++ b/source/core/steering/target_choice.cc
@@ -94,9 +94,16 @@
 
 bool TargetChoice::Usable(TargetIndex index, const ChoiceQuery& query) const {
   return query.excluded != index && !this->watch.Suspected(index, query.now) &&
+         this->weights.WeightOf(index) > 0 &&
          this->warmup.Allows(index, query.now);
 }
 
+double TargetChoice::WeightedSlotsOf(TargetIndex index) const {
+  const double slots = std::max(this->targets.At(index).published.slots, 1U);
+  const double weight = this->weights.WeightOf(index);
+  return weight > 0 ? slots * weight : slots;
+}
+
 TargetChoice::DomainList TargetChoice::AllowedDomains(
     const std::string& service, const Route& route) const {
   DomainList allowed;
@@ -225,18 +232,23 @@
     const std::string& preferred, const std::vector<TargetIndex>& local,
     const ChoiceQuery& query) const {
   std::vector<TargetIndex> remote;
+  std::vector<TargetIndex> unreachable;
   std::vector<TargetIndex> suspected;
   for (const auto* const domain : domains) {
+    const bool reachable = this->Reachable(service, domain->first);
     for (const TargetIndex index : domain->second) {
       if (!this->Usable(index, query)) {
         if (this->warmup.Allows(index, query.now)) {
           suspected.push_back(index);
         }
       } else if (domain->first != preferred) {
-        remote.push_back(index);
+        (reachable ? remote : unreachable).push_back(index);
       }
     }
   }
+  if (remote.empty()) {
+    remote.swap(unreachable);
+  }
   // While the few local targets suffice, spilling would only add network time.
   // Where that matters little, flows spill anyway: by the time that answers
   // show a queue, hundreds of requests may wait in it.
@@ -257,6 +269,13 @@
   return std::nullopt;
 }
 
+bool TargetChoice::Reachable(const std::string& service,
+                             const std::string& domain) const {
+  const std::vector<DomainLoad>& loads = this->load.Of(service);
+  const auto found = std::ranges::find(loads, domain, &DomainLoad::domain);
+  return found == loads.end() || found->reachable;
+}
+
 SteeringReason TargetChoice::ReasonToLeave(SteeringReason reason) const {
   return this->targets.IsEvacuated(this->domain) ? SteeringReason::kEvacuated
                                                  : reason;
@@ -288,7 +307,8 @@
   std::uint64_t least_hash = 0;
   for (const TargetIndex index : options) {
     const PublishedTarget& target = this->targets.At(index).published;
-    const double start_tag = this->scheduler.StartTag(index, target.service);
+    const double start_tag = this->scheduler.StartTag(
+        index, target.service, this->WeightedSlotsOf(index));
     const std::size_t waiting = this->pending.UnansweredAt(index);
     // Ties are broken by the flow's hash: instances that start together would
     // otherwise all begin with the same target.
@@ -308,7 +328,8 @@
 
 void TargetChoice::OnPlaced(TargetIndex target) {
   const PublishedTarget& placed = this->targets.At(target).published;
-  this->scheduler.OnPlaced(target, placed.service, placed.slots);
+  this->scheduler.OnPlaced(target, placed.service,
+                           this->WeightedSlotsOf(target));
 }
 
 TargetIndex TargetChoice::LeastSuspected(
--- a/source/core/steering/target_choice.h
+++ b/source/core/steering/target_choice.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "common/ids.h"
+#include "core/health/target_weights.h"
 #include "core/steering/answer_times.h"
 #include "core/steering/fair_scheduler.h"
 #include "core/steering/flow_packet.h"
@@ -44,7 +45,8 @@
 /// it has far fewer of the service's usable targets than the others, unless the
 /// additional network time exceeds what its targets take for a request. While
 /// the load reports show more demand in the own domain than it has capacity
-/// for, the LocalityPolicy decides which part.
+/// for, the LocalityPolicy decides which part. Targets of a weight below 1 get
+/// a smaller share of the flows.
 ///
 /// Unanswered requests are the first symptom of a slow target: if it still got
 /// its share of the flows, it would answer all of them late, while other
@@ -65,7 +67,8 @@
         answer_times(answer_times),
         warmup(warmup),
         load(shared.load),
-        locality(shared.locality) {}
+        locality(shared.locality),
+        weights(shared.weights) {}
 
   /// A flow was placed at the target.
   void OnPlaced(TargetIndex target);
@@ -106,7 +109,13 @@
   std::vector<TargetIndex> UsableIn(const DomainList& domains,
                                     const std::string& domain,
                                     const ChoiceQuery& query) const;
+  /// Ejected targets aren't, as suspected ones: both are used only when no
+  /// other is left.
   bool Usable(TargetIndex index, const ChoiceQuery& query) const;
+  /// What the target can work on, reduced by its weight; in slots.
+  double WeightedSlotsOf(TargetIndex index) const;
+  /// False for a domain that load reports show to be cut off.
+  bool Reachable(const std::string& service, const std::string& domain) const;
   double SlotsOf(const std::vector<TargetIndex>& indexes) const;
   /// Whether the additional network time to other domains takes so much of the
   /// objective that load is no reason to leave.
@@ -133,6 +142,7 @@
   const WarmupBudget& warmup;
   const FleetLoad& load;
   const LocalityPolicy& locality;
+  const TargetWeights& weights;
   FairScheduler scheduler;
 };
 
--- a/source/front/flow_port.h
+++ b/source/front/flow_port.h
@@ -65,6 +65,7 @@
 
   const PortCounts& Counts() const { return this->port->Counts(); }
   const core::FlowSteering& Steering() const { return this->steering; }
+  core::TargetWatch& Watch() { return this->steering.Watch(); }
   std::size_t OpeningsWaiting() const { return this->admission.Waiting(); }
   std::map<std::uint32_t, std::size_t> OpeningsWaitingByRank() const {
     return this->admission.WaitingByRank();
--- a/source/front/front_log.h
+++ b/source/front/front_log.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "core/health/outlier_detector.h"
 #include "core/load/fleet_load.h"
 #include "core/load/share_monitor.h"
 #include "core/steering/flow_packet.h"
@@ -53,6 +54,10 @@
   /// The own failure domain has crossed its share of a service's load.
   void OnShareChange(const core::ShareChange& change,
                      std::chrono::milliseconds now);
+  /// `target`: its name. Counts are left out when it is silent.
+  void OnHealthChange(const std::string& target,
+                      const core::HealthChange& change,
+                      std::chrono::milliseconds now);
   /// Anything of the process itself.
   void OnNote(std::string_view event, const LineFields& fields,
               std::chrono::milliseconds now);
--- a/source/front/front_process.cc
+++ b/source/front/front_process.cc
@@ -83,7 +83,7 @@
               {{"instance", settings.instance}, {"domain", settings.domain}}),
         log(this->lines),
         view(adapter.publication, settings.times.flow_life),
-        shared(settings, this->view.Targets()),
+        shared(settings, this->view.Targets(), SeedOf(settings)),
         stop(settings.times.grace),
         sync({settings.listen.peers, settings.domain}, PeersOf(settings),
              this->view, core::SyncLimitsFor(PaceOf(settings)),
@@ -167,6 +167,7 @@
   state.view_age = this->view.Contact().Age(this->Now());
   state.targets_serving = this->view.Targets().ServingCount();
   state.evacuated_domains = this->view.Targets().EvacuatedDomainCount();
+  state.targets_by_health = this->shared.TargetsByHealth();
   state.targets_cold = this->view.Targets().ColdCount(this->Now());
   state.routes = this->view.Routes().Size();
   for (core::DomainLoad& load : this->shared.DomainLoads()) {
@@ -247,8 +248,9 @@
   const milliseconds now = this->Now();
   this->view.OnTick(now);
   this->LogViewChanges(core::ViewSource::kStore);
-  this->flows->OnTick(this->sync.Members().EstimatedFleetSize());
+  // Before the flows, which start the probes that it requests.
   this->TickSharedParts(now);
+  this->flows->OnTick(this->sync.Members().EstimatedFleetSize());
   this->stop.OnPacket(this->flows->LastPacket());
   this->exchange->Act(this->sync.OnTick(now));
   // The platform may write the file anew without a signal.
@@ -267,7 +269,17 @@
 }
 
 void FrontProcess::TickSharedParts(milliseconds now) {
-  this->shared.OnTick(now, this->sync.Members().DomainMembers(now));
+  this->shared.OnTick(this->flows->Watch(),
+                      this->sync.Members().DomainMembers(now), now);
+  for (const core::HealthChange& change : this->shared.TakeHealthChanges()) {
+    if (this->view.Targets().Has(change.target)) {
+      this->log.OnHealthChange(this->view.Targets().At(change.target).name,
+                               change, now);
+    }
+  }
+  if (const auto audience = this->shared.TakeUrgent()) {
+    this->exchange->Act(this->sync.SendObservations(*audience, now));
+  }
   for (const core::DomainLoad& load : this->shared.TakeReachabilityChanges()) {
     this->log.OnReachability(load, this->view.Targets().SlotsIn(load.domain),
                              now);
--- a/source/front/line_log.cc
+++ b/source/front/line_log.cc
@@ -22,6 +22,7 @@
 constexpr common::BucketLimits kFlowLines{40, 400};
 constexpr common::BucketLimits kResetLines{40, 400};
 constexpr common::BucketLimits kLoadLines{10, 100};
+constexpr common::BucketLimits kHealthLines{20, 400};
 
 std::int64_t WallClock() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -43,6 +44,8 @@
       return "flow";
     case LineKind::kLoad:
       return "load";
+    case LineKind::kHealth:
+      return "health";
   }
   return "unknown";
 }
@@ -56,7 +59,8 @@
               Budget{common::TokenBucket(kPeerLines)},
               Budget{common::TokenBucket(kFlowLines)},
               Budget{common::TokenBucket(kResetLines)},
-              Budget{common::TokenBucket(kLoadLines)}},
+              Budget{common::TokenBucket(kLoadLines)},
+              Budget{common::TokenBucket(kHealthLines)}},
       writable(loop) {
   const int flags = fcntl(descriptor, F_GETFL);
   fcntl(descriptor, F_SETFL, flags | O_NONBLOCK);
--- a/source/front/line_log.h
+++ b/source/front/line_log.h
@@ -27,8 +27,9 @@
   kView,
   kPeer,
   kFlow,
-  kReset,  ///< Of an open flow; told in the channel of flows.
-  kLoad,
+  kReset,   ///< Of an open flow; told in the channel of flows.
+  kLoad,    ///< Of failure domains.
+  kHealth,  ///< Of targets, as the instances of the domain observe it.
 };
 
 /// The log's word for a kind; the line's `channel`.
@@ -56,7 +57,7 @@
   std::uint64_t Written() const { return this->written; }
 
  private:
-  static constexpr std::size_t kKinds = 6;
+  static constexpr std::size_t kKinds = 7;
 
   /// One kind's budget and what it has kept out.
   struct Budget {
--- a/source/front/observation_codec.cc
+++ b/source/front/observation_codec.cc
@@ -21,13 +21,18 @@
 constexpr double kConcurrencySteps = 1000;
 /// Largest value of a rate or concurrency that is written.
 constexpr double kMaxValue = 1e6;
-/// Upper bounds that keep eight targets within 200 bytes.
-constexpr std::uint64_t kMaxTargetCount = 65'535;
+/// Upper bounds that keep eight targets within 200 bytes. An instance that
+/// sends a target more requests in the period of the counts tells this many.
+constexpr std::uint64_t kMaxTargetCount = 255;
+constexpr std::uint64_t kMaxTargetTime = 65'535;  ///< In ms.
+/// A weight is written in hundredths, with this added for a silent target.
+constexpr double kWeightSteps = 100;
+constexpr std::uint64_t kSilentMark = 128;
 /// Bytes of a large entry; decides how many are left out at a time.
 constexpr std::size_t kEntryBytes = 12;
 /// Elements of an entry and of a target in their lists.
 constexpr std::size_t kEntryElements = 4;
-constexpr std::size_t kTargetElements = 6;
+constexpr std::size_t kTargetElements = 7;
 constexpr std::size_t kReportHead = 4;
 
 std::uint64_t InSteps(double value, double steps) {
@@ -35,10 +40,14 @@
   return static_cast<std::uint64_t>(std::llround(bounded * steps));
 }
 
-std::uint64_t Bounded(std::uint64_t count) {
+std::uint64_t BoundedCount(std::uint64_t count) {
   return std::min(count, kMaxTargetCount);
 }
 
+std::uint64_t BoundedTime(std::chrono::milliseconds time) {
+  return std::min(Millis(time), kMaxTargetTime);
+}
+
 /// Values that are written once, by position.
 template <typename Value>
 class Table {
@@ -100,11 +109,13 @@
     Json list = Json::array();
     for (const core::TargetObservation& target : observations.targets) {
       list.push_back(target.target.value);
-      list.push_back(Bounded(target.requests));
-      list.push_back(Bounded(target.failures));
-      list.push_back(Bounded(Millis(target.mean_time)));
-      list.push_back(target.silent);
-      list.push_back(Bounded(Millis(target.age)));
+      list.push_back(BoundedCount(target.requests));
+      list.push_back(BoundedCount(target.failures));
+      list.push_back(BoundedCount(target.answers));
+      list.push_back(BoundedTime(target.mean_time));
+      list.push_back(InSteps(std::min(target.weight, 1.0), kWeightSteps) +
+                     (target.silent ? kSilentMark : 0));
+      list.push_back(BoundedTime(target.age));
     }
     return list;
   }
@@ -239,16 +250,23 @@
          i += kTargetElements) {
       core::TargetObservation target;
       target.target = {reader.Number()};
-      target.requests = static_cast<std::uint32_t>(Bounded(reader.Number()));
-      target.failures = static_cast<std::uint32_t>(Bounded(reader.Number()));
+      target.requests = ReadCount(reader);
+      target.failures = ReadCount(reader);
+      target.answers = ReadCount(reader);
       target.mean_time = reader.Time();
-      target.silent = reader.Flag();
+      const std::uint64_t weight = reader.Number();
+      target.silent = weight >= kSilentMark;
+      target.weight = std::min(
+          static_cast<double>(weight % kSilentMark) / kWeightSteps, 1.0);
       target.age = reader.Time();
       targets.push_back(target);
     }
     this->good = this->good && reader.Good() &&
                  targets.size() <= core::kMaxTargetObservations;
   }
+  static std::uint32_t ReadCount(ArrayReader& reader) {
+    return static_cast<std::uint32_t>(BoundedCount(reader.Number()));
+  }
   /// The value at the position that is read next.
   template <typename Value>
   Value Named(const std::vector<Value>& values, ArrayReader& reader) {
--- a/source/front/shared_parts.cc
+++ b/source/front/shared_parts.cc
@@ -5,10 +5,14 @@
 namespace sassafrasdyke::front {
 
 SharedParts::SharedParts(const config::FrontSettings& settings,
-                         const core::TargetTable& targets)
+                         const core::TargetTable& targets, std::uint64_t seed)
     : load(settings.load.share_load
                ? std::make_unique<LoadSharing>(settings.domain, targets)
                : nullptr),
+      health(this->load && settings.load.eject_targets
+                 ? std::make_unique<HealthSharing>(settings, targets,
+                                                   this->Load(), seed)
+                 : nullptr),
       locality(MakeLocality(settings.load)),
       share_monitor(
           this->load && settings.load.locality != config::LocalityMode::kLocal
@@ -16,20 +20,27 @@
                                                      settings.load.leave_at,
                                                      targets, this->load->board)
               : nullptr),
-      observations{this->Load(), core::NoSharedObservations().weights,
-                   *this->locality, this->Observers(),
-                   settings.load.fair_admission},
+      observations{this->Load(), this->Weights(), *this->locality,
+                   this->Observers(), settings.load.fair_admission},
       exchanges(this->MakeExchanges()) {}
 
 const core::FleetLoad& SharedParts::Load() const {
   return this->load ? this->load->board : core::NoSharedObservations().load;
 }
 
+const core::TargetWeights& SharedParts::Weights() const {
+  return this->health ? this->health->detector
+                      : core::NoSharedObservations().weights;
+}
+
 std::vector<core::RequestObserver*> SharedParts::Observers() const {
   std::vector<core::RequestObserver*> observers;
   if (this->load) {
     observers.push_back(&this->load->meter);
   }
+  if (this->health) {
+    observers.push_back(&this->health->observations);
+  }
   return observers;
 }
 
@@ -38,14 +49,34 @@
   if (this->load) {
     exchanges.push_back(&this->load->board);
   }
+  if (this->health) {
+    exchanges.push_back(&this->health->detector);
+  }
   return exchanges;
 }
 
-void SharedParts::OnTick(std::chrono::milliseconds now,
-                         std::size_t domain_instances) {
+void SharedParts::OnTick(core::TargetWatch& watch, std::size_t domain_instances,
+                         std::chrono::milliseconds now) {
   if (this->load) {
     this->load->board.OnTick(now, domain_instances);
   }
+  if (this->health) {
+    this->health->detector.OnTick(watch, now);
+  }
+}
+
+std::vector<core::HealthChange> SharedParts::TakeHealthChanges() {
+  return this->health ? this->health->detector.TakeChanges()
+                      : std::vector<core::HealthChange>{};
+}
+
+std::optional<core::UrgentAudience> SharedParts::TakeUrgent() {
+  return this->health ? this->health->detector.TakeUrgent() : std::nullopt;
+}
+
+std::map<std::string_view, std::size_t> SharedParts::TargetsByHealth() const {
+  return this->health ? this->health->detector.CountByState()
+                      : std::map<std::string_view, std::size_t>{};
 }
 
 std::vector<core::DomainLoad> SharedParts::TakeReachabilityChanges() {
--- a/source/front/shared_parts.h
+++ b/source/front/shared_parts.h
@@ -5,11 +5,16 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "config/front_settings.h"
+#include "core/health/outlier_detector.h"
+#include "core/health/target_observations.h"
 #include "core/load/load_board.h"
 #include "core/load/load_meter.h"
 #include "core/load/share_monitor.h"
@@ -23,8 +28,9 @@
 class SharedParts {
  public:
   /// `targets` must outlive the parts.
+  /// `seed` must differ between instances.
   SharedParts(const config::FrontSettings& settings,
-              const core::TargetTable& targets);
+              const core::TargetTable& targets, std::uint64_t seed);
   SharedParts(const SharedParts&) = delete;
   SharedParts& operator=(const SharedParts&) = delete;
 
@@ -34,8 +40,14 @@
   }
   /// Those who exchange observations with peers; empty while all parts are off.
   const core::PeerSync::Observers& Exchanges() const { return this->exchanges; }
-  /// Called ten times a second. `domain_instances`: see LoadBoard.
-  void OnTick(std::chrono::milliseconds now, std::size_t domain_instances);
+  /// Called ten times a second. `domain_instances`: see LoadBoard. Probes of
+  /// targets that others report as silent are requested of `watch`.
+  void OnTick(core::TargetWatch& watch, std::size_t domain_instances,
+              std::chrono::milliseconds now);
+  /// See OutlierDetector.
+  std::vector<core::HealthChange> TakeHealthChanges();
+  std::optional<core::UrgentAudience> TakeUrgent();
+  std::map<std::string_view, std::size_t> TargetsByHealth() const;
   /// See LoadBoard.
   std::vector<core::DomainLoad> TakeReachabilityChanges();
   /// See ShareMonitor; empty while flows stay in the own domain.
@@ -55,11 +67,26 @@
     core::LoadBoard board;
   };
 
+  /// Health of targets.
+  struct HealthSharing {
+    HealthSharing(const config::FrontSettings& settings,
+                  const core::TargetTable& targets, const core::FleetLoad& load,
+                  std::uint64_t seed)
+        : observations(targets),
+          detector(settings.domain, targets, load, this->observations,
+                   settings.load.max_ejected, seed) {}
+
+    core::TargetObservations observations;
+    core::OutlierDetector detector;
+  };
+
   const core::FleetLoad& Load() const;
+  const core::TargetWeights& Weights() const;
   std::vector<core::RequestObserver*> Observers() const;
   core::PeerSync::Observers MakeExchanges() const;
 
   const std::unique_ptr<LoadSharing> load;  ///< Null while load isn't shared.
+  const std::unique_ptr<HealthSharing> health;  ///< Null while it isn't shared.
   const std::unique_ptr<const core::LocalityPolicy> locality;
   /// Null while flows stay in the own domain.
   const std::unique_ptr<core::ShareMonitor> share_monitor;
--- a/tests/front/observation_codec_test.cc
+++ b/tests/front/observation_codec_test.cc
@@ -29,8 +29,9 @@
   sample.domains = {
       {"north-a", 27, 13, 80ms, {{Entry(0xFFFFFFFF, "north-a", 26)}}},
       {"north-b", 26, 11, 1200ms, {}}};
-  sample.targets = {{{0xFFFFFFFFFFFFFFFF}, 40, 9, 140ms, false, 300ms},
-                    {{3}, 0, 12, 0ms, true, 0ms}};
+  sample.targets = {
+      {{0xFFFFFFFFFFFFFFFF}, 40, 9, 31, 140ms, false, 0.25, 300ms},
+      {{3}, 0, 12, 0, 0ms, true, 1.0, 0ms}};
   return sample;
 }
 
@@ -141,7 +142,8 @@
     fill(report.mean);
   }
   for (std::uint64_t i = 0; i < core::kMaxTargetObservations; ++i) {
-    full.targets.push_back({{~i}, 70'000, 70'000, 70'000ms, true, 70'000ms});
+    full.targets.push_back(
+        {{~i}, 70'000, 70'000, 70'000, 70'000ms, true, 1.0, 70'000ms});
   }
   core::PeerObservations only_targets;
   only_targets.targets = full.targets;
--- a/tests/front/shared_parts_test.cc
+++ b/tests/front/shared_parts_test.cc
@@ -21,8 +21,9 @@
   settings.load.eject_targets = true;
   settings.load.locality = config::LocalityMode::kHeadroom;
   const core::TargetTable targets(60s);
-  SharedParts parts(settings, targets);
-  parts.OnTick(1s, 27);
+  core::TargetWatch watch;
+  SharedParts parts(settings, targets, 1);
+  parts.OnTick(watch, 27, 1s);
 
   BOOST_TEST(parts.Observations().observers.empty());
   BOOST_TEST(parts.Exchanges().empty());
@@ -37,8 +38,9 @@
   settings.domain = "north";
   settings.load.share_load = true;
   const core::TargetTable targets(60s);
-  SharedParts parts(settings, targets);
-  parts.OnTick(1s, 27);
+  core::TargetWatch watch;
+  SharedParts parts(settings, targets, 1);
+  parts.OnTick(watch, 27, 1s);
 
   BOOST_TEST(parts.Observations().observers.size() == 1U);
   BOOST_TEST(parts.Exchanges().size() == 1U);
