--- a/rig/load/balancer_variant.cc
+++ b/rig/load/balancer_variant.cc
@@ -18,11 +18,11 @@
 /// Longer than any play, so that nothing is forgotten for its age.
 constexpr milliseconds kFlowLife{60'000};
 
-constexpr config::FrontLoadSettings kAllParts{
+/// The section `load` of the template in deploy/.
+constexpr config::FrontLoadSettings kDeployed{
     .share_load = true,
-    .locality = config::LocalityMode::kHeadroom,
-    .eject_targets = true,
-    .fair_admission = true};
+    .locality = config::LocalityMode::kProportional,
+    .eject_targets = true};
 
 /// A variant's name on the command line and in output.
 struct VariantName {
@@ -38,8 +38,8 @@
     {PolicyVariant::kNoSharedLoad, "no-shared-load", "no shared load"},
     {PolicyVariant::kNoLocality, "no-locality", "no locality"},
     {PolicyVariant::kNoEjection, "no-ejection", "no ejection"},
-    {PolicyVariant::kNoFairAdmission, "no-fair-admission", "no fair admission"},
-    {PolicyVariant::kProportional, "proportional", "proportional"}};
+    {PolicyVariant::kFairAdmission, "fair-admission", "fair admission"},
+    {PolicyVariant::kHeadroom, "headroom", "headroom"}};
 
 /// This version with part of its parts, with or without its admission.
 class FrontVariant final : public BalancerVariant {
@@ -53,7 +53,8 @@
                  {this->view.Routes(), this->view.Targets(),
                   this->view.Contact(), this->view.Regions()},
                  {}, 0, this->shared.Observations()),
-        admission(this->view.Routes(), this->steering) {}
+        admission(this->view.Routes(), this->steering,
+                  this->shared.Observations()) {}
 
   void OnItems(core::ChangeBatch batch, milliseconds now) override {
     this->view.Contact().OnAnswer(now);
@@ -79,7 +80,7 @@
     std::vector<Forwarded> out;
     this->view.Contact().OnAnswer(now);
     this->view.OnTick(now);
-    this->shared.OnTick(now);
+    this->shared.OnTick(this->steering.Watch(), now);
     this->steering.OnTick(now);
     this->admission.OnTick(now);
     this->Release(now, out);
@@ -150,6 +151,11 @@
       syn.repeats = released->syn.bytes.front();
       this->Steer(syn, released->grant, now, out);
     }
+    for (const core::QueuedSyn& refused : this->admission.TakeRefused()) {
+      core::FlowPacket syn;
+      syn.flow = refused.flow;
+      out.push_back({syn, 0});
+    }
   }
 
   const bool holds_back;
@@ -231,7 +237,7 @@
 }
 
 config::FrontLoadSettings LoadSettingsOf(PolicyVariant variant) {
-  config::FrontLoadSettings settings = kAllParts;
+  config::FrontLoadSettings settings = kDeployed;
   switch (variant) {
     case PolicyVariant::kThisVersion:
       break;
@@ -248,11 +254,11 @@
     case PolicyVariant::kNoEjection:
       settings.eject_targets = false;
       break;
-    case PolicyVariant::kNoFairAdmission:
-      settings.fair_admission = false;
+    case PolicyVariant::kFairAdmission:
+      settings.fair_admission = true;
       break;
-    case PolicyVariant::kProportional:
-      settings.locality = config::LocalityMode::kProportional;
+    case PolicyVariant::kHeadroom:
+      settings.locality = config::LocalityMode::kHeadroom;
       break;
   }
   return settings;
--- a/rig/load/balancer_variant.h
+++ b/rig/load/balancer_variant.h
@@ -26,9 +26,10 @@
   kNoSharedLoad,
   kNoLocality,
   kNoEjection,
-  kNoFairAdmission,
+  // This version with the part that the template leaves off:
+  kFairAdmission,
   // This version with the other locality policy:
-  kProportional,
+  kHeadroom,
 };
 
 /// Name of the variant in output.
@@ -106,6 +107,7 @@
   std::string domain;
   std::size_t domain_instances{1};  ///< By its roster, itself included.
   std::size_t instances{1};         ///< Of the whole fleet.
+  std::uint64_t seed{0};            ///< Differs between instances.
 };
 
 /// `publication` must outlive the instance.
--- a/rig/load/shared_parts.h
+++ b/rig/load/shared_parts.h
@@ -3,11 +3,14 @@
 #pragma once
 
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "config/front_settings.h"
+#include "core/health/outlier_detector.h"
+#include "core/health/target_observations.h"
 #include "core/load/load_board.h"
 #include "core/load/load_meter.h"
 #include "core/load/observation_exchange.h"
@@ -27,7 +30,7 @@
   const core::SharedObservations& Observations() const {
     return *this->observations;
   }
-  void OnTick(std::chrono::milliseconds now);
+  void OnTick(core::TargetWatch& watch, std::chrono::milliseconds now);
   void Append(core::PeerObservations& observations,
               std::chrono::milliseconds now);
   void OnObservations(const common::Endpoint& sender, const std::string& domain,
@@ -43,7 +46,10 @@
   // In place of parts that are switched off.
   core::UnknownFleetLoad unknown_load;
   core::EqualTargetWeights equal_weights;
-  core::OwnDomainLocality own_domain;
+  /// Both only while target health is shared.
+  std::optional<core::TargetObservations> target_observations;
+  std::optional<core::OutlierDetector> detector;
+  std::unique_ptr<const core::LocalityPolicy> locality;
   std::vector<core::ObservationExchange*> exchanges;
   std::optional<core::SharedObservations> observations;
 };
--- a/source/core/steering/target_choice.cc
+++ b/source/core/steering/target_choice.cc
@@ -12,6 +12,10 @@
 
 constexpr std::uint64_t kShareSalt = 0x7368617265ULL;
 
+/// A domain whose targets have this many requests per slot, queued ones
+/// included, takes no flows that leave another.
+constexpr double kFullUtilization = 0.9;
+
 /// A failure domain with less than this fraction of its fair share of a
 /// service's usable targets spills some new flows. Few targets can't be divided
 /// evenly: with four targets in three domains, a domain with one of them has
@@ -198,10 +202,9 @@
     const auto usable = this->UsableIn(domains, decision.domain, query);
     return Choice{this->ChooseIn(usable, query), this->ReasonToLeave(reason)};
   }
-  if (local.empty()) {
-    return std::nullopt;
-  }
-  return Choice{this->LeastLoaded(local, query), SteeringReason::kLocal};
+  // The rule for few local targets applies to flows that stay: while the whole
+  // fleet is overloaded, it divides them evenly.
+  return std::nullopt;
 }
 
 LocalityQuery TargetChoice::LocalityQueryFor(
@@ -214,7 +217,11 @@
         this->regions.Allows(query.route, other.domain)) {
       const auto usable = this->UsableIn(domains, other.domain, query);
       result.domains.push_back(this->CapacityOf(other.domain, usable, loads));
-      result.domains.back().reachable = other.reachable;
+      // Demand leaves out SYNs that are held back, so a domain that works on
+      // as many requests as it can may seem to have capacity.
+      result.domains.back().reachable =
+          other.reachable &&
+          other.concurrency < kFullUtilization * result.domains.back().slots;
     }
   }
   std::ranges::sort(result.domains, {}, &DomainCapacity::domain);
