--- a/source/core/health/outlier_detector.cc
+++ b/source/core/health/outlier_detector.cc
@@ -39,7 +39,7 @@
 
 /// How long a report of silence counts.
 constexpr milliseconds kSilenceRetention{3000};
-/// A sign of life refutes reports of silence for this time.
+/// An answer or a successful probe refutes reports of silence for this time.
 constexpr milliseconds kLifeRetention{2000};
 constexpr milliseconds kProbeRequestInterval{1000};
 
@@ -172,7 +172,7 @@
   for (const auto& [target, told] : this->CollectTold(groups, counts)) {
     const auto group = groups.find(GroupOf(this->targets.At(target).published));
     OutlierVerdict verdict = Judge(group->second, target);
-    verdict.reporters = told.tellers;
+    verdict.reporters = told.reporters;
     this->AdoptTold(target, told, verdict, now);
   }
   this->WantDigest(counts, groups, now);
@@ -430,7 +430,7 @@
     for (const TargetReport& one : report.targets) {
       if (one.weight < 1.0 && this->targets.Has(one.target)) {
         ToldVerdict& told = all[one.target];
-        ++told.tellers;
+        ++told.reporters;
         told.weight = std::max(told.weight, one.weight);
         told.judged_at = std::max(told.judged_at, one.judged_at);
       }
@@ -438,8 +438,9 @@
   }
   const auto add = [](ToldVerdict& told, const EvidenceSource& source,
                       double median_ms) {
-    told.others_see_evil = told.others_see_evil || source.failures > 0 ||
-                           (median_ms > 0 && source.Slow(median_ms));
+    told.others_see_failures = told.others_see_failures ||
+                               source.failures > 0 ||
+                               (median_ms > 0 && source.Slow(median_ms));
     told.others_see_answers = told.others_see_answers || source.answers > 0;
   };
   const auto median_of = [&](TargetIndex target) {
@@ -477,8 +478,8 @@
 // nobody else saw the target answer; else one instance could eject any target.
 void OutlierDetector::AdoptTold(TargetIndex target, const ToldVerdict& told,
                                 const OutlierVerdict& verdict, Time now) {
-  const bool credible =
-      told.tellers > 1 || told.others_see_evil || !told.others_see_answers;
+  const bool credible = told.reporters > 1 || told.others_see_failures ||
+                        !told.others_see_answers;
   const OutlierState state = this->StateOf(target);
   if (!credible || !this->targets.AcceptsFlows(target) ||
       state == OutlierState::kSilent || state == OutlierState::kFailing) {
@@ -491,7 +492,7 @@
     if (newer && now - told.judged_at <= kSlowMemory &&
         state != OutlierState::kReturning) {
       this->SetSlow(target, told.weight, told.judged_at, verdict, now);
-      this->records.at(target).supported = told.others_see_evil;
+      this->records.at(target).supported = told.others_see_failures;
     }
     return;
   }
@@ -500,7 +501,7 @@
                             told.judged_at > *found->second.ejection_ended;
   if (of_this_time && this->MayEject(target)) {
     this->Eject(target, verdict, told.judged_at, now);
-    this->records.at(target).supported = told.others_see_evil;
+    this->records.at(target).supported = told.others_see_failures;
   }
 }
 
@@ -605,7 +606,8 @@
 }
 
 // Readers get more digests than others, but too few to judge within two
-// seconds. Who sees something bad that isn't judged yet tells them at once.
+// seconds. An instance that sees failures of a target without a verdict tells
+// them at once.
 void OutlierDetector::WantDigest(const CountsByTarget& counts,
                                  const Groups& groups, Time now) {
   if (this->urgent || (this->readers_told_at &&
--- a/source/core/health/outlier_detector.h
+++ b/source/core/health/outlier_detector.h
@@ -109,10 +109,10 @@
   };
   /// Verdicts of others about one target.
   struct ToldVerdict {
-    std::size_t tellers{0};
+    std::size_t reporters{0};
     double weight{0};
     Time judged_at{0};
-    bool others_see_evil{false};
+    bool others_see_failures{false};
     bool others_see_answers{false};
   };
   using Groups = std::map<TargetGroupKey, TargetGroup>;
--- a/source/core/health/outlier_rules.h
+++ b/source/core/health/outlier_rules.h
@@ -67,8 +67,8 @@
     const TargetTable& targets);
 
 /// Judges one target of the group. A service that is slow or failing as a
-/// whole, and a target of which only one instance reports evil while others get
-/// its answers, count as healthy.
+/// whole, and a target of which only one instance reports failures while others
+/// get its answers, count as healthy.
 OutlierVerdict Judge(const TargetGroup& group, TargetIndex target);
 
 }  // namespace sassafrasdyke::core
--- a/source/core/steering/proportional_locality.cc
+++ b/source/core/steering/proportional_locality.cc
@@ -3,14 +3,6 @@
 #include <algorithm>
 
 namespace sassafrasdyke::core {
-namespace {
-
-/// A domain accepts no load that would fill its slots. While the whole fleet is
-/// overloaded, flows that change domains only pass by the limits that hold new
-/// flows back.
-constexpr double kFull = 0.9;
-
-}  // namespace
 
 double ProportionalLocality::KeptFraction(double utilization,
                                           double fleet) const {
@@ -18,7 +10,7 @@
 }
 
 double ProportionalLocality::AcceptsUpTo(double fleet) const {
-  return std::max(this->LeaveAt(), std::min(fleet, kFull));
+  return std::max(this->LeaveAt(), fleet);
 }
 
 }  // namespace sassafrasdyke::core
--- a/source/core/steering/spillover_locality.cc
+++ b/source/core/steering/spillover_locality.cc
@@ -11,10 +11,6 @@
 /// pay for less.
 constexpr double kMinGap = 0.2;
 
-/// Fleet utilization from which flows stay: no domain has capacity then, and
-/// flows that change domains only pass by the limits that hold others back.
-constexpr double kOverloaded = 0.9;
-
 /// Whether the domain's load and capacity count.
 bool IsKnown(const DomainCapacity& domain) {
   return domain.reachable && domain.demand.has_value();
@@ -94,8 +90,7 @@
   }
   const double fleet = FleetUtilization(query.domains);
   const double excess = this->ExcessOf(*own, fleet);
-  if (fleet >= kOverloaded || excess <= 0 ||
-      (own->slots <= 0 && !this->Crowded(query, fleet))) {
+  if (excess <= 0 || (own->slots <= 0 && !this->Crowded(query, fleet))) {
     return stay;
   }
   double all_excess = 0;
--- a/tests/core/health/outlier_detector_test.cc
+++ b/tests/core/health/outlier_detector_test.cc
@@ -428,7 +428,7 @@
   std::string name;
   double weight;
   Counts own;
-  std::uint16_t tellers;
+  std::uint16_t reporters;
   OutlierState state;
 };
 
@@ -459,7 +459,7 @@
   scene.Settle();
   TargetObservation judged = HealthScene::Seen(0, 0, 0, 0ms);
   judged.weight = row.weight;
-  for (std::uint16_t peer = 0; peer < row.tellers; ++peer) {
+  for (std::uint16_t peer = 0; peer < row.reporters; ++peer) {
     scene.Report(peer, {judged});
   }
   scene.Tick();
