--- a/source/core/health/outlier_detector.cc
+++ b/source/core/health/outlier_detector.cc
@@ -124,7 +124,7 @@
 }
 
 void OutlierDetector::Append(PeerObservations& observations, Time now) {
-  std::vector<ToldJudgement> judged;
+  std::vector<JudgedTarget> judged;
   for (const auto& [target, entry] : this->silent) {
     if (entry.confirmed) {
       judged.push_back({target, true, 1.0, now - entry.since});
@@ -136,10 +136,10 @@
       continue;
     }
     const bool back = record.state == OutlierState::kReturning && !record.trial;
-    const bool told = record.supported && !back;
-    // What a returning target does is told as well, though nothing is wrong.
-    judged.push_back({target, false, told ? record.weight : 1.0,
-                      told ? now - record.judged_at : Time{0}});
+    const bool reported = record.supported && !back;
+    // A returning target is reported as well, though it may be healthy.
+    judged.push_back({target, false, reported ? record.weight : 1.0,
+                      reported ? now - record.judged_at : Time{0}});
   }
   observations.targets = this->own.Worst(std::move(judged), now, this->period);
 }
@@ -148,7 +148,7 @@
                                      const std::string& domain,
                                      const PeerObservations& observations,
                                      Time now) {
-  // A digest without room for observations says nothing.
+  // A digest without room for observations is no report.
   if (domain == this->domain && !observations.Empty()) {
     this->reports.Take(sender, observations.targets, this->targets, now);
   }
@@ -169,16 +169,16 @@
   for (const auto& [key, group] : groups) {
     this->JudgeGroup(group, now);
   }
-  for (const auto& [target, told] : this->CollectTold(groups, counts)) {
+  for (const auto& [target, reported] : this->CollectReported(groups, counts)) {
     const auto group = groups.find(GroupOf(this->targets.At(target).published));
     OutlierVerdict verdict = Judge(group->second, target);
-    verdict.reporters = told.reporters;
-    this->AdoptTold(target, told, verdict, now);
+    verdict.reporters = reported.reporters;
+    this->AdoptReported(target, reported, verdict, now);
   }
   this->WantDigest(counts, groups, now);
 }
 
-std::optional<UrgentAudience> OutlierDetector::TakeUrgent() {
+std::optional<UrgentReceivers> OutlierDetector::TakeUrgent() {
   return std::exchange(this->urgent, std::nullopt);
 }
 
@@ -223,8 +223,8 @@
     SilentTarget& entry = this->silent[target];
     if (!std::exchange(entry.confirmed, true)) {
       entry.since = now;
-      if (!this->IsTold(target)) {
-        this->urgent = UrgentAudience::kDomain;
+      if (!this->IsReported(target)) {
+        this->urgent = UrgentReceivers::kDomain;
       }
     }
   }
@@ -232,7 +232,7 @@
   for (auto& [target, entry] : this->silent) {
     const bool due = !entry.probe_requested_at ||
                      now - *entry.probe_requested_at >= kProbeRequestInterval;
-    if (entry.told_at && !watch.Silent(target) && due) {
+    if (entry.reported_at && !watch.Silent(target) && due) {
       entry.probe_requested_at = now;
       watch.OnReportedSilent(target);
     }
@@ -248,8 +248,8 @@
         continue;
       }
       SilentTarget& entry = this->silent[one.target];
-      if (!entry.told_at) {
-        entry.told_at = now;
+      if (!entry.reported_at) {
+        entry.reported_at = now;
       }
       entry.heard_at = std::max(entry.heard_at, report.received_at);
     }
@@ -262,10 +262,10 @@
         this->targets.Has(target) && this->targets.AcceptsFlows(target);
     entry.confirmed = entry.confirmed && published && watch.Silent(target);
     if (!published || now - entry.heard_at > kSilenceRetention) {
-      entry.told_at.reset();
+      entry.reported_at.reset();
     }
     const bool reported =
-        entry.told_at && !ShowsLife(watch, target, entry, now);
+        entry.reported_at && !ShowsLife(watch, target, entry, now);
     const bool avoided = entry.confirmed || reported;
     if (std::exchange(entry.avoided, avoided) != avoided && published) {
       this->changes.push_back(
@@ -276,7 +276,7 @@
     }
   }
   std::erase_if(this->silent, [](const auto& entry) {
-    return !entry.second.confirmed && !entry.second.told_at;
+    return !entry.second.confirmed && !entry.second.reported_at;
   });
 }
 
@@ -287,7 +287,8 @@
   if (evidence.probe == ProbeOutcome::kAnswered) {
     alive = std::max(alive.value_or(evidence.probed_at), evidence.probed_at);
   }
-  return alive && *alive >= *silent.told_at && now - *alive < kLifeRetention;
+  return alive && *alive >= *silent.reported_at &&
+         now - *alive < kLifeRetention;
 }
 
 void OutlierDetector::ForgetUnpublished() {
@@ -422,26 +423,27 @@
   record.weight = std::max(group.median_ms / total.mean_ms, kMinSlowWeight);
 }
 
-std::unordered_map<TargetIndex, OutlierDetector::ToldVerdict>
-OutlierDetector::CollectTold(const Groups& groups,
-                             const CountsByTarget& counts) const {
-  std::unordered_map<TargetIndex, ToldVerdict> all;
+std::unordered_map<TargetIndex, OutlierDetector::ReportedVerdict>
+OutlierDetector::CollectReported(const Groups& groups,
+                                 const CountsByTarget& counts) const {
+  std::unordered_map<TargetIndex, ReportedVerdict> all;
   for (const auto& [sender, report] : this->reports.All()) {
     for (const TargetReport& one : report.targets) {
       if (one.weight < 1.0 && this->targets.Has(one.target)) {
-        ToldVerdict& told = all[one.target];
-        ++told.reporters;
-        told.weight = std::max(told.weight, one.weight);
-        told.judged_at = std::max(told.judged_at, one.judged_at);
+        ReportedVerdict& reported = all[one.target];
+        ++reported.reporters;
+        reported.weight = std::max(reported.weight, one.weight);
+        reported.judged_at = std::max(reported.judged_at, one.judged_at);
       }
     }
   }
-  const auto add = [](ToldVerdict& told, const EvidenceSource& source,
+  const auto add = [](ReportedVerdict& reported, const EvidenceSource& source,
                       double median_ms) {
-    told.others_see_failures = told.others_see_failures ||
-                               source.failures > 0 ||
-                               (median_ms > 0 && source.Slow(median_ms));
-    told.others_see_answers = told.others_see_answers || source.answers > 0;
+    reported.others_see_failures = reported.others_see_failures ||
+                                   source.failures > 0 ||
+                                   (median_ms > 0 && source.Slow(median_ms));
+    reported.others_see_answers =
+        reported.others_see_answers || source.answers > 0;
   };
   const auto median_of = [&](TargetIndex target) {
     const auto group = groups.find(GroupOf(this->targets.At(target).published));
@@ -452,9 +454,9 @@
   }
   for (const auto& [sender, report] : this->reports.All()) {
     for (const TargetReport& one : report.targets) {
-      if (const auto told = all.find(one.target);
-          told != all.end() && one.weight == 1.0) {
-        add(told->second,
+      if (const auto reported = all.find(one.target);
+          reported != all.end() && one.weight == 1.0) {
+        add(reported->second,
             {static_cast<double>(one.requests),
              static_cast<double>(one.failures),
              static_cast<double>(one.answers), one.mean_ms},
@@ -462,10 +464,10 @@
       }
     }
   }
-  for (auto& [target, told] : all) {
+  for (auto& [target, reported] : all) {
     if (const auto own = counts.find(target); own != counts.end()) {
       const TargetCounts& sum = own->second;
-      add(told,
+      add(reported,
           {static_cast<double>(sum.requests), static_cast<double>(sum.failures),
            static_cast<double>(sum.answers), sum.MeanMs()},
           median_of(target));
@@ -475,33 +477,35 @@
 }
 
 // A verdict of one instance counts only if somebody else saw the same, or
-// nobody else saw the target answer; else one instance could eject any target.
-void OutlierDetector::AdoptTold(TargetIndex target, const ToldVerdict& told,
-                                const OutlierVerdict& verdict, Time now) {
-  const bool credible = told.reporters > 1 || told.others_see_failures ||
-                        !told.others_see_answers;
+// no other saw the target answer; else one instance could eject any target.
+void OutlierDetector::AdoptReported(TargetIndex target,
+                                    const ReportedVerdict& reported,
+                                    const OutlierVerdict& verdict, Time now) {
+  const bool credible = reported.reporters > 1 ||
+                        reported.others_see_failures ||
+                        !reported.others_see_answers;
   const OutlierState state = this->StateOf(target);
   if (!credible || !this->targets.AcceptsFlows(target) ||
       state == OutlierState::kSilent || state == OutlierState::kFailing) {
     return;
   }
   const auto found = this->records.find(target);
-  if (told.weight > 0) {
+  if (reported.weight > 0) {
     const bool newer = found == this->records.end() ||
-                       told.judged_at > found->second.judged_at;
-    if (newer && now - told.judged_at <= kSlowMemory &&
+                       reported.judged_at > found->second.judged_at;
+    if (newer && now - reported.judged_at <= kSlowMemory &&
         state != OutlierState::kReturning) {
-      this->SetSlow(target, told.weight, told.judged_at, verdict, now);
-      this->records.at(target).supported = told.others_see_failures;
+      this->SetSlow(target, reported.weight, reported.judged_at, verdict, now);
+      this->records.at(target).supported = reported.others_see_failures;
     }
     return;
   }
   const bool of_this_time = found == this->records.end() ||
                             !found->second.ejection_ended ||
-                            told.judged_at > *found->second.ejection_ended;
+                            reported.judged_at > *found->second.ejection_ended;
   if (of_this_time && this->MayEject(target)) {
-    this->Eject(target, verdict, told.judged_at, now);
-    this->records.at(target).supported = told.others_see_failures;
+    this->Eject(target, verdict, reported.judged_at, now);
+    this->records.at(target).supported = reported.others_see_failures;
   }
 }
 
@@ -545,8 +549,8 @@
 
 void OutlierDetector::Eject(TargetIndex target, const OutlierVerdict& verdict,
                             Time judged_at, Time now) {
-  if (!this->IsTold(target)) {
-    this->urgent = UrgentAudience::kDomain;
+  if (!this->IsReported(target)) {
+    this->urgent = UrgentReceivers::kDomain;
   }
   Record& record = this->records[target];
   record.state = OutlierState::kFailing;
@@ -566,8 +570,8 @@
                               const OutlierVerdict& verdict, Time now) {
   Record& record = this->records[target];
   if (record.state != OutlierState::kSlow) {
-    if (!this->IsTold(target)) {
-      this->urgent = UrgentAudience::kDomain;
+    if (!this->IsReported(target)) {
+      this->urgent = UrgentReceivers::kDomain;
     }
     record.state = OutlierState::kSlow;
     record.since = now;
@@ -591,7 +595,7 @@
   record.weight = trial ? 0.0 : std::max(record.weight, kMinSlowStartWeight);
 }
 
-bool OutlierDetector::IsTold(TargetIndex target) const {
+bool OutlierDetector::IsReported(TargetIndex target) const {
   const auto record = this->records.find(target);
   const Time since = record == this->records.end()
                          ? Time::min()
@@ -610,8 +614,8 @@
 // them at once.
 void OutlierDetector::WantDigest(const CountsByTarget& counts,
                                  const Groups& groups, Time now) {
-  if (this->urgent || (this->readers_told_at &&
-                       now - *this->readers_told_at < kUrgentInterval)) {
+  if (this->urgent || (this->readers_notified_at &&
+                       now - *this->readers_notified_at < kUrgentInterval)) {
     return;
   }
   const bool alarming = std::ranges::any_of(counts, [&](const auto& entry) {
@@ -629,9 +633,9 @@
   if (!alarming || !this->reader_digests.Take(kTokensOfDigest, now)) {
     return;
   }
-  this->readers_told_at = now;
+  this->readers_notified_at = now;
   if (Draw(this->random, kMaxUrgentSenders / this->DomainInstances())) {
-    this->urgent = UrgentAudience::kReaders;
+    this->urgent = UrgentReceivers::kReaders;
   }
 }
 
--- a/source/core/health/outlier_detector.h
+++ b/source/core/health/outlier_detector.h
@@ -2,9 +2,9 @@
 /// instances of a failure domain, and gives them fewer new flows.
 ///
 /// One of many instances sends a target too few requests to judge it by their
-/// outcome within seconds. The counts of all are enough: instances tell each
-/// other their worst targets, and who hears enough to judge one tells the
-/// others the verdict too.
+/// outcome within seconds. The counts of all are enough: instances report their
+/// worst targets to each other, and one that has enough counts to judge a
+/// target reports its verdict as well.
 #pragma once
 
 #include <array>
@@ -72,7 +72,7 @@
   void OnTick(TargetWatch& watch, std::chrono::milliseconds now);
   /// Whether others should hear of this instance before its next digest, since
   /// the last call.
-  std::optional<UrgentAudience> TakeUrgent();
+  std::optional<UrgentReceivers> TakeUrgent();
   /// Returns the changes since the last call.
   std::vector<HealthChange> TakeChanges();
   /// Number of targets that accept new flows, by state.
@@ -88,7 +88,7 @@
     Time since{0};      ///< Of the state.
     Time judged_at{0};  ///< When the verdict was last confirmed.
     /// Whether this instance's own knowledge supports the verdict, so that
-    /// others may be told.
+    /// it may be reported.
     bool supported{false};
     bool trial{false};          ///< While returning: single flows only.
     bool trial_open{false};     ///< A trial flow may be placed.
@@ -102,13 +102,13 @@
   struct SilentTarget {
     bool confirmed{false};  ///< By own probes.
     Time since{0};
-    std::optional<Time> told_at;  ///< First report by others.
-    Time heard_at{0};             ///< Last report by others.
+    std::optional<Time> reported_at;  ///< First report by others.
+    Time heard_at{0};                 ///< Last report by others.
     std::optional<Time> probe_requested_at;
     bool avoided{false};
   };
   /// Verdicts of others about one target.
-  struct ToldVerdict {
+  struct ReportedVerdict {
     std::size_t reporters{0};
     double weight{0};
     Time judged_at{0};
@@ -133,10 +133,10 @@
   void JudgeGroup(const TargetGroup& group, Time now);
   void KeepOrEndSlow(TargetIndex target, Record& record,
                      const TargetGroup& group, Time now);
-  std::unordered_map<TargetIndex, ToldVerdict> CollectTold(
+  std::unordered_map<TargetIndex, ReportedVerdict> CollectReported(
       const Groups& groups, const CountsByTarget& counts) const;
-  void AdoptTold(TargetIndex target, const ToldVerdict& told,
-                 const OutlierVerdict& verdict, Time now);
+  void AdoptReported(TargetIndex target, const ReportedVerdict& reported,
+                     const OutlierVerdict& verdict, Time now);
   /// Counts since the target returned, own ones and those of peers.
   TargetCounts CountsSince(TargetIndex target, Time since, Time now) const;
   /// Whether the target's service may lose another one in its domain.
@@ -146,9 +146,9 @@
   void SetSlow(TargetIndex target, double weight, Time judged_at,
                const OutlierVerdict& verdict, Time now);
   void Return(Record& record, bool trial, Time now);
-  /// Whether other instances already tell a verdict about the target that is
+  /// Whether other instances already report a verdict about the target that is
   /// newer than its last ejection.
-  bool IsTold(TargetIndex target) const;
+  bool IsReported(TargetIndex target) const;
   void WantDigest(const CountsByTarget& counts, const Groups& groups, Time now);
   /// The short period when the domain sends each target enough requests in it.
   Time CountPeriod(Time now) const;
@@ -164,8 +164,8 @@
   std::unordered_map<TargetIndex, Record> records;
   std::unordered_map<TargetIndex, SilentTarget> silent;
   std::vector<HealthChange> changes;
-  std::optional<UrgentAudience> urgent;
-  std::optional<Time> readers_told_at;
+  std::optional<UrgentReceivers> urgent;
+  std::optional<Time> readers_notified_at;
   common::TokenBucket reader_digests;
   std::optional<Time> ticked_at;
   Time period{kLongPeriod};  ///< Of requests and failures.
--- a/source/core/health/outlier_rules.cc
+++ b/source/core/health/outlier_rules.cc
@@ -23,7 +23,7 @@
 }
 
 /// Estimates the requests of instances that don't list the target, as they have
-/// seen nothing bad of it. Without them, the few requests of those who have
+/// seen no failures of it. Without them, the few requests of those who have
 /// would make a target with rare failures look like a failing one.
 ///
 /// By Poisson, an instance that sends `mean_requests` sees nothing bad with the
@@ -55,8 +55,8 @@
   return total;
 }
 
-/// Sorts the failure fractions of all targets, those that nobody has listed
-/// included.
+/// Sorts the failure fractions of all targets, those that no instance has
+/// listed included.
 void FillFractions(TargetGroup& group) {
   std::vector<double>& fractions = group.failure_fractions;
   for (const auto& [target, evidence] : group.targets) {
--- a/source/core/health/target_observations.cc
+++ b/source/core/health/target_observations.cc
@@ -199,24 +199,24 @@
 }
 
 std::vector<TargetObservation> TargetObservations::Worst(
-    std::vector<ToldJudgement> judged, milliseconds now,
+    std::vector<JudgedTarget> judged, milliseconds now,
     milliseconds period) const {
   const CountsByTarget counts = this->Counts(now, period);
   std::ranges::sort(judged, [](const auto& a, const auto& b) {
     return std::tuple(!a.silent, a.weight, a.age, a.target) <
            std::tuple(!b.silent, b.weight, b.age, b.target);
   });
-  std::unordered_set<TargetIndex> told;
-  for (const ToldJudgement& judgement : judged) {
-    told.insert(judgement.target);
+  std::unordered_set<TargetIndex> reported;
+  for (const JudgedTarget& judgement : judged) {
+    reported.insert(judgement.target);
   }
   for (const TargetIndex target : this->Notable(counts)) {
-    if (!told.contains(target)) {
+    if (!reported.contains(target)) {
       judged.push_back({target});
     }
   }
   std::vector<TargetObservation> worst;
-  for (const ToldJudgement& judgement : judged) {
+  for (const JudgedTarget& judgement : judged) {
     if (worst.size() < kMaxTargetObservations &&
         this->targets.Has(judgement.target)) {
       worst.push_back(this->EntryOf(judgement, counts));
@@ -226,7 +226,7 @@
 }
 
 TargetObservation TargetObservations::EntryOf(
-    const ToldJudgement& judgement, const CountsByTarget& counts) const {
+    const JudgedTarget& judgement, const CountsByTarget& counts) const {
   const auto found = counts.find(judgement.target);
   const TargetCounts sum =
       found == counts.end() ? TargetCounts{} : found->second;
--- a/source/core/health/target_observations.h
+++ b/source/core/health/target_observations.h
@@ -44,8 +44,8 @@
 /// which a target counts as slow is higher.
 inline constexpr double kNotableSlowness = 2.0;
 
-/// What is told of a target besides its counts.
-struct ToldJudgement {
+/// What is reported of a target besides its counts.
+struct JudgedTarget {
   TargetIndex target;
   bool silent{false};
   double weight{1.0};
@@ -89,7 +89,7 @@
   std::uint32_t Openings(TargetIndex target) const;
   /// The entries of a digest: silent targets, then other judged ones, then
   /// those with the most failures and the longest times.
-  std::vector<TargetObservation> Worst(std::vector<ToldJudgement> judged,
+  std::vector<TargetObservation> Worst(std::vector<JudgedTarget> judged,
                                        std::chrono::milliseconds now,
                                        std::chrono::milliseconds period) const;
 
@@ -117,7 +117,7 @@
   double RoundTripMs(TargetIndex target, const AnswerTiming& timing);
   /// Targets that aren't judged, worst first.
   std::vector<TargetIndex> Notable(const CountsByTarget& counts) const;
-  TargetObservation EntryOf(const ToldJudgement& judgement,
+  TargetObservation EntryOf(const JudgedTarget& judgement,
                             const CountsByTarget& counts) const;
 
   const TargetTable& targets;
--- a/source/core/load/observation_exchange.h
+++ b/source/core/load/observation_exchange.h
@@ -65,8 +65,8 @@
                          const PeerObservations&) = default;
 };
 
-/// Who should get a digest at once.
-enum class UrgentAudience : std::uint8_t {
+/// Which instances should get a digest at once.
+enum class UrgentReceivers : std::uint8_t {
   kReaders,  ///< The readers of the own domain, who hear most.
   kDomain,   ///< The instances of the own domain, some 30 of them.
 };
--- a/source/core/roster/peer_sync.cc
+++ b/source/core/roster/peer_sync.cc
@@ -136,10 +136,10 @@
                                  : this->limits.observation_interval;
 }
 
-SyncActions PeerSync::SendObservations(UrgentAudience audience,
+SyncActions PeerSync::SendObservations(UrgentReceivers audience,
                                        std::chrono::milliseconds now) {
   std::vector<common::Endpoint> receivers =
-      audience == UrgentAudience::kReaders
+      audience == UrgentReceivers::kReaders
           ? this->roster.Readers(this->limits.readers, now)
           : this->roster.Neighbours();
   std::erase(receivers, this->roster.Self().address);
--- a/source/core/roster/peer_sync.h
+++ b/source/core/roster/peer_sync.h
@@ -81,7 +81,7 @@
   /// An own call of the store failed.
   void OnStoreFailure(std::chrono::milliseconds now);
   /// Sends observations that the audience should have before the next digests.
-  SyncActions SendObservations(UrgentAudience audience,
+  SyncActions SendObservations(UrgentReceivers audience,
                                std::chrono::milliseconds now);
   /// This instance is shutting down.
   void OnLeave() { this->leaving = true; }
--- a/source/front/shared_parts.cc
+++ b/source/front/shared_parts.cc
@@ -70,7 +70,7 @@
                       : std::vector<core::HealthChange>{};
 }
 
-std::optional<core::UrgentAudience> SharedParts::TakeUrgent() {
+std::optional<core::UrgentReceivers> SharedParts::TakeUrgent() {
   return this->health ? this->health->detector.TakeUrgent() : std::nullopt;
 }
 
--- a/source/front/shared_parts.h
+++ b/source/front/shared_parts.h
@@ -46,7 +46,7 @@
               std::chrono::milliseconds now);
   /// See OutlierDetector.
   std::vector<core::HealthChange> TakeHealthChanges();
-  std::optional<core::UrgentAudience> TakeUrgent();
+  std::optional<core::UrgentReceivers> TakeUrgent();
   std::map<std::string_view, std::size_t> TargetsByHealth() const;
   /// See LoadBoard.
   std::vector<core::DomainLoad> TakeReachabilityChanges();
--- a/tests/core/health/domain_play.cc
+++ b/tests/core/health/domain_play.cc
@@ -312,7 +312,7 @@
   }
   if (const auto audience = node.detector.TakeUrgent()) {
     const std::size_t all =
-        *audience == UrgentAudience::kReaders ? kReaders : kInstances;
+        *audience == UrgentReceivers::kReaders ? kReaders : kInstances;
     for (std::size_t to = 0; to < all; ++to) {
       receivers.push_back(to);
     }
--- a/tests/core/health/outlier_detector_test.cc
+++ b/tests/core/health/outlier_detector_test.cc
@@ -358,7 +358,7 @@
 }
 
 const Silence kSilences[] = {
-    {"told", {}, false, OutlierState::kSilent, OutlierState::kHealthy},
+    {"reported", {}, false, OutlierState::kSilent, OutlierState::kHealthy},
     {"own probe answered",
      {ProbeOutcome::kAnswered},
      false,
@@ -449,7 +449,8 @@
     {"nobody says so", 0.0, {1, 0}, 0, OutlierState::kHealthy}};
 
 // Guards against an instance that has just started and sends flows to every
-// target until it has seen failures itself, and against one liar.
+// target until it has seen failures itself, and against false reports of
+// a single instance.
 BOOST_DATA_TEST_CASE(verdicts_of_others_are_adopted, kVerdicts, row) {
   HealthScene scene(kTargets);
   for (std::size_t i = 0; i < kTargets; ++i) {
@@ -506,26 +507,26 @@
 }
 
 // Guards against news that wait for the next digest, and against every instance
-// repeating what one has told.
+// repeating what one has reported.
 BOOST_AUTO_TEST_CASE(news_are_urgent_for_who_finds_them) {
   HealthScene scene(kTargets);
   for (std::size_t i = 0; i < kTargets; ++i) {
     scene.Own(i, 2, i == 0 ? 1 : 0, 30ms);
   }
   scene.Tick();
-  BOOST_TEST((scene.detector.TakeUrgent() == UrgentAudience::kReaders));
+  BOOST_TEST((scene.detector.TakeUrgent() == UrgentReceivers::kReaders));
   scene.Tick();
   BOOST_TEST(!scene.detector.TakeUrgent().has_value());
   scene.watch.OnSynUnanswered(scene.indexes[1], scene.now);
   scene.watch.OnProbed(scene.indexes[1], ProbeOutcome::kRefused, scene.now,
                        scene.now + 1ms);
   scene.Tick();
-  BOOST_TEST((scene.detector.TakeUrgent() == UrgentAudience::kDomain));
-  PeerObservations told;
-  scene.detector.Append(told, scene.now);
-  BOOST_REQUIRE(told.targets.size() == 2U);
-  BOOST_TEST(told.targets[0].silent);
-  BOOST_TEST(told.targets[0].target.value == 2U);
+  BOOST_TEST((scene.detector.TakeUrgent() == UrgentReceivers::kDomain));
+  PeerObservations reported;
+  scene.detector.Append(reported, scene.now);
+  BOOST_REQUIRE(reported.targets.size() == 2U);
+  BOOST_TEST(reported.targets[0].silent);
+  BOOST_TEST(reported.targets[0].target.value == 2U);
 }
 
 }  // namespace
