Check in one place whether load reports show a domain to be cut off

TargetChoice and ConcurrencyLimiter had the same lookup. The limiter also excepted its own domain, which LoadBoard always reports as reachable.

--- a/source/core/load/fleet_load.h
+++ b/source/core/load/fleet_load.h
@@ -27,6 +27,11 @@
   std::size_t reporters{0};  ///< Instances whose reports are part of it.
 };
 
+/// False for a domain that the reports show to be cut off; a domain without a
+/// report counts as reachable.
+bool IsReachable(const std::vector<DomainLoad>& loads,
+                 const std::string& domain);
+
 /// What decisions under load ask. Values change between ticks only, and a
 /// lookup is cheap enough for each new flow.
 class FleetLoad {
--- a/source/core/steering/concurrency_limiter.cc
+++ b/source/core/steering/concurrency_limiter.cc
@@ -142,11 +142,12 @@
       return AdmissionGrant{std::move(other)};
     }
   }
+  const std::vector<DomainLoad>& loads = this->load.Of(service);
   std::optional<AdmissionGrant> grant;
   double least_utilization = 1.0;
   for (const auto& [domain, requests] : pending) {
     const double used = requests / this->LimitOf(service, domain).requests;
-    if (used >= 1.0 || !this->Reachable(service, domain)) {
+    if (used >= 1.0 || !IsReachable(loads, domain)) {
       continue;
     }
     if (domain == this->domain) {
@@ -247,13 +248,6 @@
                                  kInitialSlotsFactor * largest));
 }
 
-bool ConcurrencyLimiter::Reachable(const std::string& service,
-                                   const std::string& domain) const {
-  const std::vector<DomainLoad>& loads = this->load.Of(service);
-  const auto found = std::ranges::find(loads, domain, &DomainLoad::domain);
-  return domain == this->domain || found == loads.end() || found->reachable;
-}
-
 bool ConcurrencyLimiter::Usable(TargetIndex index,
                                 std::chrono::milliseconds now) const {
   return !this->watch.Suspected(index, now) && this->warmup.Allows(index, now);
--- a/source/core/steering/concurrency_limiter.h
+++ b/source/core/steering/concurrency_limiter.h
@@ -137,8 +137,6 @@
   /// Requests pending at each domain that has usable targets of the service.
   PendingRequestsByDomain PendingByDomain(const std::string& service,
                                           std::chrono::milliseconds now) const;
-  /// False for a domain that load reports show to be cut off.
-  bool Reachable(const std::string& service, const std::string& domain) const;
   bool Usable(TargetIndex index, std::chrono::milliseconds now) const;
   /// Slots of the domain's usable targets.
   double UsableSlots(const std::string& service, const std::string& domain,
--- a/source/core/steering/target_choice.cc
+++ b/source/core/steering/target_choice.cc
@@ -240,9 +240,10 @@
     const ChoiceQuery& query) const {
   std::vector<TargetIndex> remote;
   std::vector<TargetIndex> unreachable;
+  const std::vector<DomainLoad>& loads = this->load.Of(service);
   std::vector<TargetIndex> suspected;
   for (const auto* const domain : domains) {
-    const bool reachable = this->Reachable(service, domain->first);
+    const bool reachable = IsReachable(loads, domain->first);
     for (const TargetIndex index : domain->second) {
       if (!this->Usable(index, query)) {
         if (this->warmup.Allows(index, query.now)) {
@@ -276,13 +277,6 @@
   return std::nullopt;
 }
 
-bool TargetChoice::Reachable(const std::string& service,
-                             const std::string& domain) const {
-  const std::vector<DomainLoad>& loads = this->load.Of(service);
-  const auto found = std::ranges::find(loads, domain, &DomainLoad::domain);
-  return found == loads.end() || found->reachable;
-}
-
 SteeringReason TargetChoice::ReasonToLeave(SteeringReason reason) const {
   return this->targets.IsEvacuated(this->domain) ? SteeringReason::kEvacuated
                                                  : reason;
--- a/source/core/steering/target_choice.h
+++ b/source/core/steering/target_choice.h
@@ -114,8 +114,6 @@
   bool Usable(TargetIndex index, const ChoiceQuery& query) const;
   /// What the target can work on, reduced by its weight; in slots.
   double WeightedSlotsOf(TargetIndex index) const;
-  /// False for a domain that load reports show to be cut off.
-  bool Reachable(const std::string& service, const std::string& domain) const;
   double SlotsOf(const std::vector<TargetIndex>& indexes) const;
   /// Whether the additional network time to other domains takes so much of the
   /// objective that load is no reason to leave.
