Admission by share: rate, order and limits by service

Change: order and departure rate are kept by service, and a full queue loses the last SYN of the service with most; the rate counts three departures at least; turns are counted across SYNs that give up; a limit that was never congested follows the number of instances; the soft limit is gone, and the limit of another domain begins at the part of its headroom.

With fair_admission off nothing changes.

--- a/cmake/targets.cmake
+++ b/cmake/targets.cmake
@@ -30,8 +30,18 @@
   set_tests_properties(${name} PROPERTIES TIMEOUT ${TEST_TIMEOUT})
 endfunction()
 
-# The same for open faults, whose cases KNOWN-RED.txt lists one by one. Red once
-# a listed case passes, another fails, or the program crashes.
+# A test that runs only those cases of the program that `filter` selects; as
+# add_module_tests otherwise.
+function(add_test_part program part filter)
+  add_test(NAME ${program}_${part}
+           COMMAND ${program} --run_test=${filter} --log_level=test_suite
+                   --report_level=short
+           WORKING_DIRECTORY ${PROJECT_SOURCE_DIR})
+  set_tests_properties(${program}_${part} PROPERTIES TIMEOUT ${TEST_TIMEOUT})
+endfunction()
+
+# As add_module_tests for open faults, whose cases KNOWN-RED.txt lists one by
+# one. Red once a listed case passes, another fails, or the program crashes.
 function(add_known_red_tests name)
   add_test_program(${name} ${ARGN})
   add_test(NAME ${name}
--- a/source/core/steering/admission_control.cc
+++ b/source/core/steering/admission_control.cc
@@ -10,8 +10,8 @@
 /// SYNs that a full queue loses before their order is determined anew.
 constexpr std::size_t kLastInLine = 64;
 
-std::unique_ptr<SynOrder> OrderFor(const SharedObservations& shared) {
-  if (shared.fair_admission) {
+std::unique_ptr<SynOrder> NewOrder(bool fair) {
+  if (fair) {
     return std::make_unique<FairOrder>();
   }
   return std::make_unique<RankOrder>();
@@ -31,8 +31,7 @@
     : routes(routes),
       steering(steering),
       fair(shared.fair_admission),
-      overload(overload),
-      order(OrderFor(shared)) {}
+      overload(overload) {}
 
 std::optional<AdmissionGrant> AdmissionControl::Admit(
     const FlowPacket& packet, std::span<const std::uint8_t> bytes,
@@ -69,12 +68,14 @@
   if (!this->fair) {
     return this->queue.Hold(packet, bytes, arrived_at);
   }
+  const std::string service =
+      this->ServiceOf(this->routes.Find(packet.flow.service));
   this->copies.OnHeld(packet, arrived_at);
-  this->departures.OnQueue(true, now);
+  this->LineOf(service).departures.OnQueue(true, now);
   if (this->queue.Hold(packet, bytes, arrived_at)) {
     return true;
   }
-  if (this->MakeRoom(rank, now)) {
+  if (this->MakeRoom(service, rank, now)) {
     this->queue.Hold(packet, bytes, arrived_at);
   } else if (JudgeLastInFullQueue(this->copies.HasAll(packet.flow)).refuse) {
     this->OnRefused({packet.flow, {bytes.begin(), bytes.end()}}, rank);
@@ -82,14 +83,21 @@
   return true;
 }
 
-bool AdmissionControl::MakeRoom(std::uint32_t rank, milliseconds now) {
+bool AdmissionControl::MakeRoom(const std::string& service, std::uint32_t rank,
+                                milliseconds now) {
   std::erase_if(this->last_in_line, [this](const SynPlace& place) {
     return !this->queue.Contains(place.flow);
   });
   if (this->last_in_line.empty()) {
     this->queue.Expire(now);
+    const WaitingRoutes waiting = this->RoutesByService();
+    if (waiting.empty()) {
+      return true;
+    }
+    this->last_in_line_of = this->LargestService(waiting);
     const auto line =
-        this->order->Line(this->queue, this->WaitingRoutes(), now);
+        this->LineOf(this->last_in_line_of)
+            .order->Line(this->queue, waiting.at(this->last_in_line_of), now);
     const std::size_t count = std::min(line.size(), kLastInLine);
     this->last_in_line.assign(line.end() - static_cast<std::ptrdiff_t>(count),
                               line.end());
@@ -98,7 +106,7 @@
     return true;
   }
   const SynPlace last = this->last_in_line.back();
-  if (last.rank < rank) {
+  if (this->last_in_line_of == service && last.rank < rank) {
     return false;
   }
   this->last_in_line.pop_back();
@@ -115,60 +123,99 @@
   if (this->queue.Size() == 0) {
     return std::nullopt;
   }
-  std::vector<WaitingRoute> open;
-  std::map<common::Endpoint, AdmissionGrant> grants;
-  for (const WaitingRoute& waiting : this->WaitingRoutes()) {
-    const Route* const route = this->routes.Find(waiting.address);
-    // FlowSteering refuses the flow of a route that was withdrawn meanwhile.
-    auto grant = route == nullptr
-                     ? std::make_optional<AdmissionGrant>()
-                     : this->steering.Limiter().GrantFor(*route, now);
-    if (grant) {
-      open.push_back(waiting);
-      grants.emplace(waiting.address, std::move(*grant));
+  for (const auto& [service, waiting] : this->RoutesByService()) {
+    std::vector<WaitingRoute> open;
+    std::map<common::Endpoint, AdmissionGrant> grants;
+    for (const WaitingRoute& waiting_route : waiting) {
+      const Route* const route = this->routes.Find(waiting_route.address);
+      // FlowSteering refuses the flow of a route that was withdrawn meanwhile.
+      auto grant = route == nullptr
+                       ? std::make_optional<AdmissionGrant>()
+                       : this->steering.Limiter().GrantFor(*route, now);
+      if (grant) {
+        open.push_back(waiting_route);
+        grants.emplace(waiting_route.address, std::move(*grant));
+      }
+    }
+    ServiceLine& line = this->LineOf(service);
+    if (auto syn = line.order->TakeNext(this->queue, open, now)) {
+      line.departures.OnLeft(now);
+      line.departures.OnQueue(this->AnyWaits(waiting), now);
+      this->copies.Forget(syn->flow);
+      AdmissionGrant grant = std::move(grants.at(syn->flow.service));
+      return ReleasedSyn{std::move(*syn), std::move(grant)};
     }
   }
-  auto syn = this->order->TakeNext(this->queue, open, now);
-  if (!syn) {
-    return std::nullopt;  // None may go, or all have been superseded.
+  return std::nullopt;  // None may go, or all have been superseded.
+}
+
+std::string AdmissionControl::ServiceOf(const Route* route) const {
+  return this->fair && route != nullptr ? MainServiceOf(*route) : std::string();
+}
+
+AdmissionControl::ServiceLine& AdmissionControl::LineOf(
+    const std::string& service) {
+  ServiceLine& line = this->lines[service];
+  if (line.order == nullptr) {
+    line.order = NewOrder(this->fair);
   }
-  this->departures.OnLeft(now);
-  this->departures.OnQueue(this->queue.Size() > 0, now);
-  this->copies.Forget(syn->flow);
-  AdmissionGrant grant = std::move(grants.at(syn->flow.service));
-  return ReleasedSyn{std::move(*syn), std::move(grant)};
+  return line;
 }
 
-std::vector<WaitingRoute> AdmissionControl::WaitingRoutes() const {
-  std::vector<WaitingRoute> waiting;
+AdmissionControl::WaitingRoutes AdmissionControl::RoutesByService() const {
+  WaitingRoutes waiting;
   for (const common::Endpoint& address : this->queue.Routes()) {
     const Route* const route = this->routes.Find(address);
-    waiting.push_back(
+    waiting[this->ServiceOf(route)].push_back(
         {address, route == nullptr ? 0 : route->rank,
          route == nullptr ? milliseconds{0} : this->LongestTimelyWait(*route)});
   }
   return waiting;
 }
 
+bool AdmissionControl::AnyWaits(std::span<const WaitingRoute> routes) const {
+  return std::ranges::any_of(routes, [this](const WaitingRoute& route) {
+    return this->queue.ByRoute().contains(route.address);
+  });
+}
+
+std::string AdmissionControl::LargestService(
+    const WaitingRoutes& waiting) const {
+  const auto size = [this](const auto& service) {
+    std::size_t syns = 0;
+    for (const WaitingRoute& route : service.second) {
+      syns += this->queue.ByRoute().at(route.address).size();
+    }
+    return syns;
+  };
+  return std::ranges::max_element(waiting, {}, size)->first;
+}
+
 void AdmissionControl::OnTick(milliseconds now) {
   this->queue.Expire(now);
   if (!this->fair) {
     return;
   }
   this->copies.Expire(now);
-  this->departures.OnQueue(this->queue.Size() > 0, now);
-  this->RefuseHopelessSyns(now);
+  const WaitingRoutes waiting = this->RoutesByService();
+  for (auto& [service, line] : this->lines) {
+    line.departures.OnQueue(waiting.contains(service), now);
+  }
+  for (const auto& [service, routes] : waiting) {
+    this->RefuseHopelessSyns(this->LineOf(service), routes, now);
+  }
 }
 
 // Those behind a refused SYN move up.
-void AdmissionControl::RefuseHopelessSyns(milliseconds now) {
-  const auto leave_per_s = this->departures.PerSecond(now);
+void AdmissionControl::RefuseHopelessSyns(
+    const ServiceLine& line, const std::vector<WaitingRoute>& routes,
+    milliseconds now) {
+  const auto leave_per_s = line.departures.PerSecond(now);
   if (!leave_per_s) {
     return;
   }
   std::size_t gone = 0;
-  for (const SynPlace& place :
-       this->order->Line(this->queue, this->WaitingRoutes(), now)) {
+  for (const SynPlace& place : line.order->Line(this->queue, routes, now)) {
     const SynOutlook outlook{place.ahead - std::min(gone, place.ahead),
                              now - place.first_sent, leave_per_s,
                              this->copies.HasAll(place.flow)};
@@ -189,9 +236,8 @@
 
 void AdmissionControl::OnPause() {
   this->queue.Clear();
-  this->order->Clear();
   this->copies.Clear();
-  this->departures.Clear();
+  this->lines.clear();
   this->last_in_line.clear();
 }
 
--- a/source/core/steering/admission_control.h
+++ b/source/core/steering/admission_control.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <span>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -77,21 +78,39 @@
   }
 
  private:
+  /// What decides which SYN of a service leaves next, and which never does.
+  struct ServiceLine {
+    std::unique_ptr<SynOrder> order;
+    DepartureRate departures;
+  };
+
   /// Longest time that a client of the route may have waited and still be
   /// served in time.
   std::chrono::milliseconds LongestTimelyWait(const Route& route) const;
   /// Rank of the route at this address; 0 when there is none.
   std::uint32_t RankOf(const common::Endpoint& address) const;
-  /// The routes for which SYNs wait.
-  std::vector<WaitingRoute> WaitingRoutes() const;
+  /// The routes for which SYNs wait, by service. Without fair admission, all
+  /// are of one service without a name.
+  using WaitingRoutes = std::map<std::string, std::vector<WaitingRoute>>;
+  WaitingRoutes RoutesByService() const;
+  /// The service of the route, as in RoutesByService.
+  std::string ServiceOf(const Route* route) const;
+  ServiceLine& LineOf(const std::string& service);
+  bool AnyWaits(std::span<const WaitingRoute> routes) const;
+  /// The service for which most SYNs wait.
+  std::string LargestService(const WaitingRoutes& waiting) const;
   /// Whether the SYN waits now; otherwise it is admitted at once.
   bool Hold(const FlowPacket& packet, std::span<const std::uint8_t> bytes,
             std::chrono::milliseconds arrived_at,
             std::chrono::milliseconds now);
-  /// Removes the queued SYN that would be served last. `rank` is that of the
-  /// arriving SYN; returns false if it is the one.
-  bool MakeRoom(std::uint32_t rank, std::chrono::milliseconds now);
-  void RefuseHopelessSyns(std::chrono::milliseconds now);
+  /// Removes the SYN that would be served last of the service for which most
+  /// wait. `service` and `rank` are those of the arriving SYN; returns false if
+  /// it is the one.
+  bool MakeRoom(const std::string& service, std::uint32_t rank,
+                std::chrono::milliseconds now);
+  void RefuseHopelessSyns(const ServiceLine& line,
+                          const std::vector<WaitingRoute>& routes,
+                          std::chrono::milliseconds now);
   void OnRefused(QueuedSyn syn, std::uint32_t rank);
 
   const RouteTable& routes;
@@ -99,12 +118,13 @@
   const bool fair;
   const OverloadPolicy& overload;
   SynQueue queue;
-  std::unique_ptr<SynOrder> order;
   HeldCopies copies;
-  DepartureRate departures;
-  /// Those that a full queue loses next, the last in line at the back. Computed
-  /// for several at once, since a SYN flood fills the queue again at once.
+  std::map<std::string, ServiceLine> lines;  ///< By service.
+  /// Those that a full queue loses next, the last in line at the back, and
+  /// their service. Computed for several at once, since a SYN flood fills the
+  /// queue again at once.
   std::vector<SynPlace> last_in_line;
+  std::string last_in_line_of;
   std::vector<QueuedSyn> refused;
   std::map<std::uint32_t, std::uint64_t> refused_by_rank;
 };
--- a/source/core/steering/concurrency_limiter.cc
+++ b/source/core/steering/concurrency_limiter.cc
@@ -14,9 +14,9 @@
 /// limit leaves room for. The number varies like a Poisson variable, so an
 /// instance of even load exceeds three of them once in some 700 flows.
 constexpr double kShareDeviations = 3.0;
-/// A domain accepts flows of another only while its utilization is lower by at
-/// least this, so that domains of equal load exchange none.
-constexpr double kMinLoadGap = 0.2;
+/// Utilization up to which a domain accepts flows of others; the rest is for
+/// the variation of its own.
+constexpr double kMaxOfferedUtilization = 0.8;
 /// Initial limit, in requests, of another failure domain, to which every
 /// instance of the fleet may turn at once: the least that yields any answer
 /// times.
@@ -54,12 +54,6 @@
 /// is quick, and long times would seem normal.
 constexpr unsigned kMinAnswers = 100;
 
-/// The service that gets most of the route's flows.
-const std::string& MainService(const Route& route) {
-  return std::ranges::max_element(route.shares, {}, &ServiceShare::weight)
-      ->service;
-}
-
 }  // namespace
 
 void ConcurrencyLimiter::OnAnswer(TargetIndex target, const Route& route,
@@ -67,6 +61,7 @@
                                   std::chrono::milliseconds now) {
   const PublishedTarget& published = this->targets.At(target).published;
   Limit limit = this->LimitOf(published.service, published.domain);
+  this->FollowInstances(limit, published);
   const double needed = std::min(kAnswersPerRound, limit.requests);
   if (timing.sent_at >= limit.round.since && limit.round.answers >= needed) {
     EndRound(limit);
@@ -91,6 +86,19 @@
   this->limits[published.service].insert_or_assign(published.domain, limit);
 }
 
+void ConcurrencyLimiter::FollowInstances(Limit& limit,
+                                         const PublishedTarget& target) const {
+  const std::size_t instances = this->SharingInstances();
+  const std::size_t before = std::exchange(limit.instances, instances);
+  if (before == instances || limit.WasCongested()) {
+    return;
+  }
+  const double change =
+      this->InitialLimit(target.service, target.domain, instances) -
+      this->InitialLimit(target.service, target.domain, before);
+  limit.requests = std::max(kMinLimit, limit.requests + change);
+}
+
 void ConcurrencyLimiter::EndRound(Limit& limit) {
   const Round& round = limit.round;
   const double late = static_cast<double>(round.late) / round.answers;
@@ -124,7 +132,7 @@
 
 std::optional<AdmissionGrant> ConcurrencyLimiter::GrantFor(
     const Route& route, std::chrono::milliseconds now) const {
-  const std::string& service = MainService(route);
+  const std::string& service = MainServiceOf(route);
   auto pending = this->PendingByDomain(service, now);
   std::erase_if(pending, [&](const auto& domain) {
     return !this->regions.Allows(route, domain.first);
@@ -135,19 +143,16 @@
   if (pending.empty() || !this->pending.MostAnswersSeen()) {
     return AdmissionGrant{};
   }
-  if (const auto own = pending.find(this->domain);
-      this->fair_admission && own != pending.end() &&
-      own->second >= this->InitialLimit(service, this->domain)) {
-    if (auto other = this->DomainWithCapacity(service, pending, now)) {
-      return AdmissionGrant{std::move(other)};
-    }
-  }
   const std::vector<DomainLoad>& loads = this->load.Of(service);
   std::optional<AdmissionGrant> grant;
   double least_utilization = 1.0;
   for (const auto& [domain, requests] : pending) {
-    const double used = requests / this->LimitOf(service, domain).requests;
-    if (used >= 1.0 || !IsReachable(loads, domain)) {
+    const auto load = std::ranges::find(loads, domain, &DomainLoad::domain);
+    const bool reported = domain != this->domain && load != loads.end();
+    const double limit = reported ? this->RemoteLimit(service, *load)
+                                  : this->LimitOf(service, domain).requests;
+    const double used = requests / limit;
+    if (used >= 1.0 || (reported && !load->reachable)) {
       continue;
     }
     if (domain == this->domain) {
@@ -161,39 +166,16 @@
   return grant;
 }
 
-std::optional<std::string> ConcurrencyLimiter::DomainWithCapacity(
-    const std::string& service, const PendingRequestsByDomain& pending,
-    std::chrono::milliseconds now) const {
-  const std::vector<DomainLoad>& loads = this->load.Of(service);
-  const auto own = std::ranges::find(loads, this->domain, &DomainLoad::domain);
+double ConcurrencyLimiter::PartOfHeadroom(const std::string& service,
+                                          const DomainLoad& other) const {
   const std::size_t instances = this->SharingInstances();
-  const double own_slots = this->UsableSlots(service, this->domain, now);
-  if (own == loads.end() || instances == 0 || own_slots <= 0) {
-    return std::nullopt;
-  }
-  const double accepted = own->concurrency / own_slots - kMinLoadGap;
-  std::optional<std::string> best;
-  double least_used = 1.0;
-  for (const DomainLoad& other : loads) {
-    const auto here = pending.find(other.domain);
-    if (other.domain == this->domain || !other.reachable ||
-        here == pending.end()) {
-      continue;
-    }
-    const double slots = this->UsableSlots(service, other.domain, now);
-    const double headroom =
-        std::min(accepted, 1.0 - kMinLoadGap) * slots - other.concurrency;
-    // All instances of the domain may turn to it until the next reports.
-    const double part = headroom / static_cast<double>(instances);
-    const Limit limit = this->LimitOf(service, other.domain);
-    const double most =
-        limit.congested ? limit.requests : std::max(limit.requests, part);
-    if (headroom > 0 && here->second / most < least_used) {
-      least_used = here->second / most;
-      best = other.domain;
-    }
+  if (instances == 0) {
+    return 0;
   }
-  return best;
+  const double offered =
+      this->SlotsOf(service, other.domain).all * kMaxOfferedUtilization;
+  return std::max(0.0, offered - other.concurrency) /
+         static_cast<double>(instances);
 }
 
 bool ConcurrencyLimiter::WaitsForColdTargets(
@@ -218,34 +200,51 @@
       return found->second;
     }
   }
-  return {this->InitialLimit(service, domain)};
+  const std::size_t instances = this->SharingInstances();
+  return {this->InitialLimit(service, domain, instances), instances};
+}
+
+double ConcurrencyLimiter::RemoteLimit(const std::string& service,
+                                       const DomainLoad& other) const {
+  const Limit limit = this->LimitOf(service, other.domain);
+  return limit.congested
+             ? limit.requests
+             : std::max(limit.requests, this->PartOfHeadroom(service, other));
+}
+
+ConcurrencyLimiter::Slots ConcurrencyLimiter::SlotsOf(
+    const std::string& service, const std::string& domain) const {
+  const ServingTargets& serving = this->targets.ServingByDomain(service);
+  Slots slots;
+  if (const auto found = serving.find(domain); found != serving.end()) {
+    for (const TargetIndex index : found->second) {
+      const auto count =
+          static_cast<double>(this->targets.At(index).published.slots);
+      slots.all += count;
+      slots.largest = std::max(slots.largest, count);
+    }
+  }
+  return slots;
 }
 
 double ConcurrencyLimiter::InitialLimit(const std::string& service,
-                                        const std::string& domain) const {
+                                        const std::string& domain,
+                                        std::size_t instances) const {
   const ServingTargets& serving = this->targets.ServingByDomain(service);
   const bool has_local = serving.contains(this->domain);
-  const auto targets = serving.find(domain);
-  if (targets == serving.end() || (has_local && domain != this->domain)) {
+  if (!serving.contains(domain) || (has_local && domain != this->domain)) {
     return kInitialRemoteLimit;
   }
-  double all = 0;
-  double largest = 0;
-  for (const TargetIndex index : targets->second) {
-    const auto slots =
-        static_cast<double>(this->targets.At(index).published.slots);
-    all += slots;
-    largest = std::max(largest, slots);
-  }
+  const Slots slots = this->SlotsOf(service, domain);
   const double parts = has_local ? 1.0 : static_cast<double>(serving.size());
-  const double most = std::max(all, kInitialSlotsFactor * largest) / parts;
-  const std::size_t instances = this->SharingInstances();
+  const double least = kInitialSlotsFactor * slots.largest;
+  const double most = std::max(slots.all, least) / parts;
   if (instances == 0) {
     return most;
   }
-  const double share = all / parts / static_cast<double>(instances);
-  return std::min(most, std::max(share + kShareDeviations * std::sqrt(share),
-                                 kInitialSlotsFactor * largest));
+  const double share = slots.all / parts / static_cast<double>(instances);
+  return std::min(most,
+                  std::max(share + kShareDeviations * std::sqrt(share), least));
 }
 
 bool ConcurrencyLimiter::Usable(TargetIndex index,
@@ -253,22 +252,6 @@
   return !this->watch.Suspected(index, now) && this->warmup.Allows(index, now);
 }
 
-double ConcurrencyLimiter::UsableSlots(const std::string& service,
-                                       const std::string& domain,
-                                       std::chrono::milliseconds now) const {
-  const ServingTargets& serving = this->targets.ServingByDomain(service);
-  double slots = 0;
-  if (const auto found = serving.find(domain); found != serving.end()) {
-    for (const TargetIndex index : found->second) {
-      slots +=
-          this->Usable(index, now)
-              ? static_cast<double>(this->targets.At(index).published.slots)
-              : 0.0;
-    }
-  }
-  return slots;
-}
-
 // Requests at a suspected or silent target won't be answered and must not keep
 // flows from the targets that serve. Few of thousands of targets have requests
 // of one instance, so only these are visited.
--- a/source/core/steering/concurrency_limiter.h
+++ b/source/core/steering/concurrency_limiter.h
@@ -83,6 +83,7 @@
   /// Limit for one domain's targets of a service, in requests.
   struct Limit {
     double requests;
+    std::size_t instances{0};  ///< See SharingInstances; when it was set.
     /// Below this the limit doubles with every answer time, above it grows by
     /// one. Half of the limit at which congestion began; further congested
     /// rounds don't lower it, as those until a queue has drained show nothing
@@ -93,6 +94,16 @@
     double min_target_ms{0};
     unsigned answers{0};
     Round round{};
+
+    bool WasCongested() const {
+      return this->slow_start_threshold <
+             std::numeric_limits<double>::infinity();
+    }
+  };
+  /// Slots of a domain's targets of a service.
+  struct Slots {
+    double all{0};
+    double largest{0};  ///< Of one target.
   };
   /// Requests at a domain's targets.
   using PendingRequestsByDomain = std::map<std::string, double>;
@@ -108,6 +119,9 @@
   using Limits = std::map<std::string, Limit, std::less<>>;
 
   Limit LimitOf(const std::string& service, const std::string& domain) const;
+  /// Adapts a limit that was never congested to the number of instances that
+  /// share the domain, which is known only a second after a start.
+  void FollowInstances(Limit& limit, const PublishedTarget& target) const;
   /// Limit of a domain before any answer. For the own domain: the requests that
   /// its targets process concurrently. With few instances, less would leave
   /// targets idle for several answer times, and callers that return after an
@@ -120,27 +134,28 @@
   ///
   /// With fair admission it is this instance's share of that, plus what the
   /// number of its requests varies by. The total of the shares stays bounded
-  /// then, however many instances share the targets.
-  double InitialLimit(const std::string& service,
-                      const std::string& domain) const;
+  /// then, however many instances share the targets. `instances`: see
+  /// SharingInstances.
+  double InitialLimit(const std::string& service, const std::string& domain,
+                      std::size_t instances) const;
   /// The number of instances by which limits are divided: 0, which divides
   /// nothing, while it isn't known or admission isn't fair.
   std::size_t SharingInstances() const {
     return this->fair_admission ? this->load.DomainInstances().value_or(0) : 0;
   }
-  /// The other domain that a flow goes to when the own one has reached the
-  /// soft limit: one that has less load than the own by the reports, and fewer
-  /// requests of this instance than its part of what that domain accepts.
-  std::optional<std::string> DomainWithCapacity(
-      const std::string& service, const PendingRequestsByDomain& pending,
-      std::chrono::milliseconds now) const;
+  /// Limit of another domain: with fair admission at least the part of its
+  /// headroom, since slow start from one request would hold callers back while
+  /// targets that the reports show to be idle have capacity.
+  double RemoteLimit(const std::string& service, const DomainLoad& other) const;
+  /// What each instance of the own domain may use of the other's capacity; all
+  /// of them may turn to it until the next reports. 0 without fair admission.
+  double PartOfHeadroom(const std::string& service,
+                        const DomainLoad& other) const;
   /// Requests pending at each domain that has usable targets of the service.
   PendingRequestsByDomain PendingByDomain(const std::string& service,
                                           std::chrono::milliseconds now) const;
   bool Usable(TargetIndex index, std::chrono::milliseconds now) const;
-  /// Slots of the domain's usable targets.
-  double UsableSlots(const std::string& service, const std::string& domain,
-                     std::chrono::milliseconds now) const;
+  Slots SlotsOf(const std::string& service, const std::string& domain) const;
 
   const FleetLoad& load;
   const bool fair_admission;
--- a/source/core/steering/departure_rate.cc
+++ b/source/core/steering/departure_rate.cc
@@ -9,6 +9,9 @@
 
 /// Waiting time below which a rate would be that of a few SYNs.
 constexpr milliseconds kMinWaiting{500};
+/// Departures that are assumed at least: with none seen, up to three were to be
+/// expected, with a confidence of 95%.
+constexpr unsigned kLeastDepartures = 3;
 /// Times before this are no longer counted.
 constexpr milliseconds kWindow{1000};
 
@@ -47,7 +50,8 @@
   if (waited < kMinWaiting) {
     return std::nullopt;
   }
-  return left / std::chrono::duration<double>(waited).count();
+  return std::max(left, kLeastDepartures) /
+         std::chrono::duration<double>(waited).count();
 }
 
 }  // namespace sassafrasdyke::core
--- a/source/core/steering/departure_rate.h
+++ b/source/core/steering/departure_rate.h
@@ -18,9 +18,9 @@
   void OnLeft(std::chrono::milliseconds now) { ++this->SlotOf(now).left; }
   void Clear() { *this = DepartureRate(); }
 
-  /// SYNs that leave per second while any wait; nothing unless SYNs waited for
-  /// at least half of the last second. Times without any don't count: flows are
-  /// admitted past the queue then.
+  /// SYNs that leave per second while any wait, an upper bound when few have
+  /// left; nothing unless SYNs waited for at least half of the last second.
+  /// Times without any don't count: flows are admitted past the queue then.
   std::optional<double> PerSecond(std::chrono::milliseconds now) const;
 
  private:
--- a/source/core/steering/overload_policy.cc
+++ b/source/core/steering/overload_policy.cc
@@ -7,8 +7,7 @@
 namespace sassafrasdyke::core {
 namespace {
 
-/// A queue that hardly moves may be about to: at its least rate a SYN can still
-/// overtake one other.
+/// Least rate that is assumed: a queue that hardly moves may be about to.
 constexpr double kMinLeavePerSecond = 1.0;
 
 }  // namespace
--- a/source/core/steering/syn_order.cc
+++ b/source/core/steering/syn_order.cc
@@ -134,9 +134,12 @@
   const std::uint32_t rank = this->RankInTurn(candidates);
   const auto [most_urgent, least_urgent] =
       std::ranges::minmax(candidates, {}, &Candidate::rank);
-  const bool passed_others =
-      rank == most_urgent.rank && rank != least_urgent.rank;
-  this->urgent_turns = passed_others ? this->urgent_turns + 1 : 0;
+  const bool passed_others = rank != least_urgent.rank;
+  if (rank != most_urgent.rank) {
+    this->urgent_turns = 0;
+  } else if (passed_others) {
+    ++this->urgent_turns;
+  }
   std::erase_if(candidates, [rank](const Candidate& candidate) {
     return candidate.rank != rank;
   });
--- a/source/core/steering/syn_order.h
+++ b/source/core/steering/syn_order.h
@@ -48,8 +48,6 @@
   virtual std::vector<SynPlace> Line(const SynQueue& queue,
                                      std::span<const WaitingRoute> routes,
                                      std::chrono::milliseconds now) const = 0;
-  /// The queue was emptied.
-  virtual void Clear() = 0;
 };
 
 /// By rank only; within a route as SynQueue orders.
@@ -61,7 +59,6 @@
   std::vector<SynPlace> Line(const SynQueue& queue,
                              std::span<const WaitingRoute> routes,
                              std::chrono::milliseconds now) const override;
-  void Clear() override {}
 };
 
 /// By rank with a bound on starvation, and within a rank fair among callers.
@@ -78,7 +75,6 @@
   std::vector<SynPlace> Line(const SynQueue& queue,
                              std::span<const WaitingRoute> routes,
                              std::chrono::milliseconds now) const override;
-  void Clear() override { *this = FairOrder(); }
 
  private:
   /// Virtual times of one rank, in SYNs per caller.
@@ -111,7 +107,8 @@
 
   std::map<std::uint32_t, Turns> turns;  ///< By rank.
   /// Turns that the most urgent rank has had while others waited, since one of
-  /// these had its turn.
+  /// these had its turn. Kept while no other waits: otherwise a rank of which
+  /// one SYN waits at a time would never get a turn if that gives up before.
   unsigned urgent_turns{0};
 };
 
--- a/source/core/view/route_table.cc
+++ b/source/core/view/route_table.cc
@@ -49,6 +49,11 @@
   return route.objective.value_or(kDefaultObjective);
 }
 
+const std::string& MainServiceOf(const Route& route) {
+  return std::ranges::max_element(route.shares, {}, &ServiceShare::weight)
+      ->service;
+}
+
 ConfigurationOutcome RouteTable::Replace(PublishedConfiguration configuration,
                                          std::chrono::milliseconds now) {
   if (configuration.version <= this->version) {
--- a/source/core/view/route_table.h
+++ b/source/core/view/route_table.h
@@ -49,6 +49,8 @@
 
 /// The route's published response time target, or the default.
 std::chrono::milliseconds ObjectiveOf(const Route& route);
+/// The service that gets most of the route's flows.
+const std::string& MainServiceOf(const Route& route);
 
 /// The routes of the newest configuration. An instance never returns to an
 /// older version than the one in force, whatever its source.
