--- a/tests/core/steering/share_limit_test.cc
+++ b/tests/core/steering/share_limit_test.cc
@@ -105,11 +105,11 @@
 
 struct FullRow {
   std::string name;
-  double other;  ///< Concurrency by the reports, of 80 slots.
-  bool reachable;
   std::string evacuated;
   std::string regions;  ///< That the route allows; empty: all.
+  double other;         ///< Concurrency by the reports, of 80 slots.
   int leave;            ///< Flows until they wait.
+  bool reachable;
 };
 
 std::ostream& operator<<(std::ostream& out, const FullRow& row) {
@@ -117,12 +117,12 @@
 }
 
 const FullRow kFull[] = {
-    {"the other idles", 8, true, "", "", 7},
-    {"the other has little room", 60, true, "", "", 1},
-    {"the other is full", 100, true, "", "", 1},
-    {"the other isn't reachable", 8, false, "", "", 0},
-    {"the other is evacuated", 8, true, "south", "", 0},
-    {"the route doesn't allow the other", 8, true, "", "@home", 0},
+    {"the other idles", "", "", 8, 7, true},
+    {"the other has little room", "", "", 60, 1, true},
+    {"the other is full", "", "", 100, 1, true},
+    {"the other isn't reachable", "", "", 8, 0, false},
+    {"the other is evacuated", "south", "", 8, 0, true},
+    {"the route doesn't allow the other", "", "@home", 8, 0, true},
 };
 
 // Guards against callers that wait behind the own limit while another domain
--- a/tests/core/steering/syn_order_test.cc
+++ b/tests/core/steering/syn_order_test.cc
@@ -211,8 +211,8 @@
   return out << row.waiting_from.count() << " to " << row.waiting_until.count();
 }
 
-// At least three leave in the time, which the first tenth of a second isn't part
-// of.
+// At least three leave in the time, which the first tenth of a second isn't
+// part of.
 const RateRow kRates[] = {
     {1000ms, 2000ms, 20ms, true, 45 / 0.9},
     {1500ms, 2000ms, 20ms, true, 50.0},
