Fix ejection decisions based on old or unconfirmed evidence

- A delayed digest replaced a newer one, and a duplicate extended the time for which a report counts.
The newest by the sender's clock counts.
- Digests that waited in the socket during a pause counted as new: the resumed instance ejected targets and reported that as its own decision.
- An instance without own requests (started, resumed, faulty link) took the requests of those who list a target for all requests, so that rare failures ejected it.
It estimates the requests of others from the entries received.
- Peers that still reported the decision of a former ejection counted as witnesses for a new one of a single instance.
- One instance alone could keep a target ejected for ever: failures reported by it ejected a returning target despite the answers of others.
- An instance with a faulty link ejected each returning target, and told its domain.
- Counts of peers from before the return ejected a target a second time for the same trouble.
- A single failure among many requests confirmed a false decision.
- One instance's report was adopted by each instance that had not sent the target a request in two seconds, although the many that didn't list the target had seen its answers.

--- a/source/core/health/outlier_detector.cc
+++ b/source/core/health/outlier_detector.cc
@@ -23,10 +23,7 @@
 /// A trial without enough evidence ends after this time.
 constexpr milliseconds kMaxTrial{5000};
 /// Requests without a failure that end a trial.
-constexpr std::uint32_t kTrialSuccesses = 3;
-/// Failures, if also a third of the requests, after which a returning target is
-/// ejected again.
-constexpr std::uint32_t kTrialFailures = 2;
+constexpr double kTrialSuccesses = 3;
 constexpr milliseconds kSlowStart{2000};
 constexpr double kMinSlowStartWeight = 0.1;
 
@@ -149,23 +146,28 @@
                                      const PeerObservations& observations,
                                      Time now) {
   // A digest without room for observations is no report.
-  if (domain == this->domain && !observations.Empty()) {
-    this->reports.Take(sender, observations.targets, this->targets, now);
+  if (domain == this->domain && !observations.Empty() &&
+      !this->resume_filter.Discards(now)) {
+    this->reports.Take(sender, observations, this->targets, now);
   }
 }
 
+void OutlierDetector::OnPause(Time length, Time now) {
+  this->resume_filter.OnPause(length, now);
+}
+
 void OutlierDetector::OnTick(TargetWatch& watch, Time now) {
   const Time elapsed = now - std::exchange(this->ticked_at, now).value_or(now);
   this->own.Expire(now);
   this->reports.Expire(now);
   this->UpdateSilent(watch, now);
   this->ForgetUnpublished();
-  this->AgeRecords(now);
-  this->OpenTrials(elapsed);
   this->period = this->CountPeriod(now);
   const CountsByTarget counts = this->own.Counts(now, this->period);
-  const Groups groups =
-      GroupEvidence(counts, this->reports.All(), this->targets);
+  this->AgeRecords(counts, now);
+  this->OpenTrials(elapsed);
+  const Groups groups = GroupEvidence({counts, this->own.KnowsRate(now)},
+                                      this->reports.All(), this->targets, now);
   for (const auto& [key, group] : groups) {
     this->JudgeGroup(group, now);
   }
@@ -298,12 +300,12 @@
   });
 }
 
-void OutlierDetector::AgeRecords(Time now) {
+void OutlierDetector::AgeRecords(const CountsByTarget& counts, Time now) {
   for (auto& [target, record] : this->records) {
     if (record.state == OutlierState::kFailing) {
       this->AgeFailing(target, record, now);
     } else if (record.state == OutlierState::kReturning) {
-      this->AgeReturning(target, record, now);
+      this->AgeReturning(target, record, counts, now);
     } else if (record.state == OutlierState::kSlow &&
                now - record.judged_at > kSlowMemory) {
       this->Return(record, false, now);
@@ -325,20 +327,21 @@
 }
 
 void OutlierDetector::AgeReturning(TargetIndex target, Record& record,
-                                   Time now) {
+                                   const CountsByTarget& counts, Time now) {
   const Time since = record.ejection_ended.value_or(record.since);
-  const TargetCounts counts = this->CountsSince(target, since, now);
-  if (counts.failures >= kTrialFailures &&
-      3 * counts.failures >= counts.requests && this->MayEject(target)) {
+  const TargetEvidence evidence =
+      this->EvidenceSince(target, since, counts, now);
+  const EvidenceSource total = evidence.Total();
+  if (FailsAgain(evidence) && this->MayEject(target)) {
     OutlierVerdict verdict = record.evidence;
-    verdict.requests = counts.requests;
-    verdict.failures = counts.failures;
+    verdict.requests = total.requests;
+    verdict.failures = total.failures;
     this->Eject(target, verdict, now, now);
     return;
   }
   const Time elapsed = now - record.since;
   if (record.trial) {
-    const bool proven = counts.requests - counts.failures >= kTrialSuccesses;
+    const bool proven = total.requests - total.failures >= kTrialSuccesses;
     if (elapsed >= kMaxTrial || (proven && elapsed >= kMinTrial)) {
       this->Return(record, false, now);
     }
@@ -427,9 +430,13 @@
 OutlierDetector::CollectReported(const Groups& groups,
                                  const CountsByTarget& counts) const {
   std::unordered_map<TargetIndex, ReportedVerdict> all;
+  const auto decides = [this](const TargetReport& one) {
+    return one.weight < 1.0 && this->targets.Has(one.target) &&
+           !this->IsOutdated(one);
+  };
   for (const auto& [sender, report] : this->reports.All()) {
     for (const TargetReport& one : report.targets) {
-      if (one.weight < 1.0 && this->targets.Has(one.target)) {
+      if (decides(one)) {
         ReportedVerdict& reported = all[one.target];
         ++reported.reporters;
         reported.weight = std::max(reported.weight, one.weight);
@@ -437,45 +444,37 @@
       }
     }
   }
-  const auto add = [](ReportedVerdict& reported, const EvidenceSource& source,
-                      double median_ms) {
-    reported.others_see_failures = reported.others_see_failures ||
-                                   source.failures > 0 ||
-                                   (median_ms > 0 && source.Slow(median_ms));
-    reported.others_see_answers =
-        reported.others_see_answers || source.answers > 0;
-  };
-  const auto median_of = [&](TargetIndex target) {
-    const auto group = groups.find(GroupOf(this->targets.At(target).published));
-    return group == groups.end() ? 0.0 : group->second.median_ms;
-  };
   if (all.empty()) {
     return all;
   }
+  std::unordered_map<TargetIndex, TargetEvidence> others;
   for (const auto& [sender, report] : this->reports.All()) {
     for (const TargetReport& one : report.targets) {
-      if (const auto reported = all.find(one.target);
-          reported != all.end() && one.weight == 1.0) {
-        add(reported->second,
-            {static_cast<double>(one.requests),
-             static_cast<double>(one.failures),
-             static_cast<double>(one.answers), one.mean_ms},
-            median_of(one.target));
+      if (all.contains(one.target) && !decides(one)) {
+        others[one.target].sources.push_back(SourceOf(one));
       }
     }
   }
   for (auto& [target, reported] : all) {
+    TargetEvidence& seen = others[target];
     if (const auto own = counts.find(target); own != counts.end()) {
-      const TargetCounts& sum = own->second;
-      add(reported,
-          {static_cast<double>(sum.requests), static_cast<double>(sum.failures),
-           static_cast<double>(sum.answers), sum.MeanMs()},
-          median_of(target));
+      seen.sources.push_back(SourceOf(own->second));
     }
+    const TargetGroup& group =
+        groups.at(GroupOf(this->targets.At(target).published));
+    reported.others_see_failures = SupportsOutlier(seen, group.median_ms);
+    reported.others_see_answers =
+        seen.Total().answers > 0 || AnswersUnlisted(group, target);
   }
   return all;
 }
 
+bool OutlierDetector::IsOutdated(const TargetReport& report) const {
+  const auto record = this->records.find(report.target);
+  return record != this->records.end() && record->second.ejection_ended &&
+         report.judged_at <= *record->second.ejection_ended;
+}
+
 // A verdict of one instance counts only if somebody else saw the same, or
 // no other saw the target answer; else one instance could eject any target.
 void OutlierDetector::AdoptReported(TargetIndex target,
@@ -500,30 +499,34 @@
     }
     return;
   }
-  const bool of_this_time = found == this->records.end() ||
-                            !found->second.ejection_ended ||
-                            reported.judged_at > *found->second.ejection_ended;
-  if (of_this_time && this->MayEject(target)) {
+  if (this->MayEject(target)) {
     this->Eject(target, verdict, reported.judged_at, now);
     this->records.at(target).supported = reported.others_see_failures;
   }
 }
 
-TargetCounts OutlierDetector::CountsSince(TargetIndex target, Time since,
-                                          Time now) const {
-  TargetCounts sum = this->own.CountsOf(target, now, since);
+TargetEvidence OutlierDetector::EvidenceSince(TargetIndex target, Time since,
+                                              const CountsByTarget& counts,
+                                              Time now) const {
+  TargetEvidence evidence;
+  // Without counts they show a fault of this instance, as when most targets
+  // fail.
+  if (!counts.empty()) {
+    evidence.sources.push_back(
+        SourceOf(this->own.CountsOf(target, now, since)));
+  }
   for (const auto& [sender, report] : this->reports.All()) {
-    if (report.received_at <= since) {
+    // Earlier reports contain requests from before.
+    if (report.received_at < since + kLongPeriod) {
       continue;
     }
     const auto one =
         std::ranges::find(report.targets, target, &TargetReport::target);
     if (one != report.targets.end()) {
-      sum.requests += one->requests;
-      sum.failures += one->failures;
+      evidence.sources.push_back(SourceOf(*one));
     }
   }
-  return sum;
+  return evidence;
 }
 
 bool OutlierDetector::MayEject(TargetIndex target) const {
--- a/source/core/health/outlier_detector.h
+++ b/source/core/health/outlier_detector.h
@@ -26,6 +26,7 @@
 #include "core/health/target_weights.h"
 #include "core/load/fleet_load.h"
 #include "core/load/observation_exchange.h"
+#include "core/load/resume_filter.h"
 #include "core/steering/target_watch.h"
 
 namespace sassafrasdyke::core {
@@ -68,6 +69,9 @@
                       const PeerObservations& observations,
                       std::chrono::milliseconds now) override;
 
+  /// The process was paused for `length`: digests that waited in its socket are
+  /// discarded.
+  void OnPause(std::chrono::milliseconds length, std::chrono::milliseconds now);
   /// Judges all targets. Requests probes of those that others report as silent.
   void OnTick(TargetWatch& watch, std::chrono::milliseconds now);
   /// Whether others should hear of this instance before its next digest, since
@@ -126,9 +130,10 @@
                         const SilentTarget& silent, Time now);
   void ForgetUnpublished();
   /// Applies what time and trial flows change.
-  void AgeRecords(Time now);
+  void AgeRecords(const CountsByTarget& counts, Time now);
   void AgeFailing(TargetIndex target, Record& record, Time now);
-  void AgeReturning(TargetIndex target, Record& record, Time now);
+  void AgeReturning(TargetIndex target, Record& record,
+                    const CountsByTarget& counts, Time now);
   void OpenTrials(Time elapsed);
   void JudgeGroup(const TargetGroup& group, Time now);
   void KeepOrEndSlow(TargetIndex target, Record& record,
@@ -137,8 +142,12 @@
       const Groups& groups, const CountsByTarget& counts) const;
   void AdoptReported(TargetIndex target, const ReportedVerdict& reported,
                      const OutlierVerdict& verdict, Time now);
-  /// Counts since the target returned, own ones and those of peers.
-  TargetCounts CountsSince(TargetIndex target, Time since, Time now) const;
+  /// What has been seen of the target since it returned; of this instance only
+  /// if `counts`, the own counts, are to be used.
+  TargetEvidence EvidenceSince(TargetIndex target, Time since,
+                               const CountsByTarget& counts, Time now) const;
+  /// Whether the verdict was made before the target's last ejection ended.
+  bool IsOutdated(const TargetReport& report) const;
   /// Whether the target's service may lose another one in its domain.
   bool MayEject(TargetIndex target) const;
   void Eject(TargetIndex target, const OutlierVerdict& verdict, Time judged_at,
@@ -160,6 +169,7 @@
   TargetObservations& own;
   const double max_ejected;
   Jitter random;
+  ResumeFilter resume_filter;
   TargetReports reports;
   std::unordered_map<TargetIndex, Record> records;
   std::unordered_map<TargetIndex, SilentTarget> silent;
--- a/source/core/health/outlier_rules.cc
+++ b/source/core/health/outlier_rules.cc
@@ -8,12 +8,21 @@
 namespace sassafrasdyke::core {
 namespace {
 
+using std::chrono::milliseconds;
+
 /// Minimum number of requests or answers: fewer vary too much by chance.
 constexpr double kMinSamples = 20;
 /// Fraction of failed requests from which a target counts as failing.
 constexpr double kFailingFraction = 1.0 / 3.0;
 /// Fraction that the others must have seen when one instance sees the most.
 constexpr double kSupportingFraction = kFailingFraction / 2;
+/// Failures, if also a third of the requests, after which a returning target is
+/// ejected again.
+constexpr double kFailuresOfReturning = 2;
+/// Number of requests of which, by Poisson, at least one has been sent with a
+/// probability of 95%.
+constexpr double kProbablyOne = 3.0;
+constexpr milliseconds kRecent{1000};
 /// Multiple of the group's median, of failures as of times, that an outlier
 /// exceeds.
 constexpr double kOutlierFactor = 3.0;
@@ -55,6 +64,22 @@
   return total;
 }
 
+/// Fills in the mean number of requests that an instance sends to a target,
+/// given the sum of the own ones. Where they don't show it, as just after a
+/// start or with a faulty link, it is that of the instances that list a target.
+/// Those tend to have sent more than the others, which leads to a failure
+/// fraction that is rather too small.
+void FillMeanRequests(TargetGroup& group, double own_requests, bool knows_rate,
+                      double listed_requests, std::size_t listed) {
+  group.mean_requests =
+      own_requests /
+      static_cast<double>(std::max<std::size_t>(group.serving, 1));
+  if (listed > 0 && (!knows_rate || own_requests == 0)) {
+    group.mean_requests = std::max(
+        group.mean_requests, listed_requests / static_cast<double>(listed));
+  }
+}
+
 /// Sorts the failure fractions of all targets, those that no instance has
 /// listed included.
 void FillFractions(TargetGroup& group) {
@@ -81,10 +106,22 @@
   return fractions.at(middle < at ? middle : middle + 1);
 }
 
+/// Whether instances that don't list the target have probably seen its answers.
+/// Reports of over a second ago show little about a target that has just begun
+/// to fail.
+bool ProbablyAnswered(const TargetGroup& group,
+                      const TargetEvidence& evidence) {
+  return group.informed > 0 &&
+         UnlistedRequests(group, evidence) *
+                 static_cast<double>(group.informed_lately) >=
+             kProbablyOne * static_cast<double>(group.informed);
+}
+
 /// The evidence without the source with the highest `badness`; nothing when no
 /// other instance has seen an answer of the target, so that one alone counts.
 template <typename Badness>
-std::optional<TargetEvidence> WithoutWorst(const TargetEvidence& evidence,
+std::optional<TargetEvidence> WithoutWorst(const TargetGroup& group,
+                                           const TargetEvidence& evidence,
                                            Badness badness) {
   if (evidence.sources.empty()) {
     return std::nullopt;
@@ -92,9 +129,8 @@
   TargetEvidence rest = evidence;
   const auto worst = std::ranges::max_element(rest.sources, {}, badness);
   rest.sources.erase(worst);
-  const bool answered = std::ranges::any_of(
-      rest.sources,
-      [](const EvidenceSource& source) { return source.answers > 0; });
+  const bool answered =
+      ProbablyAnswered(group, evidence) || rest.Total().answers > 0;
   const bool more =
       std::ranges::any_of(rest.sources, [&](const EvidenceSource& source) {
         return std::invoke(badness, source) > 0;
@@ -118,7 +154,7 @@
   if (!Fails(group, evidence, median, kFailingFraction)) {
     return false;
   }
-  const auto rest = WithoutWorst(evidence, &EvidenceSource::failures);
+  const auto rest = WithoutWorst(group, evidence, &EvidenceSource::failures);
   return !rest || Fails(group, *rest, median, kSupportingFraction);
 }
 
@@ -132,12 +168,24 @@
   const auto excess = [&](const EvidenceSource& source) {
     return std::max(source.answers * (source.mean_ms - least_ms), 0.0);
   };
-  const auto rest = WithoutWorst(evidence, excess);
+  const auto rest = WithoutWorst(group, evidence, excess);
   return !rest || WholeTotal(group, *rest).Slow(group.median_ms);
 }
 
 }  // namespace
 
+EvidenceSource SourceOf(const TargetCounts& counts) {
+  return {static_cast<double>(counts.requests),
+          static_cast<double>(counts.failures),
+          static_cast<double>(counts.answers), counts.MeanMs()};
+}
+
+EvidenceSource SourceOf(const TargetReport& report) {
+  return {static_cast<double>(report.requests),
+          static_cast<double>(report.failures),
+          static_cast<double>(report.answers), report.mean_ms};
+}
+
 EvidenceSource TargetEvidence::Total() const {
   EvidenceSource total;
   double all_ms = 0;
@@ -152,32 +200,39 @@
 }
 
 std::map<TargetGroupKey, TargetGroup> GroupEvidence(
-    const CountsByTarget& own, const TargetReports::BySender& reports,
-    const TargetTable& targets) {
+    const OwnEvidence& own, const TargetReports::BySender& reports,
+    const TargetTable& targets, milliseconds now) {
+  struct Requests {
+    double own{0};
+    double listed{0};
+    std::size_t entries{0};  ///< Of other instances.
+  };
   std::map<TargetGroupKey, TargetGroup> groups;
+  std::map<TargetGroupKey, Requests> requests;
   std::map<TargetGroupKey, std::vector<TargetCounts>> own_counts;
-  for (const auto& [target, counts] : own) {
+  for (const auto& [target, counts] : own.counts) {
     const TargetGroupKey key = GroupOf(targets.At(target).published);
     TargetGroup& group = groups[key];
-    group.targets[target].sources.push_back(
-        {static_cast<double>(counts.requests),
-         static_cast<double>(counts.failures),
-         static_cast<double>(counts.answers), counts.MeanMs()});
-    group.mean_requests += counts.requests;
+    group.targets[target].sources.push_back(SourceOf(counts));
+    requests[key].own += counts.requests;
     own_counts[key].push_back(counts);
   }
   std::size_t informed = 0;
+  std::size_t informed_lately = 0;
   for (const auto& [sender, report] : reports) {
+    const bool lately = now - report.received_at <= kRecent;
     informed += report.full ? 0 : 1;
+    informed_lately += report.full || !lately ? 0 : 1;
     for (const TargetReport& one : report.targets) {
       if (!targets.Has(one.target)) {
         continue;
       }
-      TargetEvidence& evidence =
-          groups[GroupOf(targets.At(one.target).published)].targets[one.target];
-      evidence.sources.push_back(
-          {static_cast<double>(one.requests), static_cast<double>(one.failures),
-           static_cast<double>(one.answers), one.mean_ms});
+      const TargetGroupKey key = GroupOf(targets.At(one.target).published);
+      TargetEvidence& evidence = groups[key].targets[one.target];
+      Requests& of_group = requests[key];
+      of_group.listed += one.requests;
+      ++of_group.entries;
+      evidence.sources.push_back(SourceOf(one));
       evidence.reporters += report.full ? 0 : 1;
     }
   }
@@ -185,15 +240,41 @@
     const ServingTargets& serving = targets.ServingByDomain(key.first);
     const auto found = serving.find(key.second);
     group.serving = found == serving.end() ? 0 : found->second.size();
-    group.mean_requests /=
-        static_cast<double>(std::max<std::size_t>(group.serving, 1));
+    const Requests& sums = requests[key];
+    FillMeanRequests(group, sums.own, own.knows_rate, sums.listed,
+                     sums.entries);
     group.median_ms = MedianMeanMs(own_counts[key]);
     group.informed = informed;
+    group.informed_lately = informed_lately;
     FillFractions(group);
   }
   return groups;
 }
 
+bool FailsAgain(const TargetEvidence& since_return) {
+  const EvidenceSource total = since_return.Total();
+  if (total.failures < kFailuresOfReturning ||
+      FailureFraction(total) < kFailingFraction) {
+    return false;
+  }
+  TargetEvidence others = since_return;
+  others.sources.erase(
+      std::ranges::max_element(others.sources, {}, &EvidenceSource::failures));
+  const EvidenceSource rest = others.Total();
+  return rest.requests == 0 || FailureFraction(rest) >= kSupportingFraction;
+}
+
+bool AnswersUnlisted(const TargetGroup& group, TargetIndex target) {
+  const auto found = group.targets.find(target);
+  return found != group.targets.end() && ProbablyAnswered(group, found->second);
+}
+
+bool SupportsOutlier(const TargetEvidence& evidence, double median_ms) {
+  const EvidenceSource total = evidence.Total();
+  return FailureFraction(total) >= kSupportingFraction ||
+         (median_ms > 0 && total.Slow(median_ms));
+}
+
 OutlierVerdict Judge(const TargetGroup& group, TargetIndex target) {
   OutlierVerdict verdict;
   verdict.median_ms = group.median_ms;
--- a/source/core/health/outlier_rules.h
+++ b/source/core/health/outlier_rules.h
@@ -27,6 +27,9 @@
   }
 };
 
+EvidenceSource SourceOf(const TargetCounts& counts);
+EvidenceSource SourceOf(const TargetReport& report);
+
 /// What all have seen of it.
 struct TargetEvidence {
   std::vector<EvidenceSource> sources;
@@ -45,6 +48,7 @@
   /// Other instances whose list would contain a target that is worse than
   /// others.
   std::size_t informed{0};
+  std::size_t informed_lately{0};  ///< Those heard in the last second.
   /// Failure fractions of all targets, ascending.
   std::vector<double> failure_fractions;
 };
@@ -61,10 +65,27 @@
   std::size_t reporters{0};
 };
 
+/// What this instance itself has counted.
+struct OwnEvidence {
+  const CountsByTarget& counts;
+  /// Whether the counts show how many requests an instance sends.
+  bool knows_rate{false};
+};
+
 /// Collects the evidence. Visits only targets with observations.
 std::map<TargetGroupKey, TargetGroup> GroupEvidence(
-    const CountsByTarget& own, const TargetReports::BySender& reports,
-    const TargetTable& targets);
+    const OwnEvidence& own, const TargetReports::BySender& reports,
+    const TargetTable& targets, std::chrono::milliseconds now);
+
+/// Whether a target that returns from an ejection fails again, by what was seen
+/// since. Unless it is the only one to have sent requests, one instance alone
+/// can't decide that.
+bool FailsAgain(const TargetEvidence& since_return);
+/// Whether instances that don't list the target have probably seen its answers.
+bool AnswersUnlisted(const TargetGroup& group, TargetIndex target);
+/// Whether what these instances have seen supports another's decision that the
+/// target is an outlier.
+bool SupportsOutlier(const TargetEvidence& evidence, double median_ms);
 
 /// Judges one target of the group. A service that is slow or failing as a
 /// whole, and a target of which only one instance reports failures while others
--- a/source/core/health/target_observations.cc
+++ b/source/core/health/target_observations.cc
@@ -120,6 +120,7 @@
 void TargetObservations::OnPause(milliseconds now) {
   this->histories.clear();
   this->counts_from = now + kIgnoredAfterPause;
+  this->counting_since.reset();
 }
 
 TargetCounts* TargetObservations::Present(TargetIndex target,
@@ -127,6 +128,9 @@
   if (now < this->counts_from) {
     return nullptr;
   }
+  if (!this->counting_since) {
+    this->counting_since = now;
+  }
   const std::int64_t number = now / kPart;
   Bucket& bucket = this->histories[target].buckets.at(
       static_cast<std::size_t>(number) % kBuckets);
@@ -184,6 +188,11 @@
   return counts;
 }
 
+bool TargetObservations::KnowsRate(milliseconds now) const {
+  return this->counting_since &&
+         now - *this->counting_since >= kLongPeriod + kPart;
+}
+
 TargetCounts TargetObservations::CountsOf(TargetIndex target, milliseconds now,
                                           milliseconds since) const {
   const auto found = this->histories.find(target);
--- a/source/core/health/target_observations.h
+++ b/source/core/health/target_observations.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -81,6 +82,9 @@
   /// second after a pause, and when most of its targets show failures.
   CountsByTarget Counts(std::chrono::milliseconds now,
                         std::chrono::milliseconds period) const;
+  /// Whether requests have been counted for the whole long period, so that
+  /// their number shows their rate.
+  bool KnowsRate(std::chrono::milliseconds now) const;
   /// The counts since `since`, or over the long period if that began later.
   TargetCounts CountsOf(TargetIndex target, std::chrono::milliseconds now,
                         std::chrono::milliseconds since) const;
@@ -125,6 +129,8 @@
   /// Moving average of the round trip by the targets' failure domain, in ms.
   std::unordered_map<std::string, double> round_trips;
   std::chrono::milliseconds counts_from{0};  ///< Later than the last pause.
+  /// When the first event after the start or the last pause was counted.
+  std::optional<std::chrono::milliseconds> counting_since;
 };
 
 }  // namespace sassafrasdyke::core
--- a/source/core/health/target_reports.cc
+++ b/source/core/health/target_reports.cc
@@ -50,13 +50,16 @@
 }  // namespace
 
 void TargetReports::Take(const common::Endpoint& sender,
-                         const std::vector<TargetObservation>& observations,
+                         const PeerObservations& observations,
                          const TargetTable& targets, milliseconds now) {
-  if (this->reports.size() >= kMaxSenders && !this->reports.contains(sender)) {
+  const auto last = this->reports.find(sender);
+  const bool known = last != this->reports.end();
+  if ((known && observations.sent_at <= last->second.sent_at) ||
+      (!known && this->reports.size() >= kMaxSenders)) {
     return;
   }
-  InstanceReport report{{}, now, false};
-  for (const TargetObservation& observed : observations) {
+  InstanceReport report{{}, observations.sent_at, now, false};
+  for (const TargetObservation& observed : observations.targets) {
     if (report.targets.size() >= kMaxTargetObservations) {
       break;
     }
--- a/source/core/health/target_reports.h
+++ b/source/core/health/target_reports.h
@@ -29,6 +29,7 @@
 /// What one instance reported last.
 struct InstanceReport {
   std::vector<TargetReport> targets;
+  std::chrono::milliseconds sent_at{0};  ///< By the sender's clock.
   std::chrono::milliseconds received_at{0};
   /// Whether a target that isn't listed may be as bad as the listed ones.
   bool full{false};
@@ -40,10 +41,12 @@
   using BySender =
       std::unordered_map<common::Endpoint, InstanceReport, EndpointHash>;
 
-  /// Replaces the sender's last report.
+  /// Replaces the sender's last report by the targets of a newer digest; a
+  /// duplicate or an older one changes nothing. A restarted sender, whose clock
+  /// begins anew, is ignored until its former report has expired.
   void Take(const common::Endpoint& sender,
-            const std::vector<TargetObservation>& observations,
-            const TargetTable& targets, std::chrono::milliseconds now);
+            const PeerObservations& observations, const TargetTable& targets,
+            std::chrono::milliseconds now);
   void Expire(std::chrono::milliseconds now);
   const BySender& All() const { return this->reports; }
 
--- a/tests/core/health/domain_play.cc
+++ b/tests/core/health/domain_play.cc
@@ -326,6 +326,7 @@
 
 void DomainPlay::Deliver(std::size_t from, std::size_t to, Time now) {
   PeerObservations observations;
+  observations.sent_at = now;
   observations.own = LoadReport{};
   this->nodes[from]->detector.Append(observations, now);
   this->nodes[to]->detector.OnObservations(this->nodes[from]->address, "north",
--- a/tests/core/health/health_scene.h
+++ b/tests/core/health/health_scene.h
@@ -50,7 +50,14 @@
   /// A peer's digest with these observations arrives.
   void Report(std::uint16_t peer, std::vector<TargetObservation> targets,
               const std::string& domain = "north") {
+    this->ReportSentAt(this->now, peer, std::move(targets), domain);
+  }
+  /// One that was sent at `sent_at` by the peer's clock.
+  void ReportSentAt(Time sent_at, std::uint16_t peer,
+                    std::vector<TargetObservation> targets,
+                    const std::string& domain = "north") {
     PeerObservations observations;
+    observations.sent_at = sent_at;
     observations.own = LoadReport{};
     observations.targets = std::move(targets);
     this->detector.OnObservations({common::IpAddress::FromV4(0x0A010000), peer},
@@ -67,6 +74,13 @@
     seen.mean_time = mean;
     return seen;
   }
+  /// What a peer reports of a target that it has ejected.
+  static TargetObservation Ejected(std::size_t target, Time age) {
+    TargetObservation ejected = Seen(target, 0, 0, Time{0});
+    ejected.weight = 0;
+    ejected.age = age;
+    return ejected;
+  }
   /// Lets the time pass from which requests count.
   void Settle() { this->now += Time{300}; }
   void Tick() { this->detector.OnTick(this->watch, this->now); }
--- a/tests/core/health/outlier_detector_test.cc
+++ b/tests/core/health/outlier_detector_test.cc
@@ -445,6 +445,11 @@
     {"and of a slow target", 0.1, {0, 0}, 1, OutlierState::kSlow},
     {"one says so, an answer was seen", 0.0, {1, 0}, 1, OutlierState::kHealthy},
     {"one says so, a failure was seen", 0.0, {2, 1}, 1, OutlierState::kFailing},
+    {"one says so, one failure of many was seen",
+     0.0,
+     {30, 1},
+     1,
+     OutlierState::kHealthy},
     {"two say so", 0.0, {1, 0}, 2, OutlierState::kFailing},
     {"nobody says so", 0.0, {1, 0}, 0, OutlierState::kHealthy}};
 
