Discard load reports that waited in the socket during a pause

Digests that arrive while the process is stopped are read afterwards and counted as new: until its reports expired, the resumed instance took a domain that was partitioned in the meantime for reachable, and placed flows there.

After a pause of a second or more, LoadBoard forgets the reports that it holds and discards digests for 250 ms; until instances are heard anew the load is unknown, so flows are placed as without reports. Whatever the loop wakes asks PauseDetector first, which tells all parts before a datagram is read. Before, only packets of clients and the tick of FlowPort noticed a pause, the tick after the load had been computed from measurements before it.

--- a/source/core/load/load_board.cc
+++ b/source/core/load/load_board.cc
@@ -139,6 +139,20 @@
   this->NoteChanges(now);
 }
 
+void LoadBoard::OnPause(milliseconds length, milliseconds now) {
+  if (!this->resume_filter.OnPause(length, now)) {
+    return;
+  }
+  this->measured.reset();
+  this->own_report.reset();
+  this->relayed.clear();
+  for (auto& [endpoint, sender] : this->senders) {
+    sender.own.reset();
+  }
+  this->loads.clear();
+  this->unloaded.clear();
+}
+
 const std::vector<DomainLoad>& LoadBoard::Of(const std::string& service) const {
   const auto found = this->loads.find(ServiceKeyOf(service));
   return found == this->loads.end() ? this->unloaded : found->second;
@@ -200,6 +214,9 @@
                                const std::string& domain,
                                const PeerObservations& observations,
                                milliseconds now) {
+  if (this->resume_filter.Discards(now)) {
+    return;
+  }
   this->RecordHeard(domain, now);
   if (observations.unreadable) {
     ++this->invalid_reports;
--- a/source/core/load/load_board.h
+++ b/source/core/load/load_board.h
@@ -21,6 +21,7 @@
 #include "core/load/load_meter.h"
 #include "core/load/load_report.h"
 #include "core/load/observation_exchange.h"
+#include "core/load/resume_filter.h"
 #include "core/view/route_table.h"
 
 namespace sassafrasdyke::core {
@@ -36,6 +37,12 @@
   /// instances of the own domain, this one included.
   void OnTick(std::chrono::milliseconds now, std::size_t domain_instances);
 
+  /// The process was paused for `length`, too short a pause excepted: nothing
+  /// is known until instances are heard anew, and digests that waited in the
+  /// socket are discarded. Otherwise a domain that was partitioned meanwhile
+  /// would count as reachable.
+  void OnPause(std::chrono::milliseconds length, std::chrono::milliseconds now);
+
   const std::vector<DomainLoad>& Of(const std::string& service) const override;
   std::optional<std::size_t> DomainInstances() const override {
     return this->instances;
@@ -101,6 +108,7 @@
 
   const std::string own_domain;
   LoadMeter& meter;
+  ResumeFilter resume_filter;
   std::optional<std::vector<MeasuredLoad>> measured;
   std::optional<std::size_t> instances;
   std::unordered_map<common::Endpoint, Sender, EndpointHash> senders;
--- a/source/front/flow_port.cc
+++ b/source/front/flow_port.cc
@@ -8,10 +8,6 @@
 
 using std::chrono::milliseconds;
 
-/// The loop wakes at every tick; a gap this long means that the process stood
-/// still. Ordinary delays of a machine whose quota is used up stay under 100
-/// ms.
-constexpr milliseconds kLongestGap{300};
 /// How lately a target must have shown life to serve as a control. With the
 /// least traffic of a small deployment some target does several times a second.
 constexpr milliseconds kControlAlive{1000};
@@ -41,14 +37,14 @@
                self.tolerance, self.seed, self.shared),
       admission(context.view.Routes(), this->steering, self.shared),
       prober(loop, *this),
-      readable(loop),
-      awake_at(context.clock.Now()) {
+      readable(loop) {
+  this->context.pauses.Add(*this);
+  this->context.pauses.OnWake();
   this->readable.set<FlowPort, &FlowPort::OnPackets>(this);
   this->readable.start(this->port->Descriptor(), ev::READ);
 }
 
 void FlowPort::OnTick(std::size_t instances) {
-  this->NotePause();
   const milliseconds now = this->context.clock.Now();
   for (const core::TargetIndex target :
        this->context.view.Targets().TakeErased()) {
@@ -69,22 +65,16 @@
 // later packets away from where its flow is open. So after a pause no SYN is
 // taken until the socket has been empty; packets of open flows name their
 // target and do no harm.
-void FlowPort::NotePause() {
-  const milliseconds now = this->context.clock.Now();
-  const milliseconds gap = now - this->awake_at;
-  this->awake_at = now;
-  if (gap <= kLongestGap) {
-    return;
-  }
+void FlowPort::OnPause(milliseconds length, milliseconds now) {
   this->old_packets = true;
   this->context.metrics.OnPause();
   this->steering.OnPause(now);
   this->admission.OnPause();
-  this->context.log.OnNote("paused", {{"for_ms", gap.count()}}, now);
+  this->context.log.OnNote("paused", {{"for_ms", length.count()}}, now);
 }
 
 void FlowPort::OnPackets(ev::io& /*watcher*/, int /*events*/) {
-  this->NotePause();
+  this->context.pauses.OnWake();
   const auto started = std::chrono::steady_clock::now();
   const auto take = [this](std::span<const std::uint8_t> bytes) {
     this->OnPacket(bytes, this->context.clock.Now());
--- a/source/front/flow_port.h
+++ b/source/front/flow_port.h
@@ -24,6 +24,7 @@
 #include "front/front_log.h"
 #include "front/front_metrics.h"
 #include "front/packet_port.h"
+#include "front/pause_detector.h"
 #include "front/process_clock.h"
 
 namespace sassafrasdyke::front {
@@ -35,6 +36,7 @@
   const ProcessClock& clock;
   FrontLog& log;
   FrontMetrics& metrics;
+  PauseDetector& pauses;
 };
 
 /// What distinguishes this instance's decisions from those of others.
@@ -46,7 +48,7 @@
 };
 
 /// One UDP address for clients' packets.
-class FlowPort final : private ProbeListener {
+class FlowPort final : private ProbeListener, private PauseListener {
  public:
   /// Opens the socket; the error is a sentence for a person.
   static tl::expected<std::unique_ptr<FlowPort>, std::string> Open(
@@ -56,8 +58,8 @@
   FlowPort(const FlowPort&) = delete;
   FlowPort& operator=(const FlowPort&) = delete;
 
-  /// Bounded periodic work. `instances`: the fleet's known size, this one
-  /// included.
+  /// Bounded periodic work, after the pause detector's. `instances`: the
+  /// fleet's known size, this one included.
   void OnTick(std::size_t instances);
   /// The view has become usable: packets that came before are taken now.
   void TakeEarlyPackets();
@@ -81,8 +83,8 @@
            const FlowIdentity& self, const FlowContext& context,
            std::unique_ptr<PacketPort> port);
 
-  /// Notices that the process stood still; called before anything else.
-  void NotePause();
+  void OnPause(std::chrono::milliseconds length,
+               std::chrono::milliseconds now) override;
   void OnPackets(ev::io& watcher, int events);
   void OnPacket(std::span<const std::uint8_t> bytes,
                 std::chrono::milliseconds came_at);
@@ -115,7 +117,6 @@
   EarlyPackets early;
   ConnectProber prober;
   ev::io readable;
-  std::chrono::milliseconds awake_at;  ///< When the loop last did anything.
   std::chrono::milliseconds last_packet{0};
   bool old_packets{false};  ///< The socket holds packets from before a pause.
 };
--- a/source/front/front_process.cc
+++ b/source/front/front_process.cc
@@ -17,6 +17,7 @@
 #include "front/front_log.h"
 #include "front/front_metrics.h"
 #include "front/line_log.h"
+#include "front/pause_detector.h"
 #include "front/peer_exchange.h"
 #include "front/reload_signal.h"
 #include "front/shared_parts.h"
@@ -79,6 +80,7 @@
       : settings(settings),
         adapter(adapter),
         started_at(BootTime()),
+        pauses(*this),
         lines(this->loop, STDOUT_FILENO,
               {{"instance", settings.instance}, {"domain", settings.domain}}),
         log(this->lines),
@@ -127,6 +129,7 @@
   const config::FrontSettings& settings;
   const FrontAdapter& adapter;
   const milliseconds started_at;
+  PauseDetector pauses;
   ev::default_loop loop;
   LineLog lines;
   FrontLog log;
@@ -187,13 +190,15 @@
 }
 
 tl::expected<void, std::string> FrontProcess::Open() {
+  this->pauses.Add(this->shared);
   auto flows = FlowPort::Open(
       this->loop, this->settings.listen.packets,
       {this->settings.domain,
        {this->settings.warmup_excess, this->settings.warmup_slack},
        SeedOf(this->settings),
        this->shared.Observations()},
-      {this->adapter.packets, this->view, *this, this->log, this->metrics});
+      {this->adapter.packets, this->view, *this, this->log, this->metrics,
+       this->pauses});
   if (!flows) {
     return tl::unexpected(flows.error());
   }
@@ -210,8 +215,9 @@
     return tl::unexpected(scraped.error());
   }
   this->metrics_server = std::move(*scraped);
-  auto exchange = PeerExchange::Open(this->loop, this->settings.listen.peers,
-                                     this->sync, this->view, *this, *this);
+  auto exchange =
+      PeerExchange::Open(this->loop, this->settings.listen.peers, this->sync,
+                         this->view, *this, this->pauses, *this);
   if (!exchange) {
     return tl::unexpected(exchange.error());
   }
@@ -245,6 +251,7 @@
 }
 
 void FrontProcess::OnTick(ev::timer& /*watcher*/, int /*events*/) {
+  this->pauses.OnWake();
   const milliseconds now = this->Now();
   this->view.OnTick(now);
   this->LogViewChanges(core::ViewSource::kStore);
--- a/source/front/peer_exchange.cc
+++ b/source/front/peer_exchange.cc
@@ -45,13 +45,13 @@
 tl::expected<std::unique_ptr<PeerExchange>, std::string> PeerExchange::Open(
     ev::loop_ref loop, const common::Endpoint& listen, core::PeerSync& sync,
     const core::LiveView& view, const ProcessClock& clock,
-    ExchangeListener& listener) {
+    PauseDetector& pauses, ExchangeListener& listener) {
   auto port = PacketPort::Open(listen);
   if (!port) {
     return tl::unexpected(port.error());
   }
-  std::unique_ptr<PeerExchange> exchange(
-      new PeerExchange(loop, std::move(*port), sync, view, clock, listener));
+  std::unique_ptr<PeerExchange> exchange(new PeerExchange(
+      loop, std::move(*port), sync, view, clock, pauses, listener));
   auto server = http::Server::Open(loop, listen, *exchange);
   if (!server) {
     return tl::unexpected(server.error());
@@ -62,11 +62,12 @@
 
 PeerExchange::PeerExchange(ev::loop_ref loop, std::unique_ptr<PacketPort> port,
                            core::PeerSync& sync, const core::LiveView& view,
-                           const ProcessClock& clock,
+                           const ProcessClock& clock, PauseDetector& pauses,
                            ExchangeListener& listener)
     : sync(sync),
       view(view),
       clock(clock),
+      pauses(pauses),
       listener(listener),
       port(std::move(port)),
       connection(loop, *this),
@@ -108,6 +109,7 @@
 }
 
 void PeerExchange::OnDatagram(std::span<const std::uint8_t> bytes) {
+  this->pauses.OnWake();
   const auto digest = DecodeDigest(bytes);
   if (!digest) {
     ++this->counts.unreadable;
--- a/source/front/peer_exchange.h
+++ b/source/front/peer_exchange.h
@@ -14,6 +14,7 @@
 
 #include "core/roster/peer_sync.h"
 #include "front/packet_port.h"
+#include "front/pause_detector.h"
 #include "front/peer_codec.h"
 #include "front/process_clock.h"
 #include "http/get_connection.h"
@@ -52,7 +53,7 @@
   static tl::expected<std::unique_ptr<PeerExchange>, std::string> Open(
       ev::loop_ref loop, const common::Endpoint& listen, core::PeerSync& sync,
       const core::LiveView& view, const ProcessClock& clock,
-      ExchangeListener& listener);
+      PauseDetector& pauses, ExchangeListener& listener);
 
   /// Sends digests and starts a pull.
   void Act(const core::SyncActions& actions);
@@ -61,7 +62,8 @@
  private:
   PeerExchange(ev::loop_ref loop, std::unique_ptr<PacketPort> port,
                core::PeerSync& sync, const core::LiveView& view,
-               const ProcessClock& clock, ExchangeListener& listener);
+               const ProcessClock& clock, PauseDetector& pauses,
+               ExchangeListener& listener);
 
   void OnDatagrams(ev::io& watcher, int events);
   void OnDatagram(std::span<const std::uint8_t> bytes);
@@ -85,6 +87,7 @@
   core::PeerSync& sync;
   const core::LiveView& view;
   const ProcessClock& clock;
+  PauseDetector& pauses;
   ExchangeListener& listener;
   std::unique_ptr<PacketPort> port;
   std::unique_ptr<http::Server> server;
--- a/source/front/shared_parts.cc
+++ b/source/front/shared_parts.cc
@@ -65,6 +65,16 @@
   }
 }
 
+void SharedParts::OnPause(std::chrono::milliseconds length,
+                          std::chrono::milliseconds now) {
+  if (this->load) {
+    this->load->board.OnPause(length, now);
+  }
+  if (this->health) {
+    this->health->detector.OnPause(length, now);
+  }
+}
+
 std::vector<core::HealthChange> SharedParts::TakeHealthChanges() {
   return this->health ? this->health->detector.TakeChanges()
                       : std::vector<core::HealthChange>{};
--- a/source/front/shared_parts.h
+++ b/source/front/shared_parts.h
@@ -21,11 +21,12 @@
 #include "core/roster/peer_sync.h"
 #include "core/steering/shared_observations.h"
 #include "core/view/target_table.h"
+#include "front/pause_detector.h"
 
 namespace sassafrasdyke::front {
 
 /// Owns the parts. Times are monotonic.
-class SharedParts {
+class SharedParts final : public PauseListener {
  public:
   /// `targets` must outlive the parts.
   /// `seed` must differ between instances.
@@ -44,6 +45,8 @@
   /// targets that others report as silent are requested of `watch`.
   void OnTick(core::TargetWatch& watch, std::size_t domain_instances,
               std::chrono::milliseconds now);
+  void OnPause(std::chrono::milliseconds length,
+               std::chrono::milliseconds now) override;
   /// See OutlierDetector.
   std::vector<core::HealthChange> TakeHealthChanges();
   std::optional<core::UrgentReceivers> TakeUrgent();
--- a/tests/core/load/load_board_test.cc
+++ b/tests/core/load/load_board_test.cc
@@ -308,6 +308,49 @@
   BOOST_TEST(!sent.own.has_value());
 }
 
+struct PauseLength {
+  milliseconds length;
+  bool discards;
+  /// Whether the last digest before the pause was read under 1.5 s before.
+  bool reachable;
+};
+
+std::ostream& operator<<(std::ostream& out, const PauseLength& row) {
+  return out << row.length.count() << " ms";
+}
+
+const PauseLength kPauses[] = {{999ms, false, true},
+                               {1s, true, true},
+                               {1300ms, true, false},
+                               {10s, true, false}};
+
+// Guards against digests that waited in the socket: until its reports expired,
+// the resumed instance would take a domain that was partitioned meanwhile for
+// reachable and place flows there.
+BOOST_DATA_TEST_CASE(digests_from_before_a_pause_do_not_count, kPauses, row) {
+  Scene scene;
+  PeerObservations of_north = Own(1ms, ReportOf(60, 1.8));
+  of_north.heard = {{"south", 0ms}};
+  scene.now += row.length;
+  scene.meter.OnPause(scene.now);
+  scene.board.OnPause(row.length, scene.now);
+  for (milliseconds time = 0ms; time <= 200ms; time += 100ms) {
+    scene.Hear(Peer(1), "north", of_north);
+    scene.Hear(Peer(50), "south",
+               Relayed(1ms + time, DomainsReport("south", 0ms, 30)));
+    scene.Tick();
+    BOOST_TEST(scene.board.Of("diary").empty() == row.discards);
+    scene.now += 100ms;
+  }
+
+  scene.Hear(Peer(1), "north", Own(row.length, ReportOf(60, 1.8)));
+  scene.Hear(Peer(60), "west", Relayed(1ms, DomainsReport("west", 0ms, 30)));
+  scene.Tick();
+  BOOST_TEST(scene.At("west").reachable);
+  BOOST_TEST(scene.At("south").reachable == row.reachable);
+  BOOST_TEST(scene.At("north").callers_requests_per_s.value() == 600.0);
+}
+
 struct Burst {
   unsigned requests_per_100ms;
   bool detected;
