--- a/source/core/health/target_observations.cc
+++ b/source/core/health/target_observations.cc
@@ -208,45 +208,45 @@
 }
 
 std::vector<TargetObservation> TargetObservations::Worst(
-    std::vector<JudgedTarget> judged, milliseconds now,
+    std::vector<TargetStatus> listed, milliseconds now,
     milliseconds period) const {
   const CountsByTarget counts = this->Counts(now, period);
-  std::ranges::sort(judged, [](const auto& a, const auto& b) {
+  std::ranges::sort(listed, [](const auto& a, const auto& b) {
     return std::tuple(!a.silent, a.weight, a.age, a.target) <
            std::tuple(!b.silent, b.weight, b.age, b.target);
   });
   std::unordered_set<TargetIndex> reported;
-  for (const JudgedTarget& judgement : judged) {
-    reported.insert(judgement.target);
+  for (const TargetStatus& status : listed) {
+    reported.insert(status.target);
   }
   for (const TargetIndex target : this->Notable(counts)) {
     if (!reported.contains(target)) {
-      judged.push_back({target});
+      listed.push_back({target});
     }
   }
   std::vector<TargetObservation> worst;
-  for (const JudgedTarget& judgement : judged) {
+  for (const TargetStatus& status : listed) {
     if (worst.size() < kMaxTargetObservations &&
-        this->targets.Has(judgement.target)) {
-      worst.push_back(this->EntryOf(judgement, counts));
+        this->targets.Has(status.target)) {
+      worst.push_back(this->EntryOf(status, counts));
     }
   }
   return worst;
 }
 
 TargetObservation TargetObservations::EntryOf(
-    const JudgedTarget& judgement, const CountsByTarget& counts) const {
-  const auto found = counts.find(judgement.target);
+    const TargetStatus& status, const CountsByTarget& counts) const {
+  const auto found = counts.find(status.target);
   const TargetCounts sum =
       found == counts.end() ? TargetCounts{} : found->second;
-  return {this->targets.At(judgement.target).published.number,
+  return {this->targets.At(status.target).published.number,
           sum.requests,
           sum.failures,
           sum.answers,
           milliseconds(std::llround(sum.MeanMs())),
-          judgement.silent,
-          judgement.weight,
-          judgement.age};
+          status.silent,
+          status.weight,
+          status.age};
 }
 
 std::vector<TargetIndex> TargetObservations::Notable(
--- a/source/core/health/target_observations.h
+++ b/source/core/health/target_observations.h
@@ -46,7 +46,7 @@
 inline constexpr double kNotableSlowness = 2.0;
 
 /// What is reported of a target besides its counts.
-struct JudgedTarget {
+struct TargetStatus {
   TargetIndex target;
   bool silent{false};
   double weight{1.0};
@@ -91,9 +91,9 @@
   /// Number of flows that were opened at the target since it was last idle for
   /// two seconds.
   std::uint32_t Openings(TargetIndex target) const;
-  /// The entries of a digest: silent targets, then other judged ones, then
+  /// The entries of a digest: silent targets, then other `listed` ones, then
   /// those with the most failures and the longest times.
-  std::vector<TargetObservation> Worst(std::vector<JudgedTarget> judged,
+  std::vector<TargetObservation> Worst(std::vector<TargetStatus> listed,
                                        std::chrono::milliseconds now,
                                        std::chrono::milliseconds period) const;
 
@@ -119,9 +119,9 @@
                           std::int64_t first, std::int64_t parts);
   /// Network time of a request on an open flow.
   double RoundTripMs(TargetIndex target, const AnswerTiming& timing);
-  /// Targets that aren't judged, worst first.
+  /// Targets with failures or long times, worst first.
   std::vector<TargetIndex> Notable(const CountsByTarget& counts) const;
-  TargetObservation EntryOf(const JudgedTarget& judgement,
+  TargetObservation EntryOf(const TargetStatus& status,
                             const CountsByTarget& counts) const;
 
   const TargetTable& targets;
--- a/source/core/health/target_reports.cc
+++ b/source/core/health/target_reports.cc
@@ -43,7 +43,7 @@
   report.weight = std::isfinite(observed.weight)
                       ? std::clamp(observed.weight, 0.0, 1.0)
                       : 1.0;
-  report.judged_at = now - std::max(observed.age, milliseconds{0});
+  report.decided_at = now - std::max(observed.age, milliseconds{0});
   return report;
 }
 
--- a/source/core/health/target_reports.h
+++ b/source/core/health/target_reports.h
@@ -22,8 +22,8 @@
   double mean_ms{0};
   bool silent{false};
   double weight{1.0};
-  /// When the sender judged the target.
-  std::chrono::milliseconds judged_at{0};
+  /// When the sender last confirmed the weight.
+  std::chrono::milliseconds decided_at{0};
 };
 
 /// What one instance reported last.
--- a/source/core/load/observation_exchange.h
+++ b/source/core/load/observation_exchange.h
@@ -24,10 +24,10 @@
   /// Mean of these times, queueing included; 0 without any.
   std::chrono::milliseconds mean_time{0};
   bool silent{false};  ///< Confirmed by probes.
-  /// Share of new flows that the sender gives it, judged from the counts of
+  /// Share of new flows that the sender gives it, decided from the counts of
   /// several instances: 0 when it is ejected, below 1 when it is slow.
   double weight{1.0};
-  /// Time since the sender judged the target; 0 while it is healthy.
+  /// Time since the sender last confirmed the weight; 0 while it is healthy.
   std::chrono::milliseconds age{0};
 
   friend bool operator==(const TargetObservation&,
--- a/source/front/front_log.cc
+++ b/source/front/front_log.cc
@@ -194,7 +194,7 @@
                               std::chrono::milliseconds now) {
   LineFields fields{{"target", target}, {"why", Word(change.why)}};
   if (change.why != core::OutlierState::kSilent) {
-    const core::OutlierVerdict& evidence = change.evidence;
+    const core::OutlierEvaluation& evidence = change.evidence;
     fields["requests"] = std::llround(evidence.requests);
     fields["failures"] = std::llround(evidence.failures);
     fields["mean_ms"] = std::llround(evidence.mean_ms);
--- a/tests/core/health/outlier_detector_test.cc
+++ b/tests/core/health/outlier_detector_test.cc
@@ -424,7 +424,7 @@
   BOOST_TEST(scene.Weight(0) == 1.0);
 }
 
-struct Verdicts {
+struct Decisions {
   std::string name;
   double weight;
   Counts own;
@@ -432,11 +432,11 @@
   OutlierState state;
 };
 
-std::ostream& operator<<(std::ostream& out, const Verdicts& row) {
+std::ostream& operator<<(std::ostream& out, const Decisions& row) {
   return out << row.name;
 }
 
-const Verdicts kVerdicts[] = {
+const Decisions kDecisions[] = {
     {"an instance that has just started",
      0.0,
      {0, 0},
@@ -456,17 +456,17 @@
 // Guards against an instance that has just started and sends flows to every
 // target until it has seen failures itself, and against false reports of
 // a single instance.
-BOOST_DATA_TEST_CASE(verdicts_of_others_are_adopted, kVerdicts, row) {
+BOOST_DATA_TEST_CASE(decisions_of_others_are_adopted, kDecisions, row) {
   HealthScene scene(kTargets);
   for (std::size_t i = 0; i < kTargets; ++i) {
     scene.Own(i, i == 0 ? row.own.requests : 1, i == 0 ? row.own.failures : 0,
               30ms);
   }
   scene.Settle();
-  TargetObservation judged = HealthScene::Seen(0, 0, 0, 0ms);
-  judged.weight = row.weight;
+  TargetObservation reported = HealthScene::Seen(0, 0, 0, 0ms);
+  reported.weight = row.weight;
   for (std::uint16_t peer = 0; peer < row.reporters; ++peer) {
-    scene.Report(peer, {judged});
+    scene.Report(peer, {reported});
   }
   scene.Tick();
 
@@ -474,16 +474,16 @@
 }
 
 // Guards against two instances that keep a target ejected by repeating each
-// other's verdict.
-BOOST_AUTO_TEST_CASE(a_verdict_ejects_once) {
+// other's decision.
+BOOST_AUTO_TEST_CASE(a_decision_ejects_once) {
   HealthScene scene(kTargets);
-  TargetObservation judged = HealthScene::Seen(0, 0, 0, 0ms);
-  judged.weight = 0;
+  TargetObservation reported = HealthScene::Seen(0, 0, 0, 0ms);
+  reported.weight = 0;
   int ejections = 0;
   for (int tick = 0; tick < 150; ++tick) {
-    judged.age = tick * 100ms;
-    scene.Report(1, {judged});
-    scene.Report(2, {judged});
+    reported.age = tick * 100ms;
+    scene.Report(1, {reported});
+    scene.Report(2, {reported});
     scene.Tick();
     scene.now += 100ms;
     for (const HealthChange& change : scene.detector.TakeChanges()) {
