Limit trial flows also in the second after a pause

While nothing is counted after a pause, each tick dropped the histories with the numbers of opened flows, so that a target in its trial got a flow from the paused instance at each tick. They are kept until counting begins again.

ejection_evidence_test a_pause_does_not_multiply_trial_flows: 9 flows in 0.9 s before, at most 2 now. core_steering_tests 657 cases: no failure.

--- a/source/core/health/target_observations.cc
+++ b/source/core/health/target_observations.cc
@@ -165,6 +165,11 @@
 }
 
 void TargetObservations::Expire(milliseconds now) {
+  // While nothing is counted, all histories are empty but for the openings,
+  // which limit trial flows.
+  if (now < this->counts_from) {
+    return;
+  }
   std::erase_if(this->histories, [now](const auto& entry) {
     return std::ranges::all_of(entry.second.buckets,
                                [now](const Bucket& bucket) {
--- a/tests/core/health/ejection_evidence_test.cc
+++ b/tests/core/health/ejection_evidence_test.cc
@@ -187,6 +187,27 @@
   BOOST_TEST(scene.State(0) == OutlierState::kReturning);
 }
 
+// Guards against trial flows that aren't counted in the second after a pause,
+// when nothing else is: each tick would allow another.
+BOOST_AUTO_TEST_CASE(a_pause_does_not_multiply_trial_flows) {
+  ReturningScene scene;
+  scene.load.instances = 1;
+  scene.own.OnPause(scene.now);
+  int flows = 0;
+  for (const Time end = scene.now + 900ms; scene.now < end;
+       scene.now += 100ms) {
+    scene.Tick();
+    BOOST_REQUIRE(scene.State(0) == OutlierState::kReturning);
+    if (scene.Weight(0) > 0) {
+      scene.Own(0, 1, 0, 30ms);
+      ++flows;
+    }
+  }
+
+  BOOST_TEST(flows >= 1);
+  BOOST_TEST(flows <= 2);
+}
+
 struct Trial {
   std::string name;
   int own_requests;
