Know a median only from enough answers just after a start

An instance that had just started took the median of its first answers for the usual time: after a single short one, targets of which peers report some longer answers were slow. Until 2.25 s of requests are counted, the median needs 20 own answers.

--- a/source/core/health/target_evidence.cc
+++ b/source/core/health/target_evidence.cc
@@ -8,6 +8,9 @@
 
 using std::chrono::milliseconds;
 
+/// Own answers that suffice for the median just after a start. The first few
+/// may be much shorter than usual.
+constexpr double kMinAnswersForMedian = 20;
 /// Reports that are younger were made lately.
 constexpr milliseconds kRecent{1000};
 
@@ -104,6 +107,7 @@
                            const TargetTable& targets, milliseconds now) {
   struct Requests {
     double own{0};
+    double own_answers{0};
     double listed{0};
     std::size_t entries{0};  ///< Of other instances.
   };
@@ -115,6 +119,7 @@
     TargetGroup& group = groups[key];
     group.targets[target].sources.push_back(SourceOf(counts));
     requests[key].own += counts.requests;
+    requests[key].own_answers += counts.answers;
     own_counts[key].push_back(counts);
   }
   std::size_t informed = 0;
@@ -143,7 +148,9 @@
     const Requests& sums = requests[key];
     FillMeanRequests(group, sums.own, own.knows_rate, sums.listed,
                      sums.entries);
-    group.median_ms = MedianMeanMs(own_counts[key]);
+    const bool knows_median =
+        own.knows_rate || sums.own_answers >= kMinAnswersForMedian;
+    group.median_ms = knows_median ? MedianMeanMs(own_counts[key]) : 0;
     group.informed = informed;
     group.informed_lately = informed_lately;
     FillFractions(group);
--- a/tests/core/health/ejection_evidence_test.cc
+++ b/tests/core/health/ejection_evidence_test.cc
@@ -117,6 +117,22 @@
   }
 }
 
+// Guards against an instance that has just started and takes its first answer,
+// a short one, for the usual: targets with some longer answers would be slow.
+BOOST_AUTO_TEST_CASE(the_first_answer_after_a_start_is_no_median) {
+  HealthScene scene(kTargets);
+  scene.Own(5, 1, 0, 5ms);
+  scene.Settle();
+  for (std::uint16_t peer = 0; peer < 26; ++peer) {
+    const auto seen = HealthScene::Seen(0, 2, 0, 70ms);
+    scene.Report(
+        peer, peer < 5 ? std::vector{seen} : std::vector<TargetObservation>());
+  }
+  scene.Tick();
+
+  BOOST_TEST(scene.State(0) == OutlierState::kHealthy);
+}
+
 struct Lone {
   std::string name;
   TargetObservation report;  ///< Of one instance.
