--- a/tests/core/health/ejection_evidence_test.cc
+++ b/tests/core/health/ejection_evidence_test.cc
@@ -133,18 +133,18 @@
   BOOST_TEST(scene.State(0) == OutlierState::kHealthy);
 }
 
-struct Lone {
+struct SingleReport {
   std::string name;
   TargetObservation report;  ///< Of one instance.
   std::uint16_t others;      ///< Instances that list nothing.
   OutlierState state;
 };
 
-std::ostream& operator<<(std::ostream& out, const Lone& row) {
+std::ostream& operator<<(std::ostream& out, const SingleReport& row) {
   return out << row.name << ", " << row.others << " others";
 }
 
-const Lone kLones[] = {
+const SingleReport kSingleReports[] = {
     {"ejected", HealthScene::Ejected(0, 0ms), 20, OutlierState::kHealthy},
     {"ejected", HealthScene::Ejected(0, 0ms), 2, OutlierState::kFailing},
     {"failures", HealthScene::Seen(0, 60, 60, 0ms), 20, OutlierState::kHealthy},
@@ -155,7 +155,7 @@
 // Guards against false reports of one instance: at an instance that has sent
 // the target nothing lately they would count, although the many who don't list
 // the target have seen its answers.
-BOOST_DATA_TEST_CASE(one_instance_is_not_believed_against_many, kLones, row) {
+BOOST_DATA_TEST_CASE(one_report_does_not_outweigh_many, kSingleReports, row) {
   HealthScene scene(kTargets);
   for (const Time time : {0ms, 2500ms}) {
     scene.now += time;
@@ -173,8 +173,8 @@
   BOOST_TEST(scene.State(0) == row.state);
 }
 
-// Guards against the decision that ejected the target before, which peers
-// report until they have it back, as a witness for a new one.
+// Guards against a new ejection that is confirmed only by the former one, which
+// peers report until the target has returned to them.
 BOOST_AUTO_TEST_CASE(a_former_ejection_does_not_confirm_another) {
   ReturningScene scene;
   scene.UseOthers(5, 0);
@@ -246,7 +246,7 @@
 
 // Guards against false reports of one instance that keep a target ejected for
 // ever, although others get its answers.
-BOOST_DATA_TEST_CASE(trials_need_more_than_one_witness, kTrials, row) {
+BOOST_DATA_TEST_CASE(trials_need_more_than_one_reporter, kTrials, row) {
   ReturningScene scene;
   scene.now += 2000ms;
   scene.UseOthers(5, 0);
