--- a/source/core/health/target_observations.cc
+++ b/source/core/health/target_observations.cc
@@ -120,6 +120,7 @@
 void TargetObservations::OnPause(milliseconds now) {
   this->histories.clear();
   this->counts_from = now + kIgnoredAfterPause;
+  this->counting_since.reset();
 }
 
 TargetCounts* TargetObservations::Present(TargetIndex target,
@@ -127,6 +128,9 @@
   if (now < this->counts_from) {
     return nullptr;
   }
+  if (!this->counting_since) {
+    this->counting_since = now;
+  }
   const std::int64_t number = now / kPart;
   Bucket& bucket = this->histories[target].buckets.at(
       static_cast<std::size_t>(number) % kBuckets);
@@ -161,6 +165,11 @@
 }
 
 void TargetObservations::Expire(milliseconds now) {
+  // While nothing is counted, all histories are empty but for the openings,
+  // which limit trial flows.
+  if (now < this->counts_from) {
+    return;
+  }
   std::erase_if(this->histories, [now](const auto& entry) {
     return std::ranges::all_of(entry.second.buckets,
                                [now](const Bucket& bucket) {
@@ -184,6 +193,11 @@
   return counts;
 }
 
+bool TargetObservations::KnowsRate(milliseconds now) const {
+  return this->counting_since &&
+         now - *this->counting_since >= kLongPeriod + kPart;
+}
+
 TargetCounts TargetObservations::CountsOf(TargetIndex target, milliseconds now,
                                           milliseconds since) const {
   const auto found = this->histories.find(target);
@@ -199,45 +213,45 @@
 }
 
 std::vector<TargetObservation> TargetObservations::Worst(
-    std::vector<JudgedTarget> judged, milliseconds now,
+    std::vector<TargetStatus> listed, milliseconds now,
     milliseconds period) const {
   const CountsByTarget counts = this->Counts(now, period);
-  std::ranges::sort(judged, [](const auto& a, const auto& b) {
+  std::ranges::sort(listed, [](const auto& a, const auto& b) {
     return std::tuple(!a.silent, a.weight, a.age, a.target) <
            std::tuple(!b.silent, b.weight, b.age, b.target);
   });
   std::unordered_set<TargetIndex> reported;
-  for (const JudgedTarget& judgement : judged) {
-    reported.insert(judgement.target);
+  for (const TargetStatus& status : listed) {
+    reported.insert(status.target);
   }
   for (const TargetIndex target : this->Notable(counts)) {
     if (!reported.contains(target)) {
-      judged.push_back({target});
+      listed.push_back({target});
     }
   }
   std::vector<TargetObservation> worst;
-  for (const JudgedTarget& judgement : judged) {
+  for (const TargetStatus& status : listed) {
     if (worst.size() < kMaxTargetObservations &&
-        this->targets.Has(judgement.target)) {
-      worst.push_back(this->EntryOf(judgement, counts));
+        this->targets.Has(status.target)) {
+      worst.push_back(this->EntryOf(status, counts));
     }
   }
   return worst;
 }
 
 TargetObservation TargetObservations::EntryOf(
-    const JudgedTarget& judgement, const CountsByTarget& counts) const {
-  const auto found = counts.find(judgement.target);
+    const TargetStatus& status, const CountsByTarget& counts) const {
+  const auto found = counts.find(status.target);
   const TargetCounts sum =
       found == counts.end() ? TargetCounts{} : found->second;
-  return {this->targets.At(judgement.target).published.number,
+  return {this->targets.At(status.target).published.number,
           sum.requests,
           sum.failures,
           sum.answers,
           milliseconds(std::llround(sum.MeanMs())),
-          judgement.silent,
-          judgement.weight,
-          judgement.age};
+          status.silent,
+          status.weight,
+          status.age};
 }
 
 std::vector<TargetIndex> TargetObservations::Notable(
--- a/source/core/health/target_observations.h
+++ b/source/core/health/target_observations.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -45,7 +46,7 @@
 inline constexpr double kNotableSlowness = 2.0;
 
 /// What is reported of a target besides its counts.
-struct JudgedTarget {
+struct TargetStatus {
   TargetIndex target;
   bool silent{false};
   double weight{1.0};
@@ -81,15 +82,18 @@
   /// second after a pause, and when most of its targets show failures.
   CountsByTarget Counts(std::chrono::milliseconds now,
                         std::chrono::milliseconds period) const;
+  /// Whether requests have been counted for the whole long period, so that
+  /// their number shows their rate.
+  bool KnowsRate(std::chrono::milliseconds now) const;
   /// The counts since `since`, or over the long period if that began later.
   TargetCounts CountsOf(TargetIndex target, std::chrono::milliseconds now,
                         std::chrono::milliseconds since) const;
   /// Number of flows that were opened at the target since it was last idle for
   /// two seconds.
   std::uint32_t Openings(TargetIndex target) const;
-  /// The entries of a digest: silent targets, then other judged ones, then
+  /// The entries of a digest: silent targets, then other `listed` ones, then
   /// those with the most failures and the longest times.
-  std::vector<TargetObservation> Worst(std::vector<JudgedTarget> judged,
+  std::vector<TargetObservation> Worst(std::vector<TargetStatus> listed,
                                        std::chrono::milliseconds now,
                                        std::chrono::milliseconds period) const;
 
@@ -115,9 +119,9 @@
                           std::int64_t first, std::int64_t parts);
   /// Network time of a request on an open flow.
   double RoundTripMs(TargetIndex target, const AnswerTiming& timing);
-  /// Targets that aren't judged, worst first.
+  /// Targets with failures or long times, worst first.
   std::vector<TargetIndex> Notable(const CountsByTarget& counts) const;
-  TargetObservation EntryOf(const JudgedTarget& judgement,
+  TargetObservation EntryOf(const TargetStatus& status,
                             const CountsByTarget& counts) const;
 
   const TargetTable& targets;
@@ -125,6 +129,8 @@
   /// Moving average of the round trip by the targets' failure domain, in ms.
   std::unordered_map<std::string, double> round_trips;
   std::chrono::milliseconds counts_from{0};  ///< Later than the last pause.
+  /// When the first event after the start or the last pause was counted.
+  std::optional<std::chrono::milliseconds> counting_since;
 };
 
 }  // namespace sassafrasdyke::core
