Admission by share: faults found by the review

Cause: a review by one who didn't write the part found, by reasoning: with three ranks the lowest starved while the middle one was overloaded, too; in a queue filled by a more urgent rank a lower one got no place; SYNs were refused at a tick before those for which targets had become free were released; a full queue lost SYNs though superseded ones had just left, or by a stale order; a limit fell to one when the published slots had changed; for a second after a start each instance could take the whole headroom of another domain; flows waited when the reports of all usable domains were lost (also with fair_admission off); refusals of one rank counted for places of another; a reused flow key could make a refusal untrue.

Change: the rank whose turn is longest ago goes next; places count turns; refusals come after releases; limits keep what they began with; reporters share the headroom; unreachable domains are used if there is no other; a first copy begins a new flow.

--- a/source/core/steering/admission_control.cc
+++ b/source/core/steering/admission_control.cc
@@ -55,7 +55,8 @@
       return grant;
     }
   }
-  // If a SYN flood fills the queue, further SYNs are admitted at once.
+  // Without fair admission, further SYNs are admitted at once when a flood has
+  // filled the queue.
   const bool waits = this->Hold(packet, bytes, arrived_at, now);
   return waits ? std::nullopt : std::make_optional<AdmissionGrant>();
 }
@@ -73,6 +74,7 @@
   this->copies.OnHeld(packet, arrived_at);
   this->LineOf(service).departures.OnQueue(true, now);
   if (this->queue.Hold(packet, bytes, arrived_at)) {
+    this->last_in_line.clear();  // Computed for another content.
     return true;
   }
   if (this->MakeRoom(service, rank, now)) {
@@ -90,14 +92,15 @@
   });
   if (this->last_in_line.empty()) {
     this->queue.Expire(now);
-    const WaitingRoutes waiting = this->RoutesByService();
-    if (waiting.empty()) {
+    if (!this->queue.Full()) {
       return true;
     }
+    const WaitingRoutes waiting = this->RoutesByService();
     this->last_in_line_of = this->LargestService(waiting);
-    const auto line =
+    auto line =
         this->LineOf(this->last_in_line_of)
             .order->Line(this->queue, waiting.at(this->last_in_line_of), now);
+    std::ranges::stable_sort(line, {}, &SynPlace::Ahead);
     const std::size_t count = std::min(line.size(), kLastInLine);
     this->last_in_line.assign(line.end() - static_cast<std::ptrdiff_t>(count),
                               line.end());
@@ -106,7 +109,8 @@
     return true;
   }
   const SynPlace last = this->last_in_line.back();
-  if (this->last_in_line_of == service && last.rank < rank) {
+  if (this->last_in_line_of == service && last.rank < rank &&
+      this->AheadOfNew(service, rank) >= last.Ahead()) {
     return false;
   }
   this->last_in_line.pop_back();
@@ -173,6 +177,20 @@
   return waiting;
 }
 
+std::size_t AdmissionControl::AheadOfNew(const std::string& service,
+                                         std::uint32_t rank) const {
+  std::size_t all = 0;
+  std::size_t in_rank = 0;
+  for (const auto& [address, syns] : this->queue.ByRoute()) {
+    const Route* const route = this->routes.Find(address);
+    if (this->ServiceOf(route) == service) {
+      all += syns.size();
+      in_rank += this->RankOf(address) == rank ? syns.size() : 0;
+    }
+  }
+  return SynsAhead(all, in_rank);
+}
+
 bool AdmissionControl::AnyWaits(std::span<const WaitingRoute> routes) const {
   return std::ranges::any_of(routes, [this](const WaitingRoute& route) {
     return this->queue.ByRoute().contains(route.address);
@@ -215,14 +233,21 @@
     return;
   }
   std::size_t gone = 0;
+  std::size_t gone_in_rank = 0;
+  std::uint32_t rank = 0;
   for (const SynPlace& place : line.order->Line(this->queue, routes, now)) {
-    const SynOutlook outlook{place.ahead - std::min(gone, place.ahead),
-                             now - place.first_sent, leave_per_s,
-                             this->copies.HasAll(place.flow)};
+    if (place.rank != rank) {
+      rank = place.rank;
+      gone_in_rank = 0;
+    }
+    const SynOutlook outlook{
+        SynsAhead(place.before - gone, place.in_rank - gone_in_rank),
+        now - place.first_sent, leave_per_s, this->copies.HasAll(place.flow)};
     if (this->overload.Judge(outlook).refuse) {
       if (auto syn = this->queue.Take(place.flow)) {
         this->OnRefused(std::move(*syn), place.rank);
         ++gone;
+        ++gone_in_rank;
       }
     }
   }
--- a/source/core/steering/admission_control.h
+++ b/source/core/steering/admission_control.h
@@ -78,7 +78,7 @@
   }
 
  private:
-  /// What decides which SYN of a service leaves next, and which never does.
+  /// Decides which SYN of a service leaves next, and counts those that leave.
   struct ServiceLine {
     std::unique_ptr<SynOrder> order;
     DepartureRate departures;
@@ -96,6 +96,8 @@
   /// The service of the route, as in RoutesByService.
   std::string ServiceOf(const Route* route) const;
   ServiceLine& LineOf(const std::string& service);
+  /// SYNs that would leave before one more of the service and rank.
+  std::size_t AheadOfNew(const std::string& service, std::uint32_t rank) const;
   bool AnyWaits(std::span<const WaitingRoute> routes) const;
   /// The service for which most SYNs wait.
   std::string LargestService(const WaitingRoutes& waiting) const;
--- a/source/core/steering/concurrency_limiter.cc
+++ b/source/core/steering/concurrency_limiter.cc
@@ -93,9 +93,9 @@
   if (before == instances || limit.WasCongested()) {
     return;
   }
-  const double change =
-      this->InitialLimit(target.service, target.domain, instances) -
-      this->InitialLimit(target.service, target.domain, before);
+  const double initial =
+      this->InitialLimit(target.service, target.domain, instances);
+  const double change = initial - std::exchange(limit.initial, initial);
   limit.requests = std::max(kMinLimit, limit.requests + change);
 }
 
@@ -143,21 +143,23 @@
   if (pending.empty() || !this->pending.MostAnswersSeen()) {
     return AdmissionGrant{};
   }
+  if (const auto own = pending.find(this->domain);
+      own != pending.end() &&
+      own->second < this->LimitOf(service, this->domain).requests) {
+    return AdmissionGrant{};
+  }
   const std::vector<DomainLoad>& loads = this->load.Of(service);
   std::optional<AdmissionGrant> grant;
   double least_utilization = 1.0;
   for (const auto& [domain, requests] : pending) {
-    const auto load = std::ranges::find(loads, domain, &DomainLoad::domain);
-    const bool reported = domain != this->domain && load != loads.end();
-    const double limit = reported ? this->RemoteLimit(service, *load)
-                                  : this->LimitOf(service, domain).requests;
-    const double used = requests / limit;
-    if (used >= 1.0 || (reported && !load->reachable)) {
+    if (domain == this->domain || !this->MayUse(service, domain, pending)) {
       continue;
     }
-    if (domain == this->domain) {
-      return AdmissionGrant{};
-    }
+    const auto load = std::ranges::find(loads, domain, &DomainLoad::domain);
+    const double limit = load != loads.end()
+                             ? this->RemoteLimit(service, *load)
+                             : this->LimitOf(service, domain).requests;
+    const double used = requests / limit;
     if (used < least_utilization) {
       least_utilization = used;
       grant = AdmissionGrant{domain};
@@ -166,12 +168,30 @@
   return grant;
 }
 
+bool ConcurrencyLimiter::MayUse(const std::string& service,
+                                const std::string& domain,
+                                const PendingRequestsByDomain& pending) const {
+  const std::vector<DomainLoad>& loads = this->load.Of(service);
+  return IsReachable(loads, domain) ||
+         std::ranges::none_of(pending, [&](const auto& other) {
+           return IsReachable(loads, other.first);
+         });
+}
+
 double ConcurrencyLimiter::PartOfHeadroom(const std::string& service,
                                           const DomainLoad& other) const {
-  const std::size_t instances = this->SharingInstances();
+  std::size_t instances = this->SharingInstances();
   if (instances == 0) {
     return 0;
   }
+  // For a second after a start the instance knows of no other one, but may have
+  // the reports of those.
+  const std::vector<DomainLoad>& loads = this->load.Of(service);
+  if (const auto own =
+          std::ranges::find(loads, this->domain, &DomainLoad::domain);
+      own != loads.end()) {
+    instances = std::max(instances, own->reporters);
+  }
   const double offered =
       this->SlotsOf(service, other.domain).all * kMaxOfferedUtilization;
   return std::max(0.0, offered - other.concurrency) /
@@ -201,7 +221,8 @@
     }
   }
   const std::size_t instances = this->SharingInstances();
-  return {this->InitialLimit(service, domain, instances), instances};
+  const double initial = this->InitialLimit(service, domain, instances);
+  return {initial, initial, instances};
 }
 
 double ConcurrencyLimiter::RemoteLimit(const std::string& service,
--- a/source/core/steering/concurrency_limiter.h
+++ b/source/core/steering/concurrency_limiter.h
@@ -83,7 +83,8 @@
   /// Limit for one domain's targets of a service, in requests.
   struct Limit {
     double requests;
-    std::size_t instances{0};  ///< See SharingInstances; when it was set.
+    double initial;            ///< What it began with, or was adapted to.
+    std::size_t instances{0};  ///< See SharingInstances; at that time.
     /// Below this the limit doubles with every answer time, above it grows by
     /// one. Half of the limit at which congestion began; further congested
     /// rounds don't lower it, as those until a queue has drained show nothing
@@ -151,6 +152,10 @@
   /// of them may turn to it until the next reports. 0 without fair admission.
   double PartOfHeadroom(const std::string& service,
                         const DomainLoad& other) const;
+  /// Whether the domain can be used: it is reachable, or none of `pending` is,
+  /// so that the load reports may have been lost rather than the domains.
+  bool MayUse(const std::string& service, const std::string& domain,
+              const PendingRequestsByDomain& pending) const;
   /// Requests pending at each domain that has usable targets of the service.
   PendingRequestsByDomain PendingByDomain(const std::string& service,
                                           std::chrono::milliseconds now) const;
--- a/source/core/steering/held_copies.cc
+++ b/source/core/steering/held_copies.cc
@@ -16,11 +16,13 @@
 void HeldCopies::OnHeld(const FlowPacket& syn, std::chrono::milliseconds now) {
   const auto found = this->flows.find(syn.flow);
   const bool known = found != this->flows.end();
-  const bool missed = syn.repeats > (known ? found->second.count : 0);
+  // A first copy begins a new flow, also where an earlier one had the same key.
+  const std::uint32_t held = known && syn.repeats > 0 ? found->second.count : 0;
+  const bool missed = syn.repeats > held;
   if (missed) {
     this->Forget(syn.flow);
   } else if (known) {
-    found->second = {std::max(found->second.count, syn.repeats + 1), now};
+    found->second = {std::max(held, syn.repeats + 1), now};
   } else if (this->flows.size() < kMaxFlows) {
     this->flows.emplace(syn.flow, Copies{1, now});
   }
--- a/source/core/steering/overload_policy.h
+++ b/source/core/steering/overload_policy.h
@@ -22,7 +22,7 @@
 /// Why a SYN is refused or goes on waiting.
 enum class OverloadReason : std::uint8_t {
   kCanBeServed,     ///< It gets its turn before its client gives up.
-  kRateUnknown,     ///< Too few SYNs have waited to tell.
+  kRateUnknown,     ///< SYNs haven't waited for long enough to tell.
   kMaybeForwarded,  ///< A copy may have been forwarded: a refusal could lie.
   kCannotBeServed,  ///< Its client gives up before its turn.
   kQueueFull,       ///< It would be the last one served.
--- a/source/core/steering/syn_order.cc
+++ b/source/core/steering/syn_order.cc
@@ -17,8 +17,6 @@
 /// SYNs of a caller in one turn. With one, a caller's newest SYN would wait for
 /// older ones of callers that have had as many slots, until it is late as well.
 constexpr std::uint64_t kSynsPerTurn = 4;
-/// Of this many SYNs that leave, one is not of the most urgent rank.
-constexpr unsigned kTurnsPerOtherRank = 8;
 
 std::uint32_t BucketOf(const common::IpAddress& caller) {
   const auto& raw = caller.Raw();
@@ -52,10 +50,14 @@
     const auto in_time = syns.lower_bound(now - route.in_time);
     for (auto syn = syns.end(); syn != in_time;) {
       --syn;
-      line.push_back({syn->second.flow, route.rank, syn->first, line.size()});
+      const std::size_t before = line.size();
+      line.push_back(
+          {syn->second.flow, route.rank, syn->first, before, before});
     }
     for (auto syn = syns.begin(); syn != in_time; ++syn) {
-      line.push_back({syn->second.flow, route.rank, syn->first, line.size()});
+      const std::size_t before = line.size();
+      line.push_back(
+          {syn->second.flow, route.rank, syn->first, before, before});
     }
   }
   return line;
@@ -118,11 +120,17 @@
   if (this->urgent_turns + 1 < kTurnsPerOtherRank) {
     return urgent;
   }
-  const auto oldest = std::ranges::min_element(
-      candidates, {}, [urgent](const Candidate& candidate) {
-        return std::pair(candidate.rank == urgent, candidate.first_sent);
+  // If the oldest SYN alone decided, one of a rank that is overloaded as well
+  // would stay the oldest, and ranks below would never get a turn.
+  const auto next = std::ranges::min_element(
+      candidates, {}, [this, urgent](const Candidate& candidate) {
+        const auto turns = this->turns.find(candidate.rank);
+        const std::uint64_t last_turn =
+            turns == this->turns.end() ? 0 : turns->second.last_turn;
+        return std::tuple(candidate.rank == urgent, last_turn,
+                          candidate.first_sent);
       });
-  return oldest->rank;
+  return next->rank;
 }
 
 std::optional<QueuedSyn> FairOrder::TakeNext(
@@ -137,6 +145,7 @@
   const bool passed_others = rank != least_urgent.rank;
   if (rank != most_urgent.rank) {
     this->urgent_turns = 0;
+    this->turns[rank].last_turn = ++this->other_turns;
   } else if (passed_others) {
     ++this->urgent_turns;
   }
@@ -182,9 +191,8 @@
       first_of_rank = line.size();
     }
     const std::size_t in_rank = line.size() - first_of_rank;
-    const std::size_t by_turns = kTurnsPerOtherRank * (in_rank + 1) - 1;
     line.push_back({candidate.syn->flow, candidate.rank, candidate.first_sent,
-                    std::min(line.size(), by_turns)});
+                    line.size(), in_rank});
   }
   return line;
 }
--- a/source/core/steering/syn_order.h
+++ b/source/core/steering/syn_order.h
@@ -1,6 +1,7 @@
 /// Order in which queued SYNs leave the SYN queue.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -24,12 +25,24 @@
   std::chrono::milliseconds in_time{0};
 };
 
+/// Of this many SYNs that leave, one is not of the most urgent rank.
+inline constexpr std::size_t kTurnsPerOtherRank = 8;
+
+/// Least number of SYNs that leave before one that has `before` others before
+/// it by rank, `in_rank` of them of its own rank.
+constexpr std::size_t SynsAhead(std::size_t before, std::size_t in_rank) {
+  return std::min(before, kTurnsPerOtherRank * (in_rank + 1) - 1);
+}
+
 /// A queued SYN and its place in the order.
 struct SynPlace {
   common::FlowKey flow;
   std::uint32_t rank{0};
   std::chrono::milliseconds first_sent{0};
-  std::size_t ahead{0};  ///< SYNs that leave before it, at least.
+  std::size_t before{0};   ///< SYNs before it by rank.
+  std::size_t in_rank{0};  ///< Those of its own rank among them.
+
+  std::size_t Ahead() const { return SynsAhead(this->before, this->in_rank); }
 };
 
 /// Selects among the queued SYNs. Times are monotonic.
@@ -43,8 +56,8 @@
   virtual std::optional<QueuedSyn> TakeNext(
       SynQueue& queue, std::span<const WaitingRoute> routes,
       std::chrono::milliseconds now) = 0;
-  /// All SYNs of `routes` in the order in which they would leave if no other
-  /// arrived.
+  /// All SYNs of `routes` by rank, those of a rank in the order in which they
+  /// would leave if no other arrived.
   virtual std::vector<SynPlace> Line(const SynQueue& queue,
                                      std::span<const WaitingRoute> routes,
                                      std::chrono::milliseconds now) const = 0;
@@ -82,6 +95,9 @@
     std::uint64_t virtual_time{0};
     /// Finish tags by bucket of callers; only those beyond `virtual_time`.
     std::unordered_map<std::uint32_t, std::uint64_t> finish_tags;
+    /// Number of the last turn that the rank got while it wasn't the most
+    /// urgent one; 0 before any.
+    std::uint64_t last_turn{0};
 
     std::uint64_t StartTag(std::uint32_t bucket) const;
     void OnTaken(std::uint32_t bucket, std::uint64_t least_waiting);
@@ -106,6 +122,7 @@
   std::uint32_t RankInTurn(const std::vector<Candidate>& candidates) const;
 
   std::map<std::uint32_t, Turns> turns;  ///< By rank.
+  std::uint64_t other_turns{0};          ///< Of ranks but the most urgent one.
   /// Turns that the most urgent rank has had while others waited, since one of
   /// these had its turn. Kept while no other waits: otherwise a rank of which
   /// one SYN waits at a time would never get a turn if that gives up before.
--- a/source/core/steering/syn_queue.cc
+++ b/source/core/steering/syn_queue.cc
@@ -31,7 +31,7 @@
                     std::span<const std::uint8_t> bytes,
                     milliseconds arrived_at) {
   this->Forget(packet.flow);
-  if (this->positions.size() >= kMaxQueued) {
+  if (this->Full()) {
     return false;
   }
   const std::size_t copy = CopyNumber(packet);
@@ -90,6 +90,8 @@
   return superseded.size();
 }
 
+bool SynQueue::Full() const { return this->positions.size() >= kMaxQueued; }
+
 void SynQueue::Clear() {
   this->queues.clear();
   this->positions.clear();
--- a/source/core/steering/syn_queue.h
+++ b/source/core/steering/syn_queue.h
@@ -66,6 +66,7 @@
   /// The routes for which SYNs wait.
   std::vector<common::Endpoint> Routes() const;
   std::size_t Size() const { return this->positions.size(); }
+  bool Full() const;
   bool Contains(const common::FlowKey& flow) const {
     return this->positions.contains(flow);
   }
--- a/source/front/flow_port.cc
+++ b/source/front/flow_port.cc
@@ -52,9 +52,11 @@
   }
   this->steering.OnFleetSize(instances, now);
   this->steering.OnTick(now);
+  // Before SYNs are refused: targets may have capacity again since the last
+  // packet.
+  this->ReleaseHeld();
   this->admission.OnTick(now);
   this->ResetRefused();
-  this->ReleaseHeld();
   this->port->Flush();
   this->StartProbes();
 }
