Three comments in the field's terms

Said when a decision was made, what is absent while the parts are off, and that longer times are not accepted. Comments only; format, layers and docs checks pass.

--- a/source/core/health/outlier_records.h
+++ b/source/core/health/outlier_records.h
@@ -69,7 +69,7 @@
 
   /// Whether the target's service may lose another one in its domain.
   bool MayEject(TargetIndex target) const;
-  /// `decided_at`: by whoever has decided it.
+  /// `decided_at`: when the instance that decided it did so.
   void Eject(TargetIndex target, const OutlierEvaluation& evaluation,
              Time decided_at, Time now);
   void SetSlow(TargetIndex target, double weight, Time decided_at,
--- a/source/core/steering/shared_observations.h
+++ b/source/core/steering/shared_observations.h
@@ -21,7 +21,7 @@
   bool fair_admission{false};
 };
 
-/// Nothing is known and nobody observes: each part is switched off.
+/// No load reports, no observers, equal weights: each part is switched off.
 const SharedObservations& NoSharedObservations();
 
 }  // namespace sassafrasdyke::core
--- a/source/front/json_array.h
+++ b/source/front/json_array.h
@@ -13,7 +13,7 @@
 
 namespace sassafrasdyke::front {
 
-/// Longest times that are believed, so that sums can't overflow.
+/// Longest times that are accepted, so that sums can't overflow.
 inline constexpr std::uint64_t kLongestMs = 86'400'000;
 
 /// Reads the elements of an array in order. After the first wrong one nothing
