Log by which way a change came, and why a view is late

Cause: the log couldn't tell when an instance took a change, from whom and how long after it was published, nor what an instance with an old view waits for. The hypotheses on a flow placed at a draining target 6,064 ms after its drain can't be told apart without that. Change: lines about the view have way (listing, watch, digest, copy, timer), peer and unconfirmed_ms, the age of the view just before, which bounds the time since publication. view-late is written once a second while a view is older than the time after which a follower reads itself: last digest, highest revision heard, state of a copy, reading, time until it reads. Histogram sassafrasdyke_change_delay_seconds. explain shows the new fields. ViewSource, which named the source only, is gone. Volume: no more lines but view-late, at most one a second, in the budget of the view's channel.

--- a/source/core/roster/copy_pull.cc
+++ b/source/core/roster/copy_pull.cc
@@ -14,6 +14,18 @@
 
 }  // namespace
 
+std::string_view Word(CopyState state) {
+  switch (state) {
+    case CopyState::kNone:
+      return "none";
+    case CopyState::kRunning:
+      return "running";
+    case CopyState::kWaiting:
+      return "waiting";
+  }
+  return "unknown";
+}
+
 common::Endpoint CopyPull::Start(const common::Endpoint& source,
                                  common::Revision revision,
                                  std::chrono::milliseconds now) {
--- a/source/core/roster/copy_pull.h
+++ b/source/core/roster/copy_pull.h
@@ -4,13 +4,25 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
+#include <string_view>
 
 #include "common/address.h"
 #include "common/ids.h"
 
 namespace sassafrasdyke::core {
 
+/// How far the copy of another instance's view has come.
+enum class CopyState : std::uint8_t {
+  kNone,     ///< None is needed, as far as this instance knows.
+  kRunning,  ///< A request is in progress.
+  kWaiting,  ///< The source was busy; the request will be repeated.
+};
+
+/// The log's word for a state.
+std::string_view Word(CopyState state);
+
 /// State of the pending copy. When a method returns an address, the caller must
 /// send a request there and report its outcome.
 class CopyPull {
@@ -40,6 +52,12 @@
   bool Running() const { return this->running; }
   /// Whether a request is in progress or will be retried.
   bool Pending() const { return this->copy.has_value(); }
+  CopyState State() const {
+    if (this->running) {
+      return CopyState::kRunning;
+    }
+    return this->copy ? CopyState::kWaiting : CopyState::kNone;
+  }
   /// Whether a copy has been pending for less than `time`.
   bool PendingForLessThan(std::chrono::milliseconds time,
                           std::chrono::milliseconds now) const {
--- a/source/core/roster/peer_sync.cc
+++ b/source/core/roster/peer_sync.cc
@@ -89,6 +89,25 @@
              : this->plan.ReadingWithoutView(this->Role(now), now);
 }
 
+std::optional<LateView> PeerSync::Late(std::chrono::milliseconds now) const {
+  const auto age = this->view.Contact().Age(now);
+  if (!this->view.Usable() || !age || *age <= this->limits.read_after) {
+    return std::nullopt;
+  }
+  LateView late{.age = *age,
+                .highest_heard = this->highest_heard,
+                .copy = this->pull.State(),
+                .reading = this->Reading(now)};
+  if (const auto last = this->plan.LastDigestAt()) {
+    late.last_digest_ago = now - *last;
+  }
+  const auto from = this->plan.SubstituteFrom();
+  if (from && !this->plan.IsSubstitute(now)) {
+    late.substitute_in = *from - now;
+  }
+  return late;
+}
+
 bool PeerSync::IsSeed() const {
   return this->roster.IsSeed(this->roster.Self().address);
 }
@@ -253,6 +272,7 @@
     return actions;
   }
   this->plan.OnDigest(now);
+  this->highest_heard = std::max(this->highest_heard, digest.view.complete);
   const common::Revision before = this->view.Items().Complete();
   this->QueueRelay(digest, before);
   this->RecordStoreReturn(digest.view, now);
--- a/source/core/roster/peer_sync.h
+++ b/source/core/roster/peer_sync.h
@@ -42,6 +42,19 @@
   std::optional<common::Endpoint> pull;
 };
 
+/// What an instance whose view is too old has heard, and what it waits for.
+struct LateView {
+  std::chrono::milliseconds age{0};
+  /// Since a digest of any peer; nothing before the first one.
+  std::optional<std::chrono::milliseconds> last_digest_ago = std::nullopt;
+  /// The highest revision of a peer's view in a digest.
+  common::Revision highest_heard = {};
+  CopyState copy{CopyState::kNone};
+  StoreReading reading{StoreReading::kNone};
+  /// Until it may read the store as a substitute; 0 once it may.
+  std::chrono::milliseconds substitute_in{0};
+};
+
 /// The synchronization state of one instance. Times are monotonic.
 class PeerSync {
  public:
@@ -94,6 +107,8 @@
   bool ShouldRead(std::chrono::milliseconds now) const {
     return this->Reading(now) != StoreReading::kNone;
   }
+  /// Why the own view is too old; nothing if it isn't.
+  std::optional<LateView> Late(std::chrono::milliseconds now) const;
   /// Revision and age of the own view, as sent to peers.
   ViewStatus Status(std::chrono::milliseconds now) const;
   const Roster& Members() const { return this->roster; }
@@ -158,6 +173,8 @@
   ReadingPlan plan;
   Roster roster;
   bool leaving{false};
+  /// Of the peers' views.
+  common::Revision highest_heard;
   /// Readers that `QueryReaders` has sent a query.
   std::vector<common::Endpoint> queried_readers;
   /// Members that this instance must notify.
--- a/source/core/roster/reading_plan.h
+++ b/source/core/roster/reading_plan.h
@@ -75,6 +75,14 @@
     return this->substitute_from && now >= *this->substitute_from;
   }
   bool HasHeardPeers() const { return this->last_digest_at.has_value(); }
+  std::optional<std::chrono::milliseconds> LastDigestAt() const {
+    return this->last_digest_at;
+  }
+  /// From when on this instance may read as a substitute; nothing while its
+  /// view isn't too old.
+  std::optional<std::chrono::milliseconds> SubstituteFrom() const {
+    return this->substitute_from;
+  }
 
  private:
   bool TooOld(std::optional<std::chrono::milliseconds> age) const {
--- a/source/core/view/live_view.h
+++ b/source/core/view/live_view.h
@@ -20,9 +20,6 @@
 
 namespace sassafrasdyke::core {
 
-/// The source of published items.
-enum class ViewSource : std::uint8_t { kStore, kPeer };
-
 /// A configuration took effect.
 struct ConfigurationInForce {
   std::uint64_t version{0};
--- a/source/front/flow_story.cc
+++ b/source/front/flow_story.cc
@@ -137,13 +137,42 @@
 }
 
 /// The fields that decided, in the order of their importance.
-constexpr std::array kInputs{
-    "reason",  "target",    "repeats",       "phase",        "evacuated",
-    "targets", "published", "replaced",      "gone_age_ms",  "answered_age_ms",
-    "probe",   "outcome",   "silent_now",    "probe_age_ms", "why",
-    "for_ms",  "version",   "configuration", "revision",     "view_age_ms",
-    "source",  "waiting",   "about",         "service",      "demand",
-    "slots",   "age_ms",    "reporters"};
+constexpr std::array kInputs{"reason",
+                             "target",
+                             "repeats",
+                             "phase",
+                             "evacuated",
+                             "targets",
+                             "published",
+                             "replaced",
+                             "gone_age_ms",
+                             "answered_age_ms",
+                             "probe",
+                             "outcome",
+                             "silent_now",
+                             "probe_age_ms",
+                             "why",
+                             "for_ms",
+                             "version",
+                             "configuration",
+                             "revision",
+                             "view_age_ms",
+                             "source",
+                             "way",
+                             "peer",
+                             "unconfirmed_ms",
+                             "last_digest_ms",
+                             "highest_heard",
+                             "copy",
+                             "reading",
+                             "substitute_in_ms",
+                             "waiting",
+                             "about",
+                             "service",
+                             "demand",
+                             "slots",
+                             "age_ms",
+                             "reporters"};
 
 std::string Describe(const LogLine& line) {
   std::string text = line.event;
@@ -162,8 +191,8 @@
   if (line.channel == "process" || line.event == "lines-left-out" ||
       line.event == "configuration-in-force" ||
       line.event == "evacuation-in-force" ||
-      line.event == "evacuation-lifted" || line.event == "domain-over-share" ||
-      line.event == "domain-below-share") {
+      line.event == "evacuation-lifted" || line.event == "view-late" ||
+      line.event == "domain-over-share" || line.event == "domain-below-share") {
     return true;
   }
   return line.channel == "view" && targets.contains(line.target);
--- a/source/front/front_log.cc
+++ b/source/front/front_log.cc
@@ -13,8 +13,24 @@
 template <typename... Functions>
 Overloaded(Functions...) -> Overloaded<Functions...>;
 
-std::string_view Word(core::ViewSource source) {
-  return source == core::ViewSource::kStore ? "store" : "peer";
+std::string_view Word(ChangeWay way) {
+  switch (way) {
+    case ChangeWay::kListing:
+      return "listing";
+    case ChangeWay::kWatch:
+      return "watch";
+    case ChangeWay::kDigest:
+      return "digest";
+    case ChangeWay::kCopy:
+      return "copy";
+    case ChangeWay::kTimer:
+      return "timer";
+  }
+  return "unknown";
+}
+
+std::string_view SourceOf(const ChangeOrigin& origin) {
+  return origin.peer ? "peer" : "store";
 }
 
 /// The event of a view's line, and its own fields.
@@ -137,11 +153,18 @@
 }
 
 void FrontLog::OnViewChange(const core::ViewChange& change,
-                            core::ViewSource source,
+                            const ChangeOrigin& origin,
                             const DecisionInputs& inputs,
                             std::chrono::milliseconds now) {
   ViewLine line = LineOf(change);
-  line.fields["source"] = Word(source);
+  line.fields["source"] = SourceOf(origin);
+  line.fields["way"] = Word(origin.way);
+  if (origin.peer) {
+    line.fields["peer"] = origin.peer->ToString();
+  }
+  if (origin.unconfirmed) {
+    line.fields["unconfirmed_ms"] = origin.unconfirmed->count();
+  }
   line.fields["revision"] = inputs.revision.value;
   if (inputs.view_age &&
       std::holds_alternative<core::EvacuationChange>(change)) {
@@ -150,6 +173,20 @@
   this->lines.Write(LineKind::kView, line.event, line.fields, now);
 }
 
+void FrontLog::OnLateView(const core::LateView& late, common::Revision revision,
+                          std::chrono::milliseconds now) {
+  LineFields fields{{"view_age_ms", late.age.count()},
+                    {"revision", revision.value},
+                    {"highest_heard", late.highest_heard.value},
+                    {"copy", Word(late.copy)},
+                    {"reading", core::Word(late.reading)},
+                    {"substitute_in_ms", late.substitute_in.count()}};
+  if (late.last_digest_ago) {
+    fields["last_digest_ms"] = late.last_digest_ago->count();
+  }
+  this->lines.Write(LineKind::kView, "view-late", fields, now);
+}
+
 void FrontLog::OnProbe(const std::string& target, core::ProbeOutcome outcome,
                        bool silent_now, std::chrono::milliseconds now) {
   this->lines.Write(LineKind::kView, "probe",
--- a/source/front/front_log.h
+++ b/source/front/front_log.h
@@ -3,12 +3,14 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
 #include "core/health/outlier_detector.h"
 #include "core/load/fleet_load.h"
 #include "core/load/share_monitor.h"
+#include "core/roster/peer_sync.h"
 #include "core/steering/flow_packet.h"
 #include "core/steering/target_watch.h"
 #include "core/view/live_view.h"
@@ -24,6 +26,24 @@
   std::size_t waiting{0};  ///< SYNs that are held back.
 };
 
+/// The way by which changes of the view came.
+enum class ChangeWay : std::uint8_t {
+  kListing,  ///< Of the store.
+  kWatch,    ///< Of the store.
+  kDigest,   ///< Of a peer.
+  kCopy,     ///< Of a peer.
+  kTimer,    ///< Came before and took effect now.
+};
+
+/// Where changes of the view came from.
+struct ChangeOrigin {
+  ChangeWay way{ChangeWay::kWatch};
+  std::optional<common::Endpoint> peer;
+  /// Since the view before the changes was last confirmed: they were published
+  /// at most so long ago. Nothing if it never was.
+  std::optional<std::chrono::milliseconds> unconfirmed;
+};
+
 /// The target of a flow about which something was decided.
 struct DecisionTarget {
   const core::TargetEntry& entry;
@@ -41,9 +61,12 @@
                   const core::SteeringAction& action,
                   const std::optional<DecisionTarget>& target,
                   const DecisionInputs& inputs, std::chrono::milliseconds now);
-  void OnViewChange(const core::ViewChange& change, core::ViewSource source,
+  void OnViewChange(const core::ViewChange& change, const ChangeOrigin& origin,
                     const DecisionInputs& inputs,
                     std::chrono::milliseconds now);
+  /// The view is too old.
+  void OnLateView(const core::LateView& late, common::Revision revision,
+                  std::chrono::milliseconds now);
   /// A trial connection that didn't find the target alive.
   void OnProbe(const std::string& target, core::ProbeOutcome outcome,
                bool silent_now, std::chrono::milliseconds now);
--- a/source/front/front_metrics.cc
+++ b/source/front/front_metrics.cc
@@ -23,6 +23,10 @@
 const prometheus::Histogram::BucketBoundaries kAgeBounds{
     0.1, 0.3, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0, 30.0};
 
+/// Platforms ask for a change to be in force within 1 to 6 s.
+const prometheus::Histogram::BucketBoundaries kChangeDelayBounds{
+    0.1, 0.3, 0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 5.0, 6.0, 10.0};
+
 double Seconds(std::chrono::nanoseconds time) {
   return std::chrono::duration<double>(time).count();
 }
@@ -240,7 +244,10 @@
 }  // namespace
 
 FrontMetrics::FrontMetrics()
-    : batch(kBatchBounds), applied(kApplyBounds), view_age(kAgeBounds) {}
+    : batch(kBatchBounds),
+      applied(kApplyBounds),
+      view_age(kAgeBounds),
+      change_delay(kChangeDelayBounds) {}
 
 void FrontMetrics::OnDecision(const core::SteeringAction& action) {
   if (const auto* to = std::get_if<core::SendToTarget>(&action)) {
@@ -270,6 +277,10 @@
   this->view_age.Observe(Seconds(age));
 }
 
+void FrontMetrics::OnChangesTaken(std::chrono::milliseconds unconfirmed) {
+  this->change_delay.Observe(Seconds(unconfirmed));
+}
+
 std::string FrontMetrics::Text(const FrontState& state) const {
   Page page;
   page.Counters("sassafrasdyke_packets_sent_total",
@@ -294,6 +305,10 @@
   page.Histogram("sassafrasdyke_view_age_used_seconds",
                  "Age of the view when a new flow was placed or refused.",
                  this->view_age);
+  page.Histogram("sassafrasdyke_change_delay_seconds",
+                 "Age of the view just before changes of it were taken: they "
+                 "were published at most so long ago.",
+                 this->change_delay);
   AddTraffic(page, state.port);
   AddStore(page, state.store);
   AddExchange(page, state.exchange);
--- a/source/front/front_metrics.h
+++ b/source/front/front_metrics.h
@@ -71,6 +71,10 @@
   /// The age of the view when a new flow was placed or refused.
   void OnViewUsed(std::chrono::milliseconds age);
 
+  /// Changes of the view were taken; the view before them had last been
+  /// confirmed `unconfirmed` ago.
+  void OnChangesTaken(std::chrono::milliseconds unconfirmed);
+
   std::string Text(const FrontState& state) const;
 
  private:
@@ -86,6 +90,7 @@
   prometheus::Histogram batch;
   prometheus::Histogram applied;
   prometheus::Histogram view_age;
+  prometheus::Histogram change_delay;
 };
 
 }  // namespace sassafrasdyke::front
--- a/source/front/front_process.cc
+++ b/source/front/front_process.cc
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "common/hash.h"
 #include "core/roster/peer_sync.h"
@@ -37,6 +38,9 @@
 /// How often the settings' file is looked at: one call each.
 constexpr milliseconds kSettingsCheck{2000};
 
+/// Time between two lines about a view that stays too old.
+constexpr milliseconds kLateViewInterval{1000};
+
 ev::tstamp Seconds(milliseconds time) {
   return std::chrono::duration<double>(time).count();
 }
@@ -113,11 +117,14 @@
   void OnTerm(ev::sig& watcher, int signal);
   void OnHup(ev::sig& watcher, int signal);
   void ReadSettingsAgain();
-  void LogViewChanges(core::ViewSource source);
+  void LogViewChanges(const ChangeOrigin& origin);
+  /// Writes what an instance whose view is too old waits for, once a second.
+  void LogLateView(milliseconds now);
   /// Starts or stops the own reading of the store, as the exchange decides.
   void ChooseReading();
 
-  void OnPeerNews() override;
+  void OnPeerItems(const common::Endpoint& peer, bool copy,
+                   std::optional<milliseconds> unconfirmed) override;
   void OnPull(const common::Endpoint& peer, std::string_view what) override;
 
   void OnStoreListing(std::vector<core::Item> items,
@@ -150,6 +157,7 @@
   ev::sig term;
   ev::sig hup;
   milliseconds settings_checked_at{0};
+  milliseconds late_view_logged_at{0};
   bool was_usable{false};
   bool was_ready{false};
   /// Whether the last call of the store succeeded; empty before the first
@@ -254,7 +262,8 @@
   this->pauses.OnWake();
   const milliseconds now = this->Now();
   this->view.OnTick(now);
-  this->LogViewChanges(core::ViewSource::kStore);
+  this->LogViewChanges({ChangeWay::kTimer, std::nullopt, std::nullopt});
+  this->LogLateView(now);
   // Before the flows, which start the probes that it requests.
   this->TickSharedParts(now);
   this->flows->OnTick(this->sync.Members().EstimatedFleetSize());
@@ -329,6 +338,7 @@
 
 void FrontProcess::OnStoreListing(std::vector<core::Item> items,
                                   common::Revision at) {
+  const auto unconfirmed = this->view.Contact().Age(this->Now());
   this->OnStoreAnswer();
   this->log.OnNote("listed", {{"items", items.size()}, {"revision", at.value}},
                    this->Now());
@@ -336,17 +346,18 @@
   const auto started = std::chrono::steady_clock::now();
   this->view.OnListing(std::move(items), at, this->Now());
   this->metrics.OnApplied(std::chrono::steady_clock::now() - started);
-  this->LogViewChanges(core::ViewSource::kStore);
+  this->LogViewChanges({ChangeWay::kListing, std::nullopt, unconfirmed});
   this->exchange->Act(this->sync.OnStoreRead(before, this->Now()));
 }
 
 void FrontProcess::OnStoreChanges(core::ChangeBatch batch) {
+  const auto unconfirmed = this->view.Contact().Age(this->Now());
   this->OnStoreAnswer();
   const common::Revision before = this->view.Items().Complete();
   const auto started = std::chrono::steady_clock::now();
   this->view.OnChanges(std::move(batch), this->Now());
   this->metrics.OnApplied(std::chrono::steady_clock::now() - started);
-  this->LogViewChanges(core::ViewSource::kStore);
+  this->LogViewChanges({ChangeWay::kWatch, std::nullopt, unconfirmed});
   this->exchange->Act(this->sync.OnStoreRead(before, this->Now()));
 }
 
@@ -397,9 +408,11 @@
                    this->Now());
 }
 
-void FrontProcess::OnPeerNews() {
+void FrontProcess::OnPeerItems(const common::Endpoint& peer, bool copy,
+                               std::optional<milliseconds> unconfirmed) {
   const bool had_view = this->was_usable;
-  this->LogViewChanges(core::ViewSource::kPeer);
+  this->LogViewChanges(
+      {copy ? ChangeWay::kCopy : ChangeWay::kDigest, peer, unconfirmed});
   if (had_view) {
     return;
   }
@@ -417,12 +430,25 @@
                     this->Now());
 }
 
-void FrontProcess::LogViewChanges(core::ViewSource source) {
+void FrontProcess::LogLateView(milliseconds now) {
+  const auto late = this->sync.Late(now);
+  if (!late || now - this->late_view_logged_at < kLateViewInterval) {
+    return;
+  }
+  this->late_view_logged_at = now;
+  this->log.OnLateView(*late, this->view.Items().Complete(), now);
+}
+
+void FrontProcess::LogViewChanges(const ChangeOrigin& origin) {
   const milliseconds now = this->Now();
   const DecisionInputs inputs{.revision = this->view.Items().Complete(),
                               .view_age = this->view.Contact().Age(now)};
-  for (const core::ViewChange& change : this->view.TakeChanges()) {
-    this->log.OnViewChange(change, source, inputs, now);
+  const std::vector<core::ViewChange> changes = this->view.TakeChanges();
+  if (!changes.empty() && origin.unconfirmed) {
+    this->metrics.OnChangesTaken(*origin.unconfirmed);
+  }
+  for (const core::ViewChange& change : changes) {
+    this->log.OnViewChange(change, origin, inputs, now);
     if (const auto* target = std::get_if<core::TargetChange>(&change)) {
       this->flows->OnTargetChange(*target);
     }
--- a/source/front/peer_exchange.cc
+++ b/source/front/peer_exchange.cc
@@ -116,8 +116,10 @@
     return;
   }
   ++this->counts.digests_taken;
-  this->Act(this->sync.OnDigest(*digest, this->clock.Now()));
-  this->listener.OnPeerNews();
+  const std::chrono::milliseconds now = this->clock.Now();
+  const auto unconfirmed = this->view.Contact().Age(now);
+  this->Act(this->sync.OnDigest(*digest, now));
+  this->listener.OnPeerItems(digest->sender, false, unconfirmed);
 }
 
 void PeerExchange::OnGetOutcome(
@@ -141,10 +143,12 @@
                    : this->sync.OnPullFailed(instead));
     return;
   }
-  this->Act(this->sync.OnPulled(std::move(copy->delta), copy->mark,
-                                this->clock.Now()));
-  this->listener.OnPull(this->pulled_from, what);
-  this->listener.OnPeerNews();
+  const std::chrono::milliseconds now = this->clock.Now();
+  const auto unconfirmed = this->view.Contact().Age(now);
+  const common::Endpoint source = this->pulled_from;
+  this->Act(this->sync.OnPulled(std::move(copy->delta), copy->mark, now));
+  this->listener.OnPull(source, what);
+  this->listener.OnPeerItems(source, true, unconfirmed);
 }
 
 http::Response PeerExchange::Answer(const std::string& path) {
--- a/source/front/peer_exchange.h
+++ b/source/front/peer_exchange.h
@@ -26,8 +26,11 @@
 class ExchangeListener {
  public:
   virtual ~ExchangeListener() = default;
-  /// Items may have come from a peer.
-  virtual void OnPeerNews() = 0;
+  /// Items may have come from `peer`, in a digest or, if `copy`, in a copy. The
+  /// view before them had last been confirmed `unconfirmed` ago.
+  virtual void OnPeerItems(
+      const common::Endpoint& peer, bool copy,
+      std::optional<std::chrono::milliseconds> unconfirmed) = 0;
   /// A whole copy was asked for, and how that ended; `what` is the log's word.
   virtual void OnPull(const common::Endpoint& peer, std::string_view what) = 0;
 };
--- a/tests/front/front_log_test.cc
+++ b/tests/front/front_log_test.cc
@@ -128,16 +128,18 @@
   BOOST_TEST(written[0]["repeats"] == 1);
 }
 
+const common::Endpoint kPeer{common::IpAddress::FromV4(0x0A000007), 7720};
+
 // Guards against an evacuation of which the log doesn't say from when on, by
 // whom it was heard and how old the view was.
 BOOST_AUTO_TEST_CASE(an_evacuation_names_its_source_and_age) {
   Scene scene;
 
   scene.log.OnViewChange(core::EvacuationChange{"north", true, 40, {7}},
-                         core::ViewSource::kPeer,
+                         {ChangeWay::kDigest, kPeer, 1900ms},
                          {.revision = {9}, .view_age = 250ms}, 1000ms);
   scene.log.OnViewChange(core::EvacuationChange{"north", false, 39, {}},
-                         core::ViewSource::kStore,
+                         {ChangeWay::kWatch, std::nullopt, std::nullopt},
                          {.revision = {12}, .view_age = std::nullopt}, 2000ms);
 
   const std::vector<Json> written = scene.Written(2000ms);
@@ -148,8 +150,41 @@
   BOOST_TEST(written[0]["published"] == 7);
   BOOST_TEST(written[0]["source"] == "peer");
   BOOST_TEST(written[0]["view_age_ms"] == 250);
+  BOOST_TEST(written[0]["way"] == "digest");
+  BOOST_TEST(written[0]["peer"] == kPeer.ToString());
+  BOOST_TEST(written[0]["unconfirmed_ms"] == 1900);
   BOOST_TEST(written[1]["event"] == "evacuation-lifted");
   BOOST_TEST(!written[1].contains("published"));
+  BOOST_TEST(written[1]["source"] == "store");
+  BOOST_TEST(written[1]["way"] == "watch");
+  BOOST_TEST(!written[1].contains("unconfirmed_ms"));
+}
+
+// Guards against a late view of which the log doesn't tell whether peers know
+// more, and when the instance will read the store itself.
+BOOST_AUTO_TEST_CASE(a_late_view_names_what_it_waits_for) {
+  Scene scene;
+
+  scene.log.OnLateView({.age = 2500ms,
+                        .last_digest_ago = 40ms,
+                        .highest_heard = {12},
+                        .copy = core::CopyState::kWaiting,
+                        .reading = core::StoreReading::kNone,
+                        .substitute_in = 300ms},
+                       {9}, 1000ms);
+  scene.log.OnLateView({.age = 3000ms}, {9}, 1000ms);
+
+  const std::vector<Json> written = scene.Written(1000ms);
+  BOOST_REQUIRE(written.size() == 2U);
+  BOOST_TEST(written[0]["event"] == "view-late");
+  BOOST_TEST(written[0]["view_age_ms"] == 2500);
+  BOOST_TEST(written[0]["last_digest_ms"] == 40);
+  BOOST_TEST(written[0]["highest_heard"] == 12);
+  BOOST_TEST(written[0]["revision"] == 9);
+  BOOST_TEST(written[0]["copy"] == "waiting");
+  BOOST_TEST(written[0]["reading"] == "none");
+  BOOST_TEST(written[0]["substitute_in_ms"] == 300);
+  BOOST_TEST(!written[1].contains("last_digest_ms"));
 }
 
 // Guards against spillover of which the log doesn't tell the load behind it.
