Read the store at once when cut off from all peers

What callers could see: an instance that hears nothing of its peers goes on placing flows at a draining target, or by an older configuration, until the bound for changes has nearly passed or is past. Cause: a follower whose view is too old waits for a random time, up to 3.5 s with a bound of 6 s and 5.5 s with 8 s, unless it is isolated. That was looked at only once, when the view became too old, 2.2 s after its confirmation; digests stop only 1.5 s before an instance counts as isolated. A cut that began later than 0.7 s after the confirmation wasn't seen, and all ways by peers were gone at once. Evidence: a_cut_follower_reads_in_time fails on the code before in 113 checks: the reading begins at an age of up to 5.9 s (bound 6 s) and 7.6 s (bound 8 s); a call that is lost then ends past the bound. Change: isolation is looked at while the follower waits. It reads 1.5 s after the last digest at the latest. Followers that hear peers wait as before, so calls during an outage of the store don't grow with the fleet.

--- a/source/core/roster/reading_plan.cc
+++ b/source/core/roster/reading_plan.cc
@@ -42,12 +42,13 @@
   this->last_digest_at = now;
 }
 
+bool ReadingPlan::IsIsolated(std::chrono::milliseconds now) const {
+  return !this->last_digest_at || now - *this->last_digest_at > kIsolatedAfter;
+}
+
 std::chrono::milliseconds ReadingPlan::NextSubstituteTime(
     std::chrono::milliseconds max_delay, std::chrono::milliseconds now) {
-  if (!this->last_digest_at || now - *this->last_digest_at > kIsolatedAfter) {
-    return now;
-  }
-  return now + this->jitter.UpTo(max_delay);
+  return this->IsIsolated(now) ? now : now + this->jitter.UpTo(max_delay);
 }
 
 void ReadingPlan::OnFailure(std::size_t members,
--- a/source/core/roster/reading_plan.h
+++ b/source/core/roster/reading_plan.h
@@ -72,7 +72,8 @@
   /// Whether the instance reads in place of its domain's readers and notifies
   /// the other followers.
   bool IsSubstitute(std::chrono::milliseconds now) const {
-    return this->substitute_from && now >= *this->substitute_from;
+    return this->substitute_from &&
+           (now >= *this->substitute_from || this->IsIsolated(now));
   }
   bool HasHeardPeers() const { return this->last_digest_at.has_value(); }
   std::optional<std::chrono::milliseconds> LastDigestAt() const {
@@ -88,6 +89,9 @@
   bool TooOld(std::optional<std::chrono::milliseconds> age) const {
     return !age || *age > this->limits.read_after;
   }
+  /// Whether the instance seems disconnected from its peers, so that no one
+  /// can notify it.
+  bool IsIsolated(std::chrono::milliseconds now) const;
   /// A randomized time from which this instance may read as a substitute; `now`
   /// if it seems disconnected from its peers.
   std::chrono::milliseconds NextSubstituteTime(
