End parts of changes at the sender's revision

What callers could see: an instance goes on placing flows at a target whose drain it never hears of, until the target's entry changes again. Cause: a listing of several pages holds items of its later pages that are newer than the listing's revision. PartsSince cut parts after such an item; the receiver then took its view for complete at a revision up to which the sender didn't know all changes, so it neither asked for those between nor took them from a delta that ended there. Change: parts hold the changes up to the sender's revision only. The newer items come with the next watch of the reader.

--- a/source/core/roster/delta_parts.cc
+++ b/source/core/roster/delta_parts.cc
@@ -46,6 +46,10 @@
     return {};
   }
   ItemDelta all = items.Since(have);
+  // An item of a later page of a listing may be newer than the listing. A part
+  // that ended there would claim changes that are unknown here.
+  std::erase_if(all.items,
+                [&](const Item& item) { return item.revision > all.to; });
   if (all.whole || SizeOf(all.items) > kMaxParts * kMaxInlineBytes) {
     return {};
   }
--- a/tests/core/roster/delta_parts_test.cc
+++ b/tests/core/roster/delta_parts_test.cc
@@ -6,6 +6,8 @@
 #include <boost/test/unit_test.hpp>
 #include <ostream>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "core/roster/peer_digest.h"
 
@@ -91,5 +93,45 @@
   BOOST_TEST(receiver.Complete().value == parts[0].to.value);
 }
 
+struct ListingRow {
+  std::string name;
+  std::uint64_t listed_at;  ///< Revision of the listing's first page.
+  std::size_t bytes_each;   ///< Of an item.
+};
+
+std::ostream& operator<<(std::ostream& out, const ListingRow& row) {
+  return out << row.name;
+}
+
+const ListingRow kListings[] = {
+    {"one part", 5, 50},
+    {"parts of two items", 5, 300},
+    {"parts of one item", 5, 500},
+    {"no change before the listing", 1, 300},
+    {"a change before the listing", 2, 300},
+};
+
+// Guards against a receiver that takes its view for complete at a revision that
+// the sender's view hasn't reached: it never asks for the changes between.
+BOOST_DATA_TEST_CASE(parts_end_at_the_senders_revision, kListings, row) {
+  ItemStore sender;
+  sender.Replace({{"configuration", {1}, "x"}}, {1});
+  ItemStore receiver = sender;
+  // The later pages were read after changes that the first page lacks.
+  std::vector<Item> listed{{"configuration", {1}, "x"}};
+  for (std::uint64_t i = 2; i < 9; ++i) {
+    listed.push_back(
+        {"target/" + std::to_string(i), {i}, std::string(row.bytes_each, 'x')});
+  }
+  sender.Replace(std::move(listed), {row.listed_at});
+
+  for (const ItemDelta& part : PartsSince(sender, {1})) {
+    BOOST_TEST(part.to.value <= row.listed_at);
+    receiver.Apply(part);
+  }
+
+  BOOST_TEST(receiver.Complete().value == row.listed_at);
+}
+
 }  // namespace
 }  // namespace sassafrasdyke::core
