Replace a view that differs from those of peers

What callers could see: an instance goes on placing flows at a target that drains or has ended, or by an older configuration, with a view of low age and for as long as the target's entry stays as it is. Cause: a view is taken for complete by its revision alone. If a change is missing in it, for whatever reason, no delta brings it again, its age stays low by confirmations of peers at the same revision, and neither a query nor an own reading follows. The log can't show it either. Change: digests without changes carry a hash of the keys and revisions of the sender's live items. Full copies may be a little older than the view; they are merged by revision. The copy line says why, behind or differs, and sassafrasdyke_views_replaced_total counts; both show whether this ever happens. The hash travels as a further mention of the sender, which former releases leave out; one that shares load counts a report as unreadable if such a digest has no observations. balance compares documents by content already and takes a whole copy when a delta's hash is wrong. Cost: some 60 bytes a digest, one hash of a key for each change.

--- a/source/core/roster/copy_pull.cc
+++ b/source/core/roster/copy_pull.cc
@@ -26,12 +26,10 @@
   return "unknown";
 }
 
-common::Endpoint CopyPull::Start(const common::Endpoint& source,
-                                 common::Revision revision,
-                                 std::chrono::milliseconds now) {
+common::Endpoint CopyPull::Start(const Copy& copy) {
   this->running = true;
-  this->copy = Copy{source, revision, now};
-  return source;
+  this->copy = copy;
+  return copy.source;
 }
 
 std::optional<common::Endpoint> CopyPull::FollowRedirect(
@@ -65,7 +63,7 @@
   if (this->running || !this->copy) {
     return std::nullopt;
   }
-  if (have >= this->copy->revision) {
+  if (!this->copy->full && have >= this->copy->revision) {
     this->copy.reset();
     return std::nullopt;
   }
--- a/source/core/roster/copy_pull.h
+++ b/source/core/roster/copy_pull.h
@@ -30,10 +30,17 @@
   /// Redirects to `self` are ignored.
   explicit CopyPull(const common::Endpoint& self) : self(self) {}
 
-  /// Requests a copy from `source`, whose view is at `revision`.
+  /// Requests the changes up to `revision` from `source`.
   common::Endpoint Start(const common::Endpoint& source,
                          common::Revision revision,
-                         std::chrono::milliseconds now);
+                         std::chrono::milliseconds now) {
+    return this->Start({source, revision, now});
+  }
+  /// Requests a full copy from `source`, in place of a wrong view.
+  common::Endpoint StartFull(const common::Endpoint& source,
+                             std::chrono::milliseconds now) {
+    return this->Start({.source = source, .started_at = now, .full = true});
+  }
   /// The request failed. `instead`: the redirect target, if any. Returns
   /// nothing if the copy is abandoned.
   std::optional<common::Endpoint> OnFailed(
@@ -52,6 +59,8 @@
   bool Running() const { return this->running; }
   /// Whether a request is in progress or will be retried.
   bool Pending() const { return this->copy.has_value(); }
+  /// Whether the pending copy is a full one.
+  bool Full() const { return this->copy && this->copy->full; }
   CopyState State() const {
     if (this->running) {
       return CopyState::kRunning;
@@ -65,15 +74,17 @@
   }
 
  private:
-  std::optional<common::Endpoint> FollowRedirect(
-      const std::optional<common::Endpoint>& instead);
-
   struct Copy {
     common::Endpoint source;
-    common::Revision revision;  ///< Of the source's view.
+    common::Revision revision = {};  ///< Of the source's view.
     std::chrono::milliseconds started_at{0};
     unsigned refusals{0};
+    bool full{false};
   };
+  common::Endpoint Start(const Copy& copy);
+  std::optional<common::Endpoint> FollowRedirect(
+      const std::optional<common::Endpoint>& instead);
+
   common::Endpoint self;
   std::optional<Copy> copy;
   bool running{false};
--- a/source/core/roster/peer_digest.h
+++ b/source/core/roster/peer_digest.h
@@ -50,6 +50,8 @@
   /// out when they read the store, so no view can be taken from these.
   bool has_evacuations{true};
   ViewStatus view;
+  /// Of the sender's view; left out of digests with changes.
+  std::optional<std::uint64_t> content_hash = std::nullopt;
   /// Changes for receivers whose views are complete up to `changes->from`, if
   /// they fit into the datagram.
   std::optional<ItemDelta> changes;
--- a/source/core/roster/peer_sync.cc
+++ b/source/core/roster/peer_sync.cc
@@ -46,6 +46,7 @@
 PeerDigest PeerSync::MakeDigest(const common::Endpoint& receiver,
                                 std::chrono::milliseconds now) {
   PeerDigest digest = this->MakeBareDigest(receiver, now);
+  digest.content_hash = this->view.Items().ContentHash();
   for (ObservationExchange* const observer : this->observers) {
     observer->Append(digest.observations, now);
   }
@@ -295,6 +296,9 @@
       actions.pull = this->pull.Start(digest.sender, digest.view.complete, now);
     }
   }
+  if (this->MustReplaceView(digest, now)) {
+    actions.pull = this->pull.StartFull(digest.sender, now);
+  }
   if (!this->view.Usable() && !this->pull.Pending()) {
     Append(actions, this->QueryReaders(now));
   }
@@ -308,6 +312,17 @@
   return actions;
 }
 
+bool PeerSync::MustReplaceView(const PeerDigest& digest,
+                               std::chrono::milliseconds now) {
+  const auto own = this->view.Items().ContentHash();
+  if (!digest.content_hash || !own || this->pull.Pending() ||
+      digest.view.complete != this->view.Items().Complete()) {
+    return false;
+  }
+  return this->comparison.OnPeer(digest.sender, *digest.content_hash == *own,
+                                 now);
+}
+
 void PeerSync::AppendAnswer(const PeerDigest& digest,
                             std::chrono::milliseconds now,
                             SyncActions& actions) {
--- a/source/core/roster/peer_sync.h
+++ b/source/core/roster/peer_sync.h
@@ -24,6 +24,7 @@
 #include "core/roster/reading_plan.h"
 #include "core/roster/roster.h"
 #include "core/roster/sync_limits.h"
+#include "core/roster/view_comparison.h"
 #include "core/view/live_view.h"
 
 namespace sassafrasdyke::core {
@@ -37,8 +38,8 @@
 /// What the caller must do after an event.
 struct SyncActions {
   std::vector<DigestOut> digests;
-  /// Request the changes that this view lacks from this instance, over a
-  /// stream.
+  /// Request the changes after `PeerSync::PullsAfter` from this instance, over
+  /// a stream.
   std::optional<common::Endpoint> pull;
 };
 
@@ -86,6 +87,11 @@
   /// A copy of another instance's items has arrived.
   SyncActions OnPulled(ItemDelta delta, const ViewStatus& status,
                        std::chrono::milliseconds now);
+  /// The revision after which a copy must hold the changes; 0: a full copy.
+  common::Revision PullsAfter() const {
+    return this->pull.Full() ? common::Revision{}
+                             : this->view.Items().Complete();
+  }
   /// The request for a copy failed. `instead`: the redirect target, if any.
   SyncActions OnPullFailed(const std::optional<common::Endpoint>& instead);
   /// The source is busy serving other copies. Without a redirect target
@@ -133,6 +139,9 @@
   bool NeedsPeers(std::chrono::milliseconds now) const;
   bool IsReader(std::chrono::milliseconds now) const;
   bool IsSeed() const;
+  /// Whether the own view differs from the sender's at the same revision, and
+  /// from those of enough others.
+  bool MustReplaceView(const PeerDigest& digest, std::chrono::milliseconds now);
   /// Replies to a sender whose digest asks for it.
   void AppendAnswer(const PeerDigest& digest, std::chrono::milliseconds now,
                     SyncActions& actions);
@@ -171,6 +180,7 @@
   Jitter jitter;
   CopyPull pull;
   ReadingPlan plan;
+  ViewComparison comparison;
   Roster roster;
   bool leaving{false};
   /// Of the peers' views.
--- a/source/core/view/item_store.cc
+++ b/source/core/view/item_store.cc
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include "common/hash.h"
+
 namespace sassafrasdyke::core {
 namespace {
 
@@ -12,6 +14,10 @@
 /// full copy.
 constexpr std::size_t kMaxRemovalMarks = 1024;
 
+std::uint64_t HashOf(const std::string& key, common::Revision revision) {
+  return common::HashBytes(key.data(), key.size(), revision.value);
+}
+
 }  // namespace
 
 bool ItemStore::Merge(Item item) {
@@ -20,14 +26,27 @@
   if (!added && entry.revision >= item.revision) {
     return false;
   }
-  const bool was_removed = !added && !entry.value;
-  this->removal_marks += item.value ? 0 : 1;
-  entry = {item.revision, std::move(item.value)};
-  this->removal_marks -= was_removed ? 1 : 0;
+  this->removal_marks -= !added && !entry.value ? 1 : 0;
+  this->Put(place->first, entry, {item.revision, std::move(item.value)});
   this->DropOldRemovalMarks();
   return true;
 }
 
+void ItemStore::Put(const std::string& key, Entry& entry, Entry next) {
+  this->live_hash -= entry.value ? HashOf(key, entry.revision) : 0;
+  this->live_hash += next.value ? HashOf(key, next.revision) : 0;
+  this->removal_marks += next.value ? 0 : 1;
+  this->newest = std::max(this->newest, next.revision);
+  entry = std::move(next);
+}
+
+std::optional<std::uint64_t> ItemStore::ContentHash() const {
+  if (this->newest > this->complete) {
+    return std::nullopt;
+  }
+  return this->live_hash;
+}
+
 std::vector<std::string> ItemStore::Replace(std::vector<Item> items,
                                             common::Revision at) {
   std::set<std::string> listed;
@@ -46,8 +65,8 @@
   for (std::string& key : removed) {
     // An item written at exactly `at` and missing from the listing was removed,
     // but Merge() would refuse a removal mark of the item's own revision.
-    this->entries[key].revision = {};
-    this->Merge({key, at, std::nullopt});
+    this->Put(key, this->entries.at(key), {at, std::nullopt});
+    this->DropOldRemovalMarks();
     changed.push_back(std::move(key));
   }
   this->CompleteTo(at);
@@ -55,13 +74,10 @@
 }
 
 std::vector<std::string> ItemStore::Apply(ItemDelta delta) {
-  if (delta.to <= this->complete) {
-    return {};
-  }
   if (delta.whole) {
     return this->Replace(std::move(delta.items), delta.to);
   }
-  if (delta.from > this->complete) {
+  if (delta.to <= this->complete || delta.from > this->complete) {
     return {};
   }
   std::vector<std::string> changed = this->MergeAll(std::move(delta.items));
--- a/source/core/view/item_store.h
+++ b/source/core/view/item_store.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -43,7 +44,8 @@
                                    common::Revision at);
   /// Merges items received from another instance. Ignores a delta that starts
   /// after the own revision, which would leave a gap, and one that ends at or
-  /// before it. Returns the keys of the items that changed.
+  /// before it. A full copy may be older. Returns the keys of the items that
+  /// changed.
   std::vector<std::string> Apply(ItemDelta delta);
   /// The item's value; null if it was removed or never stored.
   const std::string* ValueOf(const std::string& key) const;
@@ -55,6 +57,10 @@
   /// The revision up to which every change is merged; 0 before the first
   /// listing.
   common::Revision Complete() const { return this->complete; }
+  /// A hash of the keys and revisions of all live items. Two replicas that are
+  /// complete at the same revision and hold the same items have the same one.
+  /// Nothing while items newer than the own revision are merged.
+  std::optional<std::uint64_t> ContentHash() const;
   /// The changes after `have`; a full copy if `have` is 0 or removal marks
   /// after it have been dropped.
   ItemDelta Since(common::Revision have) const;
@@ -68,8 +74,15 @@
     common::Revision revision;
     std::optional<std::string> value;
   };
+  /// Replaces an entry, which may be an empty one.
+  void Put(const std::string& key, Entry& entry, Entry next);
+
   std::map<std::string, Entry> entries;
   std::size_t removal_marks{0};
+  /// The sum of the hashes of live items, modulo 2^64.
+  std::uint64_t live_hash{0};
+  /// The highest revision of any item merged.
+  common::Revision newest;
   common::Revision complete;
   /// Removal marks up to this revision may have been dropped.
   common::Revision dropped_up_to;
--- a/source/front/front_metrics.cc
+++ b/source/front/front_metrics.cc
@@ -152,6 +152,10 @@
   page.Counter("sassafrasdyke_copies_failed_total",
                "Views that were asked for and didn't come.",
                exchange.pull_failures);
+  page.Counter("sassafrasdyke_views_replaced_total",
+               "Full copies asked for, as the own view differed from those of "
+               "peers at the same revision.",
+               exchange.replacements);
   page.Counter("sassafrasdyke_copies_put_off_total",
                "Instances that asked for a view and were sent to another.",
                exchange.copies_put_off);
--- a/source/front/front_process.cc
+++ b/source/front/front_process.cc
@@ -125,7 +125,8 @@
 
   void OnPeerItems(const common::Endpoint& peer, bool copy,
                    std::optional<milliseconds> unconfirmed) override;
-  void OnPull(const common::Endpoint& peer, std::string_view what) override;
+  void OnPull(const common::Endpoint& peer, std::string_view what,
+              bool differs) override;
 
   void OnStoreListing(std::vector<core::Item> items,
                       common::Revision at) override;
@@ -422,10 +423,12 @@
   this->ChooseReading();  // Digests affect who lists the store.
 }
 
-void FrontProcess::OnPull(const common::Endpoint& peer, std::string_view what) {
+void FrontProcess::OnPull(const common::Endpoint& peer, std::string_view what,
+                          bool differs) {
   this->lines.Write(LineKind::kPeer, "copy",
                     {{"peer", peer.ToString()},
                      {"outcome", what},
+                     {"why", differs ? "differs" : "behind"},
                      {"revision", this->view.Items().Complete().value}},
                     this->Now());
 }
--- a/source/front/peer_codec.cc
+++ b/source/front/peer_codec.cc
@@ -3,7 +3,11 @@
 #include <zlib.h>
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <nlohmann/json.hpp>
+#include <string_view>
+#include <system_error>
 #include <utility>
 
 #include "front/json_array.h"
@@ -19,6 +23,9 @@
 constexpr std::uint64_t kDigestVersion = 2;
 constexpr std::uint64_t kCopyVersion = 2;
 constexpr std::size_t kMostMentions = 64;
+/// Begins the mark that holds the content hash of the sender's view, in hex.
+constexpr std::string_view kContentHashMark = "content=";
+constexpr int kHex = 16;
 
 Json Optional(const std::optional<std::chrono::milliseconds>& time) {
   return time ? Json(Millis(*time)) : Json(nullptr);
@@ -177,9 +184,28 @@
                : Json(Json::value_t::discarded);
 }
 
-/// A sender that mentions itself has evacuations in its view, and a second
-/// mention has its observations in place of the domain. Releases that don't
-/// know these marks ignore what a sender mentions of itself.
+std::string ContentHashMark(std::uint64_t content_hash) {
+  std::array<char, kHex> digits{};
+  const auto written = std::to_chars(
+      digits.data(), digits.data() + digits.size(), content_hash, kHex);
+  return std::string(kContentHashMark) +
+         std::string(digits.data(), written.ptr);
+}
+
+std::optional<std::uint64_t> ReadContentHash(std::string_view mark) {
+  mark.remove_prefix(kContentHashMark.size());
+  std::uint64_t content_hash = 0;
+  const char* const end = mark.data() + mark.size();
+  const auto [last, error] =
+      std::from_chars(mark.data(), end, content_hash, kHex);
+  return error == std::errc() && last == end ? std::optional(content_hash)
+                                             : std::nullopt;
+}
+
+/// A sender that mentions itself has evacuations in its view. Further mentions
+/// of itself have its observations, and the content hash of its view, in place
+/// of the domain. Releases that don't know these marks ignore what a sender
+/// mentions of itself.
 std::vector<core::PeerMention> KnownWithMarks(const core::PeerDigest& digest) {
   std::vector<core::PeerMention> known = digest.known;
   if (!digest.has_evacuations) {
@@ -190,6 +216,9 @@
       !text.empty()) {
     known.push_back({digest.sender, std::move(text), {}});
   }
+  if (digest.content_hash) {
+    known.push_back({digest.sender, ContentHashMark(*digest.content_hash), {}});
+  }
   return known;
 }
 
@@ -204,6 +233,10 @@
     return is_mark;
   });
   digest.has_evacuations = !marks.empty();
+  if (!marks.empty() && marks.back().starts_with(kContentHashMark)) {
+    digest.content_hash = ReadContentHash(marks.back());
+    marks.pop_back();
+  }
   if (marks.size() > 1) {
     auto observations = DecodeObservations(marks[1]);
     digest.observations.unreadable = !observations;
--- a/source/front/peer_exchange.cc
+++ b/source/front/peer_exchange.cc
@@ -94,11 +94,13 @@
   if (actions.pull) {
     ++this->counts.pulls;
     this->pulled_from = *actions.pull;
-    const std::string path =
-        std::string(kCopyPath) +
-        std::to_string(this->view.Items().Complete().value) +
-        std::string(kFromField) +
-        this->sync.Members().Self().address.ToString();
+    const common::Revision have = this->sync.PullsAfter();
+    this->replaces_view = have < this->view.Items().Complete();
+    this->counts.replacements += this->replaces_view ? 1 : 0;
+    const std::string path = std::string(kCopyPath) +
+                             std::to_string(have.value) +
+                             std::string(kFromField) +
+                             this->sync.Members().Self().address.ToString();
     this->connection.Get({*actions.pull, path, kPullDeadline, kMostCopyBytes});
   }
 }
@@ -138,7 +140,7 @@
   }
   if (!copy) {
     ++this->counts.pull_failures;
-    this->listener.OnPull(this->pulled_from, what);
+    this->listener.OnPull(this->pulled_from, what, this->replaces_view);
     this->Act(busy ? this->sync.OnPullRefused(instead)
                    : this->sync.OnPullFailed(instead));
     return;
@@ -146,8 +148,9 @@
   const std::chrono::milliseconds now = this->clock.Now();
   const auto unconfirmed = this->view.Contact().Age(now);
   const common::Endpoint source = this->pulled_from;
+  const bool differs = this->replaces_view;
   this->Act(this->sync.OnPulled(std::move(copy->delta), copy->mark, now));
-  this->listener.OnPull(source, what);
+  this->listener.OnPull(source, what, differs);
   this->listener.OnPeerItems(source, true, unconfirmed);
 }
 
--- a/source/front/peer_exchange.h
+++ b/source/front/peer_exchange.h
@@ -31,8 +31,10 @@
   virtual void OnPeerItems(
       const common::Endpoint& peer, bool copy,
       std::optional<std::chrono::milliseconds> unconfirmed) = 0;
-  /// A whole copy was asked for, and how that ended; `what` is the log's word.
-  virtual void OnPull(const common::Endpoint& peer, std::string_view what) = 0;
+  /// A copy was asked for, and how that ended; `what` is the log's word.
+  /// `differs`: a full copy, as the own view differed from those of peers.
+  virtual void OnPull(const common::Endpoint& peer, std::string_view what,
+                      bool differs) = 0;
 };
 
 /// Counts since the process started.
@@ -44,6 +46,7 @@
   std::uint64_t too_long{0};  ///< Digests that no datagram holds.
   std::uint64_t pulls{0};
   std::uint64_t pull_failures{0};
+  std::uint64_t replacements{0};  ///< Full copies asked for by a wrong view.
   std::uint64_t copies_given{0};
   std::uint64_t copy_bytes_given{0};
   std::uint64_t copies_put_off{0};  ///< Askers that were sent to another.
@@ -96,6 +99,7 @@
   std::unique_ptr<http::Server> server;
   http::GetConnection connection;
   common::Endpoint pulled_from;
+  bool replaces_view{false};  ///< The running pull.
   ev::io readable;
   ExchangeCounts counts;
   std::optional<PackedView> whole;
--- a/tests/core/roster/peer_sync_test.cc
+++ b/tests/core/roster/peer_sync_test.cc
@@ -71,6 +71,13 @@
     this->store.CompleteTo({this->revision});
   }
 
+  /// The instance's view claims to hold the last change, and doesn't.
+  void LoseLastChange(std::size_t instance) {
+    LiveView& view = this->nodes[instance]->view;
+    view.OnPeerItems({view.Items().Complete(), {this->revision}, false, {}},
+                     this->now);
+  }
+
   void Run(milliseconds time) {
     for (const milliseconds end = this->now + time; this->now < end;) {
       this->now += kTick;
@@ -191,7 +198,7 @@
       }
       ++source.copies;
       const ItemDelta delta =
-          source.view.Items().Since(node.view.Items().Complete());
+          source.view.Items().Since(node.sync->PullsAfter());
       this->Send(to, node.sync->OnPulled(delta, source.sync->Status(this->now),
                                          this->now));
     }
@@ -278,6 +285,54 @@
   BOOST_TEST(evacuated() == 0U);
 }
 
+struct LostChangeRow {
+  const char* name;
+  std::size_t instances;
+  std::size_t domains;
+  std::size_t losers;           ///< Instances that lack the change.
+  std::uint64_t changes_after;  ///< Published in the seconds after it.
+};
+
+std::ostream& operator<<(std::ostream& out, const LostChangeRow& row) {
+  return out << row.name;
+}
+
+const LostChangeRow kLostChanges[] = {
+    {"one of six", 6, 1, 1, 0},
+    {"one of thirty", 30, 3, 1, 0},
+    {"one of thirty, further changes", 30, 3, 1, 10},
+    {"ten of 120 in a domain, further changes", 120, 4, 10, 10},
+};
+
+// Guards against a view that lacks a drain, claims to be complete and stays so.
+BOOST_DATA_TEST_CASE(a_view_that_lacks_a_change_is_replaced, kLostChanges,
+                     row) {
+  constexpr milliseconds kBound = 6s;
+  Fleet fleet(row.instances, row.domains, kBound);
+  PublishInitialItems(fleet);
+  fleet.Run(10s);
+
+  fleet.Write("target/a1",
+              TargetText("diary", "north", "10.0.0.1:80") + " draining");
+  for (std::size_t i = 0; i < row.losers; ++i) {
+    fleet.LoseLastChange(i * row.domains);
+  }
+  for (std::uint64_t i = 0; i < 10; ++i) {
+    if (i < row.changes_after) {
+      fleet.Write("target/b" + std::to_string(i),
+                  TargetText("diary", "north", "10.0.1.1:80"));
+    }
+    fleet.Run(kBound / 10);
+  }
+
+  std::size_t serving = 0;
+  for (std::size_t i = 0; i < row.instances; ++i) {
+    const TargetEntry* const target = fleet.At(i).view.Targets().Find({0xA1});
+    serving += target->phase == TargetPhase::kServing ? 1 : 0;
+  }
+  BOOST_TEST(serving == 0U);
+}
+
 // Guards against evacuations that instances miss in a rolling restart to this
 // release: the readers among those of the former one leave them out of the
 // changes that they tell and of the views that they give.
--- a/tests/core/view/item_store_test.cc
+++ b/tests/core/view/item_store_test.cc
@@ -71,6 +71,52 @@
   BOOST_TEST(store.Since({11}).items.size() == 1U);
 }
 
+struct ContentHashRow {
+  const char* name;
+  Item change;
+  bool known;  ///< Whether there is a content hash after the change.
+  bool same;   ///< Whether it is that of a store without the change.
+};
+
+std::ostream& operator<<(std::ostream& out, const ContentHashRow& row) {
+  return out << row.name;
+}
+
+const ContentHashRow kContentHashes[] = {
+    {"another revision", {"a", {4}, "x"}, true, false},
+    {"a further item", {"b", {4}, "x"}, true, false},
+    {"a removal", {"a", {4}, std::nullopt}, true, false},
+    {"an older change", {"a", {1}, "x"}, true, true},
+    {"the removal of an unknown item", {"b", {4}, std::nullopt}, true, true},
+    {"newer than the store", {"b", {7}, "x"}, false, false},
+};
+
+// Guards against replicas that differ and can't tell, and against those that
+// hold the same and seem to differ.
+BOOST_DATA_TEST_CASE(a_content_hash_tells_replicas_apart, kContentHashes, row) {
+  ItemStore first;
+  first.Replace({{"a", {2}, "x"}}, {5});
+  ItemStore second = first;
+
+  second.Merge(row.change);
+
+  BOOST_TEST(second.ContentHash().has_value() == row.known);
+  BOOST_TEST((first.ContentHash() == second.ContentHash()) == row.same);
+}
+
+// Guards against a wrong view that isn't put right by a copy which is a little
+// older, as copies are while changes go on.
+BOOST_AUTO_TEST_CASE(an_older_full_copy_adds_what_is_missing) {
+  ItemStore store;
+  store.Replace({{"a", {1}, "x"}, {"gone", {2}, "x"}}, {9});
+
+  store.Apply({{}, {8}, true, {{"a", {7}, "y"}}});
+
+  BOOST_TEST(store.Complete().value == 9U);
+  BOOST_TEST(*store.ValueOf("a") == "y");
+  BOOST_TEST(store.ValueOf("gone") == nullptr);
+}
+
 // Guards against a permanent gap in the view of an instance that gets deltas
 // from peers: a delta that starts after the own revision must be ignored.
 BOOST_AUTO_TEST_CASE(a_delta_with_a_gap_before_it_is_not_taken) {
@@ -130,6 +176,8 @@
   follower.Apply(publisher.Since(follower.Complete()));
 
   BOOST_TEST((publisher.Since({0}).items == follower.Since({0}).items));
+  BOOST_TEST((publisher.ContentHash() == follower.ContentHash()));
+  BOOST_TEST(publisher.ContentHash().has_value());
 }
 
 }  // namespace
--- a/tests/front/peer_codec_test.cc
+++ b/tests/front/peer_codec_test.cc
@@ -74,6 +74,23 @@
   BOOST_TEST(json[7][1][1] == "north-a");
 }
 
+// Guards against a content hash that is lost on the way, or taken for a member.
+BOOST_DATA_TEST_CASE(a_content_hash_comes_back_as_it_was,
+                     boost::unit_test::data::make(
+                         {std::uint64_t{0}, std::uint64_t{0xFEDCBA9876543210},
+                          UINT64_MAX}),
+                     content_hash) {
+  core::PeerDigest digest = Sample();
+  digest.content_hash = content_hash;
+
+  const auto read = DecodeDigest(EncodeDigest(digest));
+
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST((read->content_hash == digest.content_hash));
+  BOOST_TEST(read->known.size() == digest.known.size());
+  BOOST_TEST(!DecodeDigest(EncodeDigest(Sample()))->content_hash.has_value());
+}
+
 struct Load {
   std::size_t known;
   std::size_t pass_on;
