Soak: draw a bound of 3 or 6 s for changes

Cause: every seed played a bound of 3 s, with which a follower waits for 0.5 s at most before it reads the store; the delays of longer bounds, 3.5 s with 6 s, were never played. Change: each seed draws the bound, 3 or 6 s, from numbers of its own, writes it into the settings and judges by it; leaving targets stay accordingly longer. The listed seeds keep 3 s and their faults.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -26,8 +26,9 @@
         self.busy = asyncio.Lock()  # One kill, stop or freeze at a time.
 
     def write_settings(self, seeds):
-        times = {"grace_s": 6, "flow_life_s": 60, "apply_ms": 3000,
-                 "drain_ms": 3000, "evacuate_ms": 3000}
+        bound_ms = int(self.world.bound * 1000)
+        times = {"grace_s": 6, "flow_life_s": 60, "apply_ms": bound_ms,
+                 "drain_ms": bound_ms, "evacuate_ms": bound_ms}
         settings = {
             "instance": self.name, "domain": self.domain, "region": "r",
             "listen": {"packets": f"{self.ip}:{self.world.packet_port}",
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,8 +7,9 @@
 it runs, clients and targets check what the system promises:
 
   route    a flow opens only at a target of a service that a configuration allows
-  drain    no new flow at a target 3 s after it was published as leaving
-  config   a change is in force on every undisturbed instance within 3 s
+  drain    no new flow at a target later than the bound, 3 or 6 s, after it was
+           published as leaving
+  config   a change is in force on every undisturbed instance within the bound
   flow     an open flow is neither reset nor moved while its target lives
   unasked  no target gets a packet that no client sent so
   mixed    no client gets an answer that isn't its own
@@ -36,7 +37,8 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 from soak import fleet, store, world  # noqa: E402
 
-APPLY, DRAIN, EVACUATE, SLACK = 3.0, 3.0, 3.0, 0.5
+BOUNDS = [3.0, 6.0]  # Seconds in which a change must be in force.
+SLACK = 0.5
 DOMAINS = ["north-a", "north-b", "north-c"]
 SETTLE = 9.0  # Seconds without faults before the last judgement.
 JUDGED = 4.0  # Seconds of the last judgement.
@@ -59,6 +61,9 @@
         # others that it had before there were any.
         self.load_random = random.Random(f"{options.seed}/load")
         self.load_faults = options.seed not in BEFORE_LOAD
+        # Drawn from its own numbers as well, for the same reason.
+        self.bound = (random.Random(f"{options.seed}/bound").choice(BOUNDS)
+                      if self.load_faults else BOUNDS[0])
         self.load_settings = self.draw_load_settings()
         self.store = store.Store()
         self.packet_port = world.PACKET_PORT
@@ -159,12 +164,12 @@
         if not instance.calm():
             return
         if target.service not in self.allowed(route,
-                                              self.now() - APPLY - SLACK):
+                                              self.now() - self.bound - SLACK):
             self.broken("config", f"{route} at {where}")
-        if target.left_at and self.now() - target.left_at > DRAIN + SLACK:
+        if target.left_at and self.now() - target.left_at > self.bound + SLACK:
             self.broken("drain", f"{route} at {where}")
         since = self.evacuated.get(target.domain)
-        if since and self.now() - since > EVACUATE + SLACK:
+        if since and self.now() - since > self.bound + SLACK:
             self.broken("evacuate", f"{route} at {where} in {target.domain}")
 
     def check_reset(self, client, flow):
@@ -318,7 +323,8 @@
         await self.store_up()
         one.draining, one.left_at = True, self.now()
         one.publish()
-        await asyncio.sleep(self.random.uniform(3.5, 6))
+        await asyncio.sleep(self.bound - BOUNDS[0] +
+                            self.random.uniform(3.5, 6))
         one.end()
         await self.store_up()
         self.store.remove("servers/" + one.name)
