Pass removals on from instances without a history of them

What callers could see: after a common restart, flows placed at targets that have ended, with a view that seems current. Cause: a full copy or a listing holds live items only, so an instance that has just started knows no removals. Asked for the changes after a revision before its copy, it answered with a delta that lacks the removals between the two and claims to be complete. After a common restart most instances are such sources for each other. The same holds for items that were published and removed while an older instance heard nothing. Evidence: a_source_without_history_passes_removals_on fails on the code before in four of five rows. Change: an instance answers with a full copy if the asker's revision lies between its own one before its last listing or copy and that of the copy. Measured: core_steering, core_roster and core_fleet_start tests pass.

--- a/source/core/view/item_store.cc
+++ b/source/core/view/item_store.cc
@@ -69,6 +69,11 @@
     this->DropOldRemovalMarks();
     changed.push_back(std::move(key));
   }
+  if (at > this->complete) {
+    this->dropped_up_to = std::max(this->dropped_up_to, this->gap_to);
+    this->gap_from = this->complete;
+    this->gap_to = at;
+  }
   this->CompleteTo(at);
   return changed;
 }
@@ -112,9 +117,14 @@
   this->complete = std::max(this->complete, revision);
 }
 
+bool ItemStore::KnowsRemovalsAfter(common::Revision have) const {
+  const bool in_gap = have > this->gap_from && have < this->gap_to;
+  return have >= this->dropped_up_to && !in_gap;
+}
+
 ItemDelta ItemStore::Since(common::Revision have) const {
-  ItemDelta delta{
-      have, this->complete, have < this->dropped_up_to || have.value == 0, {}};
+  const bool whole = have.value == 0 || !this->KnowsRemovalsAfter(have);
+  ItemDelta delta{have, this->complete, whole, {}};
   for (const auto& [key, entry] : this->entries) {
     const bool wanted =
         delta.whole ? entry.value.has_value() : entry.revision > have;
--- a/source/core/view/item_store.h
+++ b/source/core/view/item_store.h
@@ -61,11 +61,13 @@
   /// complete at the same revision and hold the same items have the same one.
   /// Nothing while items newer than the own revision are merged.
   std::optional<std::uint64_t> ContentHash() const;
-  /// The changes after `have`; a full copy if `have` is 0 or removal marks
-  /// after it have been dropped.
+  /// The changes after `have`; a full copy if `have` is 0 or removals after it
+  /// may be unknown.
   ItemDelta Since(common::Revision have) const;
 
  private:
+  /// Whether all removals after `have` are known.
+  bool KnowsRemovalsAfter(common::Revision have) const;
   /// Returns the keys of the items that changed.
   std::vector<std::string> MergeAll(std::vector<Item> items);
   void DropOldRemovalMarks();
@@ -86,6 +88,10 @@
   common::Revision complete;
   /// Removal marks up to this revision may have been dropped.
   common::Revision dropped_up_to;
+  /// The own revision before the last listing or full copy, and the revision of
+  /// that. Items that were published and removed between the two left no mark.
+  common::Revision gap_from;
+  common::Revision gap_to;
 };
 
 }  // namespace sassafrasdyke::core
--- a/tests/core/view/item_store_test.cc
+++ b/tests/core/view/item_store_test.cc
@@ -145,6 +145,57 @@
   BOOST_TEST(!store.Since({1 + kRemovals}).whole);
 }
 
+struct RemovalRow {
+  const char* name;
+  bool listed;  ///< The source has listed the store, or got a copy.
+  std::uint64_t source_had;  ///< Its revision before that; 0: it was empty.
+  std::uint64_t have;        ///< The revision of the replica that asks it.
+};
+
+std::ostream& operator<<(std::ostream& out, const RemovalRow& row) {
+  return out << row.name;
+}
+
+const RemovalRow kRemovals[] = {
+    {"an empty source, a copy", false, 0, 6},
+    {"an empty source, a listing", true, 0, 6},
+    {"an older source, a copy", false, 3, 6},
+    {"an older source, a listing", true, 3, 6},
+    {"a replica as old as the source was", true, 3, 3},
+};
+
+// Guards against targets that stay in use after their end, as the changes came
+// from an instance that has just started and never heard of their removal.
+BOOST_DATA_TEST_CASE(a_source_without_history_passes_removals_on, kRemovals,
+                     row) {
+  ItemStore publisher;
+  publisher.Replace({{"a", {1}, "x"}, {"left", {3}, "x"}}, {3});
+  ItemStore source = row.source_had == 0 ? ItemStore() : publisher;
+  publisher.Merge({"short", {5}, "x"});
+  publisher.CompleteTo({6});
+  ItemStore replica;
+  replica.Apply(publisher.Since({0}));
+  if (row.have == 3) {
+    replica = source;
+  }
+  publisher.Merge({"left", {7}, std::nullopt});
+  publisher.Merge({"short", {8}, std::nullopt});
+  publisher.Merge({"a", {9}, "y"});
+  publisher.CompleteTo({9});
+
+  if (row.listed) {
+    source.Replace({{"a", {9}, "y"}}, {9});
+  } else {
+    source.Apply(publisher.Since({0}));
+  }
+  replica.Apply(source.Since({row.have}));
+
+  BOOST_TEST(replica.Complete().value == 9U);
+  BOOST_TEST(replica.ValueOf("left") == nullptr);
+  BOOST_TEST(replica.ValueOf("short") == nullptr);
+  BOOST_TEST((replica.ContentHash() == publisher.ContentHash()));
+}
+
 // Guards against replicas that differ after the same changes. Applies deltas
 // reordered and repeated, and compares the follower with the publisher.
 BOOST_DATA_TEST_CASE(replicas_converge_for_any_history,
