--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,9 +8,9 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 import stand_ins  # noqa: E402
 
-FEED = ("198.18.0.1", 8443)
-CONFIRM = ("198.18.0.1", 8080)
-GALLERY = ("198.18.0.2", 8443)
+FEED = ("127.250.0.1", 8443)
+CONFIRM = ("127.250.0.1", 8080)
+GALLERY = ("127.250.0.2", 8443)
 
 
 async def case(world):
