--- a/review/3/case.py
+++ b/review/3/case.py
@@ -99,4 +99,4 @@
 
 
 if __name__ == "__main__":
-    stand_ins.run(case, pathlib.Path(__file__).resolve().parent)
+    stand_ins.run(case, pathlib.Path(__file__).with_name("record.txt"))
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -93,11 +93,10 @@
 class World:
     """Addresses, ports, the store, the record and all stand-ins of a run."""
 
-    def __init__(self, folder):
+    def __init__(self, record):
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
-        self.record_file = open(pathlib.Path(folder) / "record.txt", "w",
-                                encoding="utf-8")
+        self.record_file = open(record, "w", encoding="utf-8")
         self.started = time.monotonic()
         self.random = random.Random(47)
         self.net = random.SystemRandom().randint(30, 220)
@@ -628,12 +627,13 @@
     finish(world, 1 if world.broken else 0)
 
 
-def run(case, folder):
-    """Runs a case, and exits with the status that the issue asks for."""
+def run(case, record):
+    """Runs a case, writes to the file `record` what was sent, answered and run,
+    and exits with the status that the issue asks for."""
     if not (ROOT / "target/source/app/sassafrasdyke").exists():
         print("the program isn't built", file=sys.stderr)
         sys.exit(2)
-    world = World(folder)
+    world = World(record)
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, lambda *_: finish(world, 2))
     asyncio.run(run_case(case, world))
