Log which target has taken an address

Cause: a `target` line with phase `gone` didn't say why. A removal, a deferred removal and a second entry at the same address looked alike, and the reset lines only said `replaced` without naming the other entry.

Change: the line names the target's address and, where another entry at it shows the end, that entry (`replaced_by`). One line a change of phase, as before.

--- a/source/core/view/target_table.cc
+++ b/source/core/view/target_table.cc
@@ -52,7 +52,10 @@
   entry.removal_effective_at.reset();
   const TargetPhase phase = this->PhaseOf(index, entry);
   entry.replaced = !this->ClaimAddress(index, now);
+  entry.replaced_by.clear();
   if (entry.replaced) {
+    const TargetIndex holder = this->by_address.at(target.address);
+    entry.replaced_by = this->At(holder).name;
     this->MarkGone(index, entry, now);
   } else {
     this->SetPhase(index, entry, phase);
@@ -95,6 +98,7 @@
       return false;
     }
     other.replaced = true;
+    other.replaced_by = this->At(index).name;
     this->MarkGone(holder->second, other, now);
   }
   holder->second = index;
@@ -276,8 +280,9 @@
     this->AddToServing(index, entry);
   }
   if (!same) {
-    this->changes.push_back(
-        {index, entry.name, entry.published.service, phase, entry.replaced});
+    this->changes.push_back({index, entry.name, entry.published.service, phase,
+                             entry.replaced, entry.replaced_by,
+                             entry.published.address});
   }
 }
 
--- a/source/core/view/target_table.h
+++ b/source/core/view/target_table.h
@@ -49,6 +49,7 @@
   std::chrono::milliseconds gone_at{0};
   /// Another target has its address, so it has certainly ended.
   bool replaced{false};
+  std::string replaced_by;  ///< That target's name; empty if not replaced.
 };
 
 /// Key of an entry; valid until the entry is erased.
@@ -61,6 +62,8 @@
   std::string service;
   TargetPhase phase{TargetPhase::kServing};
   bool replaced{false};  ///< See TargetEntry.
+  std::string replaced_by;
+  common::Endpoint address;
 };
 
 /// Targets of one service in phase kServing, by failure domain. No list is
--- a/source/front/front_log.cc
+++ b/source/front/front_log.cc
@@ -58,10 +58,15 @@
                 {{"key", unreadable.key}, {"why", unreadable.fault}}};
           },
           [](const core::TargetChange& target) {
-            return ViewLine{"target",
-                            {{"target", target.name},
-                             {"service", target.service},
-                             {"phase", core::Word(target.phase)}}};
+            ViewLine line{"target",
+                          {{"target", target.name},
+                           {"service", target.service},
+                           {"address", target.address.ToString()},
+                           {"phase", core::Word(target.phase)}}};
+            if (target.replaced) {
+              line.fields["replaced_by"] = target.replaced_by;
+            }
+            return line;
           },
           [](const core::RegionUnknown& unknown) {
             return ViewLine{"region-unknown", {{"unknown", unknown.domain}}};
--- a/tests/front/front_log_test.cc
+++ b/tests/front/front_log_test.cc
@@ -160,6 +160,27 @@
   BOOST_TEST(!written[1].contains("unconfirmed_ms"));
 }
 
+// Guards against a target that counts as ended while the log doesn't say which
+// target's entry showed that.
+BOOST_AUTO_TEST_CASE(a_replaced_target_names_its_successor) {
+  Scene scene;
+  const common::Endpoint address = *common::Endpoint::Parse("10.0.0.1:80");
+
+  for (const bool replaced : {true, false}) {
+    scene.log.OnViewChange(
+        core::TargetChange{core::TargetIndex{1}, "target/a1", "diary",
+                           core::TargetPhase::kGone, replaced,
+                           replaced ? "target/b2" : "", address},
+        {}, {}, 1000ms);
+  }
+
+  const std::vector<Json> written = scene.Written(1000ms);
+  BOOST_REQUIRE(written.size() == 2U);
+  BOOST_TEST(written[0]["address"] == "10.0.0.1:80");
+  BOOST_TEST(written[0]["replaced_by"] == "target/b2");
+  BOOST_TEST(!written[1].contains("replaced_by"));
+}
+
 // Guards against a late view of which the log doesn't tell whether peers know
 // more, and when the instance will read the store itself.
 BOOST_AUTO_TEST_CASE(a_late_view_names_what_it_waits_for) {
