Derive the phases of targets from what is published now

Cause: of two entries at an address the one with the higher revision ended the other, for good. A write of a crashed target that the store applied after its successor had registered ended the successor; when that entry expired, nothing revoked the end. And revisions order writes, not starts.

Change: an entry that is published, changes or goes leads to the phases of all targets at its address and with its word. The target that started last (`born`) has the address; starts that clocks can't order end nothing, the earlier target only takes no new flows. Without starts the revision decides as before, and a target that has answered since keeps its flows. A target that was shadowed by another one with its word is served once that one ends (same cause).

--- a/source/core/steering/flow_steering.cc
+++ b/source/core/steering/flow_steering.cc
@@ -244,14 +244,16 @@
 // If the target has ended, nothing will ever answer the flow; a reset lets the
 // client reconnect at once instead of waiting for its deadline. A target that
 // only lost its registration still answers, as its clients' acknowledgements or
-// a probe show, and keeps its flows.
+// a probe show, and keeps its flows. So does one whose address another entry
+// claims, if it has answered since: that entry is the outdated one.
 SteeringAction FlowSteering::OnGoneTarget(const FlowPacket& packet,
                                           TargetIndex index,
                                           const TargetEntry& target,
                                           std::chrono::milliseconds now) {
   const std::chrono::milliseconds answered = this->watch.LastAnswered(index);
+  const bool answered_since = answered > target.gone_at;
   const bool may_serve =
-      !target.replaced &&
+      (answered_since || !target.replaced) &&
       now - std::max(answered, target.gone_at) <= kGoneGracePeriod;
   if (may_serve || packet.payload_bytes == 0) {
     return SendToTarget{index, SteeringReason::kCarried};
--- a/source/core/view/live_view.cc
+++ b/source/core/view/live_view.cc
@@ -86,7 +86,7 @@
   const common::Revision revision = this->items.RevisionOf(key);
   auto read = this->publication.ReadItem(key, value);
   if (!read) {
-    this->targets.MarkUnreadable(key);
+    this->targets.MarkUnreadable(key, now);
     this->changes.push_back(ItemUnreadable{key, read.error()});
     return;
   }
--- a/source/core/view/published.h
+++ b/source/core/view/published.h
@@ -28,6 +28,8 @@
   /// How long after the entry's publication the target stays cold: it has just
   /// started and bears fewer requests.
   std::chrono::milliseconds warmup_left{0};
+  /// When it started: Unix time by its own clock; nothing if not published.
+  std::optional<std::chrono::milliseconds> started_at = std::nullopt;
   /// Of the entry's last change. Set by LiveView.
   common::Revision revision = {};
   /// When the target is warm, on this instance's monotonic clock. Set by
--- a/source/core/view/target_table.cc
+++ b/source/core/view/target_table.cc
@@ -1,6 +1,7 @@
 #include "core/view/target_table.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "common/hash.h"
@@ -42,77 +43,119 @@
 void TargetTable::Publish(const std::string& name,
                           const PublishedTarget& target,
                           std::chrono::milliseconds now) {
-  const TargetIndex index = this->IndexFor(name, target);
+  const TargetIndex index = this->IndexFor(name, target, now);
   TargetEntry& entry = this->entries.at(index);
-  // Must come before the entry changes: the list is found by its old service
-  // and domain.
+  // Must come before the entry changes: the lists are found by its old service,
+  // domain and address.
   this->RemoveFromServing(index, entry);
+  this->ReleaseAddress(index);
+  const common::Endpoint before = entry.published.address;
   entry.published = target;
   this->last_cold_until = std::max(this->last_cold_until, target.cold_until);
+  entry.listed = true;
+  entry.readable = true;
   entry.removal_effective_at.reset();
-  const TargetPhase phase = this->PhaseOf(index, entry);
-  entry.replaced = !this->ClaimAddress(index, now);
-  entry.replaced_by.clear();
-  if (entry.replaced) {
-    const TargetIndex holder = this->by_address.at(target.address);
-    entry.replaced_by = this->At(holder).name;
-    this->MarkGone(index, entry, now);
-  } else {
-    this->SetPhase(index, entry, phase);
-  }
-}
-
-TargetPhase TargetTable::PhaseOf(TargetIndex index, const TargetEntry& entry) {
-  // If two targets have the same word, the earlier one keeps it. Flows that
-  // carry the word belong to it; the other target would reset them.
-  const auto [owner, added] = this->by_word.try_emplace(entry.word, index);
-  const bool ended = owner->second != index &&
-                     this->At(owner->second).phase == TargetPhase::kGone;
-  if (ended) {
-    owner->second = index;
-  }
-  if (owner->second != index) {
+  this->ClaimAddress(index);
+  this->ResolveAddress(entry.published.address, now);
+  if (before != entry.published.address) {
+    this->ResolveAddress(before, now);
+  }
+}
+
+AddressClaim TargetTable::ClaimOf(TargetIndex index) const {
+  const TargetEntry& entry = this->At(index);
+  const PublishedTarget& target = entry.published;
+  return {target.started_at, target.revision, entry.name};
+}
+
+void TargetTable::ClaimAddress(TargetIndex index) {
+  this->by_address[this->At(index).published.address].push_back(index);
+}
+
+void TargetTable::ReleaseAddress(TargetIndex index) {
+  const auto claims = this->by_address.find(this->At(index).published.address);
+  if (claims == this->by_address.end()) {
+    return;
+  }
+  std::erase(claims->second, index);
+  if (claims->second.empty()) {
+    this->by_address.erase(claims);
+  }
+}
+
+void TargetTable::ResolveAddress(const common::Endpoint& address,
+                                 std::chrono::milliseconds now) {
+  const auto claims = this->by_address.find(address);
+  if (claims == this->by_address.end()) {
+    return;
+  }
+  const TargetIndex holder = *std::ranges::max_element(
+      claims->second, [this](TargetIndex a, TargetIndex b) {
+        return Outranks(this->ClaimOf(b), this->ClaimOf(a));
+      });
+  for (const TargetIndex index : claims->second) {
+    TargetEntry& entry = this->entries.at(index);
+    entry.standing = index == holder ? AddressStanding::kHolder
+                                     : StandingBeside(this->ClaimOf(index),
+                                                      this->ClaimOf(holder));
+    entry.replaced = entry.standing == AddressStanding::kReplaced;
+    entry.replaced_by = entry.replaced ? this->At(holder).name : "";
+  }
+  for (const TargetIndex index : claims->second) {
+    this->ResolveWord(this->At(index).word, now);
+  }
+}
+
+// Flows that carry a word belong to the target that started first; the other
+// one would reset them. Without a start it is the one that was taken first.
+bool TargetTable::PrecedesForWord(TargetIndex index, TargetIndex other) const {
+  const auto rank = [this](TargetIndex target) {
+    const TargetEntry& entry = this->At(target);
+    const bool ended = !entry.listed || entry.replaced;
+    return std::make_tuple(ended, entry.published.started_at.value_or(
+                                      std::chrono::milliseconds::max()));
+  };
+  return rank(index) < rank(other);
+}
+
+void TargetTable::ResolveWord(TargetWord word, std::chrono::milliseconds now) {
+  std::vector<TargetIndex>& sharing = this->by_word.at(word);
+  const auto owner =
+      std::ranges::min_element(sharing, [this](TargetIndex a, TargetIndex b) {
+        return this->PrecedesForWord(a, b);
+      });
+  std::iter_swap(sharing.begin(), owner);
+  for (const TargetIndex index : sharing) {
+    this->SetPhase(index, this->PhaseOf(index), now);
+  }
+}
+
+TargetPhase TargetTable::PhaseOf(TargetIndex index) const {
+  const TargetEntry& entry = this->At(index);
+  if (!entry.listed || entry.standing == AddressStanding::kReplaced) {
+    return TargetPhase::kGone;
+  }
+  if (entry.standing == AddressStanding::kContested ||
+      this->by_word.at(entry.word).front() != index) {
     return TargetPhase::kShadowed;
   }
+  if (!entry.readable) {
+    return TargetPhase::kUnreadable;
+  }
   return entry.published.draining ? TargetPhase::kDraining
                                   : TargetPhase::kServing;
 }
 
-// The platform reuses an address only after its target has ended. The entry of
-// a crashed target stays published for some heartbeats, and its flows would
-// hang for that time although the successor's entry proves that it has ended. A
-// listing holds both entries in any order, so their revisions decide which one
-// is the successor.
-bool TargetTable::ClaimAddress(TargetIndex index,
-                               std::chrono::milliseconds now) {
-  const PublishedTarget& target = this->At(index).published;
-  const auto [holder, added] =
-      this->by_address.try_emplace(target.address, index);
-  if (added || holder->second == index) {
-    return true;
-  }
-  TargetEntry& other = this->entries.at(holder->second);
-  const bool moved = other.published.address != target.address;
-  if (!moved && other.phase != TargetPhase::kGone) {
-    if (other.published.revision > target.revision) {
-      return false;
-    }
-    other.replaced = true;
-    other.replaced_by = this->At(index).name;
-    this->MarkGone(holder->second, other, now);
+void TargetTable::MarkUnreadable(const std::string& name,
+                                 std::chrono::milliseconds now) {
+  const auto found = this->by_name.find(name);
+  if (found == this->by_name.end()) {
+    return;
   }
-  holder->second = index;
-  return true;
-}
-
-void TargetTable::MarkUnreadable(const std::string& name) {
-  if (const auto found = this->by_name.find(name);
-      found != this->by_name.end()) {
-    TargetEntry& entry = this->entries.at(found->second);
+  if (TargetEntry& entry = this->entries.at(found->second); entry.listed) {
     entry.removal_effective_at.reset();
-    if (entry.phase != TargetPhase::kGone) {
-      this->SetPhase(found->second, entry, TargetPhase::kUnreadable);
-    }
+    entry.readable = false;
+    this->ResolveWord(entry.word, now);
   }
 }
 
@@ -123,7 +166,7 @@
     return;
   }
   TargetEntry& entry = this->entries.at(found->second);
-  if (entry.phase == TargetPhase::kGone) {
+  if (!entry.listed) {
     return;
   }
   if (due) {
@@ -131,37 +174,39 @@
     this->expiring.insert(found->second);
     return;
   }
-  this->MarkGone(found->second, entry, now);
+  this->Unlist(found->second, now);
 }
 
-void TargetTable::MarkGone(TargetIndex index, TargetEntry& entry,
-                           std::chrono::milliseconds now) {
+void TargetTable::Unlist(TargetIndex index, std::chrono::milliseconds now) {
+  TargetEntry& entry = this->entries.at(index);
+  entry.listed = false;
   entry.removal_effective_at.reset();
-  entry.gone_at = now;
-  this->expiring.insert(index);
-  this->SetPhase(index, entry, TargetPhase::kGone);
+  this->ReleaseAddress(index);
+  this->ResolveWord(entry.word, now);
+  this->ResolveAddress(entry.published.address, now);
 }
 
 void TargetTable::Expire(std::chrono::milliseconds now,
                          std::chrono::milliseconds confirmed_at) {
-  std::vector<TargetIndex> republished;
-  std::vector<TargetIndex> outdated;
+  std::vector<TargetIndex> due;
   for (const TargetIndex index : this->expiring) {
-    TargetEntry& entry = this->entries.at(index);
+    const TargetEntry& entry = this->At(index);
     if (entry.removal_effective_at &&
         *entry.removal_effective_at <= confirmed_at) {
-      this->MarkGone(index, entry, now);
-    }
-    const bool gone = entry.phase == TargetPhase::kGone;
-    if (!gone && !entry.removal_effective_at) {
-      republished.push_back(index);
-    } else if (gone && entry.gone_at + this->gone_retention < now) {
-      outdated.push_back(index);
+      due.push_back(index);
     }
   }
-  for (const TargetIndex index : republished) {
-    this->expiring.erase(index);
+  for (const TargetIndex index : due) {
+    this->Unlist(index, now);
   }
+  std::vector<TargetIndex> outdated;
+  std::erase_if(this->expiring, [&](TargetIndex index) {
+    const TargetEntry& entry = this->At(index);
+    if (!entry.listed && entry.gone_at + this->gone_retention < now) {
+      outdated.push_back(index);
+    }
+    return entry.listed && !entry.removal_effective_at;
+  });
   for (const TargetIndex index : outdated) {
     this->Erase(index);
   }
@@ -169,8 +214,9 @@
 
 const TargetEntry* TargetTable::Find(TargetWord word) const {
   const auto found = this->by_word.find(word);
-  return found == this->by_word.end() ? nullptr
-                                      : &this->entries.at(found->second);
+  return found == this->by_word.end()
+             ? nullptr
+             : &this->entries.at(found->second.front());
 }
 
 std::optional<TargetIndex> TargetTable::IndexOf(TargetWord word) const {
@@ -178,7 +224,7 @@
   if (found == this->by_word.end()) {
     return std::nullopt;
   }
-  return found->second;
+  return found->second.front();
 }
 
 const ServingTargets& TargetTable::ServingByDomain(
@@ -255,7 +301,8 @@
 }
 
 TargetIndex TargetTable::IndexFor(const std::string& name,
-                                  const PublishedTarget& target) {
+                                  const PublishedTarget& target,
+                                  std::chrono::milliseconds now) {
   if (const auto known = this->by_name.find(name);
       known != this->by_name.end()) {
     return known->second;
@@ -267,23 +314,33 @@
   entry.word = WordFor(target.number);
   // So that SetPhase() reports the first phase as a change.
   entry.phase = TargetPhase::kGone;
+  entry.gone_at = now;
   this->by_name[name] = index;
+  this->by_word[entry.word].push_back(index);
   return index;
 }
 
-void TargetTable::SetPhase(TargetIndex index, TargetEntry& entry,
-                           TargetPhase phase) {
+void TargetTable::SetPhase(TargetIndex index, TargetPhase phase,
+                           std::chrono::milliseconds now) {
+  TargetEntry& entry = this->entries.at(index);
   const bool same = entry.phase == phase;
   entry.phase = phase;
   this->RemoveFromServing(index, entry);
   if (phase == TargetPhase::kServing) {
     this->AddToServing(index, entry);
   }
-  if (!same) {
-    this->changes.push_back({index, entry.name, entry.published.service, phase,
-                             entry.replaced, entry.replaced_by,
-                             entry.published.address});
+  if (phase == TargetPhase::kGone) {
+    this->expiring.insert(index);
+  }
+  if (same) {
+    return;
+  }
+  if (phase == TargetPhase::kGone) {
+    entry.gone_at = now;
   }
+  this->changes.push_back(
+      {index, entry.name, entry.published.service, phase, entry.replaced,
+       entry.replaced_by, entry.published.address, entry.published.started_at});
 }
 
 void TargetTable::AddToServing(TargetIndex index, const TargetEntry& entry) {
@@ -347,15 +404,11 @@
 
 void TargetTable::Erase(TargetIndex index) {
   const auto found = this->entries.find(index);
-  const TargetEntry& entry = found->second;
-  this->by_name.erase(entry.name);
-  if (const auto word = this->by_word.find(entry.word);
-      word != this->by_word.end() && word->second == index) {
-    this->by_word.erase(word);
-  }
-  if (const auto address = this->by_address.find(entry.published.address);
-      address != this->by_address.end() && address->second == index) {
-    this->by_address.erase(address);
+  this->by_name.erase(found->second.name);
+  const auto sharing = this->by_word.find(found->second.word);
+  std::erase(sharing->second, index);
+  if (sharing->second.empty()) {
+    this->by_word.erase(sharing);
   }
   this->entries.erase(found);
   this->expiring.erase(index);
--- a/source/core/view/target_table.h
+++ b/source/core/view/target_table.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "common/ids.h"
+#include "core/view/address_claim.h"
 #include "core/view/published.h"
 #include "core/view/route_table.h"
 
@@ -30,7 +31,8 @@
   kServing,     ///< Accepts new flows.
   kDraining,    ///< Keeps its flows but accepts no new ones.
   kUnreadable,  ///< Its entry can't be read any more; keeps its flows.
-  kShadowed,    ///< Another target has the same word; keeps its flows.
+  kShadowed,    ///< Another target has its word, or probably has its address;
+                ///< keeps its flows.
   kGone,        ///< Has certainly ended: its flows get no answers.
 };
 
@@ -39,10 +41,14 @@
 
 /// A target and its state.
 struct TargetEntry {
-  std::string name;  ///< The key of its published entry.
-  PublishedTarget published;
+  std::string name;           ///< The key of its published entry.
+  PublishedTarget published;  ///< The last that could be decoded.
   TargetWord word;
   TargetPhase phase{TargetPhase::kServing};
+  /// Whether an entry is published, or its removal is deferred.
+  bool listed{false};
+  bool readable{true};  ///< Whether the published entry can be decoded.
+  AddressStanding standing{AddressStanding::kHolder};
   /// When a deferred removal takes effect; nothing if there is none. Removals
   /// are deferred if the entry may have expired while the target still serves.
   std::optional<std::chrono::milliseconds> removal_effective_at;
@@ -64,6 +70,8 @@
   bool replaced{false};  ///< See TargetEntry.
   std::string replaced_by;
   common::Endpoint address;
+  /// See PublishedTarget.
+  std::optional<std::chrono::milliseconds> started_at = std::nullopt;
 };
 
 /// Targets of one service in phase kServing, by failure domain. No list is
@@ -71,7 +79,9 @@
 using ServingTargets =
     std::map<std::string, std::vector<TargetIndex>, std::less<>>;
 
-/// Targets, indexed by name, word, address and service.
+/// Targets, indexed by name, word, address and service. The phase of a target
+/// follows from what is published now: a target that shares its address or word
+/// with another one is judged again whenever either of their entries changes.
 class TargetTable {
  public:
   /// `gone_retention`: how long packets for a target that has ended may still
@@ -84,7 +94,7 @@
                std::chrono::milliseconds now);
   /// The entry can't be decoded: the target gets no new flows and keeps its
   /// open ones.
-  void MarkUnreadable(const std::string& name);
+  void MarkUnreadable(const std::string& name, std::chrono::milliseconds now);
   /// The entry was removed. With `due` the removal takes effect only at that
   /// time, unless the entry is published again before.
   void Remove(const std::string& name, std::chrono::milliseconds now,
@@ -147,9 +157,28 @@
   std::vector<TargetIndex> TakeErased();
 
  private:
-  TargetIndex IndexFor(const std::string& name, const PublishedTarget& target);
-  TargetPhase PhaseOf(TargetIndex index, const TargetEntry& entry);
-  void SetPhase(TargetIndex index, TargetEntry& entry, TargetPhase phase);
+  /// Targets by something that one at a time can hold. Mostly one each.
+  template <typename Key, typename Hash = std::hash<Key>>
+  using Claims = std::unordered_map<Key, std::vector<TargetIndex>, Hash>;
+
+  TargetIndex IndexFor(const std::string& name, const PublishedTarget& target,
+                       std::chrono::milliseconds now);
+  AddressClaim ClaimOf(TargetIndex index) const;
+  /// The target is no longer listed.
+  void Unlist(TargetIndex index, std::chrono::milliseconds now);
+  void ClaimAddress(TargetIndex index);
+  void ReleaseAddress(TargetIndex index);
+  /// Determines the standing and phase of all targets that publish `address`.
+  void ResolveAddress(const common::Endpoint& address,
+                      std::chrono::milliseconds now);
+  /// Determines which target has the word, and the phase of all that share it.
+  void ResolveWord(TargetWord word, std::chrono::milliseconds now);
+  /// Whether the target is more likely than `other` to have the word that they
+  /// share.
+  bool PrecedesForWord(TargetIndex index, TargetIndex other) const;
+  TargetPhase PhaseOf(TargetIndex index) const;
+  void SetPhase(TargetIndex index, TargetPhase phase,
+                std::chrono::milliseconds now);
   using ServingByService = std::unordered_map<std::string, ServingTargets>;
 
   /// The lists that hold the domain's serving targets.
@@ -163,19 +192,15 @@
   /// they hold.
   static std::size_t MoveDomain(const std::string& domain,
                                 ServingByService& from, ServingByService& to);
-  /// Resolves two targets with the same address: the one whose entry changed
-  /// last is alive, the other has ended. Returns whether the target at `index`
-  /// is alive.
-  bool ClaimAddress(TargetIndex index, std::chrono::milliseconds now);
-  void MarkGone(TargetIndex index, TargetEntry& entry,
-                std::chrono::milliseconds now);
   void Erase(TargetIndex index);
 
   std::chrono::milliseconds gone_retention;
   std::unordered_map<TargetIndex, TargetEntry> entries;
   std::unordered_map<std::string, TargetIndex> by_name;
-  std::unordered_map<TargetWord, TargetIndex> by_word;
-  std::unordered_map<common::Endpoint, TargetIndex, EndpointHash> by_address;
+  /// All targets, listed or not; the first one has the word.
+  Claims<TargetWord> by_word;
+  /// Listed targets by the address that they publish.
+  Claims<common::Endpoint, EndpointHash> by_address;
   /// Serving targets that accept new flows, by service. No element is empty.
   ServingByService serving;
   /// Serving targets in evacuated domains, by service. No element is empty.
--- a/source/front/front_log.cc
+++ b/source/front/front_log.cc
@@ -63,6 +63,9 @@
                            {"service", target.service},
                            {"address", target.address.ToString()},
                            {"phase", core::Word(target.phase)}}};
+            if (target.started_at) {
+              line.fields["started_unix_ms"] = target.started_at->count();
+            }
             if (target.replaced) {
               line.fields["replaced_by"] = target.replaced_by;
             }
--- a/tests/core/steering/flow_steering_test.cc
+++ b/tests/core/steering/flow_steering_test.cc
@@ -4,6 +4,7 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <optional>
 #include <ostream>
 
 #include "core/steering/steering_scene.h"
@@ -280,6 +281,48 @@
                                             6500ms)) == "target-gone");
 }
 
+/// A request on a flow of a target at whose address another one is published
+/// `started_later` after its start.
+struct SharedAddressRow {
+  std::optional<std::chrono::milliseconds> started_later;
+  bool answers;  ///< A client acknowledges an answer of the flow's target.
+  std::string outcome;
+};
+
+std::ostream& operator<<(std::ostream& out, const SharedAddressRow& row) {
+  out << (row.answers ? "answers, " : "");
+  return row.started_later ? out << row.started_later->count() << " ms later"
+                           : out << "no start published";
+}
+
+const SharedAddressRow kSharedAddresses[] = {
+    {9000ms, false, "target-gone"}, {9000ms, true, "carried"},
+    {-9000ms, false, "carried"},    {3000ms, false, "carried"},
+    {-3000ms, false, "carried"},    {std::nullopt, false, "target-gone"},
+    {std::nullopt, true, "carried"}};
+
+// Guards against resetting flows of a live target, and against clients that
+// wait for a crashed one: another target's entry at its address ends its flows
+// only if that target started later, and it hasn't answered since.
+BOOST_DATA_TEST_CASE(a_shared_address_ends_flows_of_the_earlier_target_only,
+                     kSharedAddresses, row) {
+  const auto text = [&row](std::chrono::milliseconds start) {
+    const std::string target = "diary north 10.0.0.9:80";
+    return row.started_later
+               ? target + " start=" + std::to_string(start.count())
+               : target;
+  };
+  Scene scene;
+  scene.Publish("c1", text(20'000ms), 1000ms);
+  scene.Publish("c2", text(20'000ms + row.started_later.value_or(0ms)), 2000ms);
+  if (row.answers) {
+    scene.steering.OnPacket(SteeringScene::Ack(1000, 0xC1), 2100ms);
+  }
+
+  BOOST_TEST(WordOf(scene.steering.OnPacket(SteeringScene::Data(1000, 0xC1),
+                                            2200ms)) == row.outcome);
+}
+
 // A word of a target whose service the route never used is a client's error or
 // forged; the packet must not reach that service.
 BOOST_AUTO_TEST_CASE(a_packet_with_a_word_of_another_service_is_dropped) {
--- a/tests/core/view/live_view_test.cc
+++ b/tests/core/view/live_view_test.cc
@@ -270,6 +270,99 @@
   BOOST_TEST((fixture.PhaseOf(0xB2) == TargetPhase::kServing));
 }
 
+/// How an instance learns of a write that the store applies late.
+struct LateWriteRow {
+  const char* name;
+  bool from_peer;
+  bool listed;  ///< In a listing or full copy; else as a change.
+};
+
+std::ostream& operator<<(std::ostream& out, const LateWriteRow& row) {
+  return out << row.name;
+}
+
+const LateWriteRow kLateWrites[] = {
+    {"watched", false, false},
+    {"listed", false, true},
+    {"a peer's changes", true, false},
+    {"a peer's copy", true, true},
+};
+
+// Guards against ending a live target because the store applies a write of the
+// previous target at its address late, and against keeping it ended after that
+// entry has expired.
+BOOST_DATA_TEST_CASE(a_late_write_of_a_crashed_target_ends_no_successor,
+                     kLateWrites, row) {
+  ViewFixture fixture;
+  const Item late{
+      "target/b1", {5}, TargetText("diary", "north", "10.0.0.2:80 start=1000")};
+  const Item successor{
+      "target/c2",
+      {4},
+      TargetText("handover", "north", "10.0.0.2:80 start=9000")};
+  const auto apply = [&](std::optional<Item> change, std::uint64_t revision) {
+    std::vector<Item> items{successor};
+    if (row.listed) {
+      items.push_back({"configuration", {1}, "1 198.18.0.1:443=diary"});
+    }
+    if (change && (change->value || !row.listed)) {
+      items.push_back(*change);
+    }
+    const auto now = std::chrono::milliseconds{revision * 1000};
+    fixture.view.Contact().OnAnswer(now);
+    if (row.from_peer) {
+      fixture.view.OnPeerItems({{0}, {revision}, row.listed, items}, now);
+    } else if (row.listed) {
+      fixture.view.OnListing(items, {revision}, now);
+    } else {
+      fixture.view.OnChanges({items, {revision}}, now);
+    }
+  };
+  apply(std::nullopt, 4);
+
+  apply(late, 5);
+  BOOST_TEST((fixture.PhaseOf(0xC2) == TargetPhase::kServing));
+  BOOST_TEST((fixture.PhaseOf(0xB1) == TargetPhase::kGone));
+  BOOST_TEST(fixture.view.Targets().Find({0xB1})->replaced_by == "target/c2");
+
+  apply(Item{"target/b1", {6}, std::nullopt}, 6);
+  BOOST_TEST((fixture.PhaseOf(0xC2) == TargetPhase::kServing));
+  BOOST_TEST(fixture.view.Targets().Serving("handover").size() == 1U);
+}
+
+// Guards against keeping a target ended after the entry that seemed to show its
+// end was removed, where no target publishes its start.
+BOOST_AUTO_TEST_CASE(a_target_is_back_when_the_other_at_its_address_leaves) {
+  ViewFixture fixture;
+  fixture.view.OnChanges(
+      {{{"target/b2", {3}, TargetText("handover", "north", "10.0.0.1:80")}},
+       {3}},
+      100ms);
+  fixture.view.TakeChanges();
+
+  fixture.view.OnChanges({{{"target/b2", {4}, std::nullopt}}, {4}}, 200ms);
+
+  BOOST_TEST((fixture.PhaseOf(0xA1) == TargetPhase::kServing));
+  BOOST_TEST(!fixture.view.Targets().Find({0xA1})->replaced);
+  BOOST_TEST(fixture.view.Targets().Serving("diary").size() == 1U);
+}
+
+// Guards against a target that gets no new flows for as long as it lives
+// because another one with the same word existed when it was published.
+BOOST_AUTO_TEST_CASE(a_target_takes_flows_once_its_word_is_free) {
+  TargetTable table(60s);
+  PublishedTarget target{
+      {0xA1}, "diary", "north", *common::Endpoint::Parse("10.0.0.1:80")};
+  table.Publish("first", target, 0ms);
+  target.address.port = 81;
+  table.Publish("second", target, 0ms);
+
+  table.Remove("first", 1000ms, std::nullopt);
+
+  BOOST_REQUIRE(table.Serving("diary").size() == 1U);
+  BOOST_TEST(table.At(table.Serving("diary").front()).name == "second");
+}
+
 // Guards against misdirected packets when two numbers yield the same word: new
 // flows of the later target would go to the earlier one.
 BOOST_AUTO_TEST_CASE(the_later_of_two_targets_with_one_word_takes_no_flows) {
--- a/tests/core/view/sample_publication.h
+++ b/tests/core/view/sample_publication.h
@@ -2,7 +2,7 @@
 /// depend on a platform's adapter. A configuration is
 /// "VERSION ADDRESS=SERVICE[,SERVICE][@REGION][#RANK]...
 /// [warmup:SERVICE=RATE]...", a target is "SERVICE DOMAIN ADDRESS [draining]
-/// [cold=MS]", and an evacuation is
+/// [cold=MS] [start=MS]", and an evacuation is
 /// "{}" under the key "evacuation/DOMAIN". Other texts can't be decoded.
 #pragma once
 
@@ -80,6 +80,7 @@
  private:
   static constexpr std::string_view kWarmup = "warmup:";
   static constexpr std::string_view kCold = "cold=";
+  static constexpr std::string_view kStart = "start=";
 
   static std::vector<Item> ReadItems(std::istringstream& lines) {
     std::vector<Item> items;
@@ -148,6 +149,9 @@
       if (state.starts_with(kCold)) {
         target.warmup_left =
             std::chrono::milliseconds(std::stol(state.substr(kCold.size())));
+      } else if (state.starts_with(kStart)) {
+        target.started_at =
+            std::chrono::milliseconds(std::stol(state.substr(kStart.size())));
       } else {
         target.draining = true;
       }
--- a/tests/platform/store_codec_test.cc
+++ b/tests/platform/store_codec_test.cc
@@ -4,6 +4,7 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <optional>
 #include <ostream>
 #include <string>
 
@@ -29,6 +30,36 @@
   BOOST_TEST(target.slots == 2U);
   BOOST_TEST((target.warmup_left == 1500ms));
   BOOST_TEST(!target.draining);
+  BOOST_TEST((target.started_at == 1774190374013ms));
+}
+
+struct Start {
+  std::string born;
+  std::optional<std::chrono::milliseconds> started_at;
+};
+
+std::ostream& operator<<(std::ostream& out, const Start& row) {
+  return out << row.born;
+}
+
+const Start kStarts[] = {{"1774190374013", 1774190374013ms},
+                         {"0", 0ms},
+                         {"-5", std::nullopt},
+                         {"1774190374013.5", std::nullopt},
+                         {"\"1774190374013\"", std::nullopt},
+                         {"18446744073709551615", std::nullopt}};
+
+// Guards against targets that are ordered by starts which nobody has published.
+BOOST_DATA_TEST_CASE(a_start_is_read_if_it_is_a_time, kStarts, row) {
+  std::string text = kTarget;
+  const std::string born = "1774190374013";
+  text.replace(text.find(born), born.size(), row.born);
+
+  const auto item = StoreCodec().ReadItem("target/i-52c36f2787", text);
+
+  BOOST_REQUIRE(item.has_value());
+  BOOST_TEST(
+      (std::get<core::PublishedTarget>(*item).started_at == row.started_at));
 }
 
 struct Spoiled {
