Carry open flows whose route this instance doesn't know yet

Cause: for a packet on an unknown route only the age of the view decided. A view of any age lacks routes that were published since its last confirmation, and another instance may have opened the flow on one of these.

Change: a packet of an open flow on an unknown route goes to the known target that its word names, or is dropped, until a view that was confirmed 0.5 s after the first such packet still lacks the route. Words had this criterion already; MissingKeys serves both. Routes that this instance has seen withdrawn are refused at once, as are opening packets on unknown routes.

--- a/source/core/steering/flow_steering.cc
+++ b/source/core/steering/flow_steering.cc
@@ -11,18 +11,10 @@
 /// Maximum age of a view whose lack of a route is conclusive. Longer than the
 /// longest interval between two responses of the store to a pending watch.
 constexpr std::chrono::milliseconds kMaxFreshAge{2000};
-/// A view that was confirmed at least this long after a word was first seen,
-/// and still lacks it, shows that the target has ended: the instance that
-/// placed the flow knew the target before that, and this covers the propagation
-/// delay of stores and peers.
-constexpr std::chrono::milliseconds kPropagationTime{500};
 /// A target without an entry that answered a client within this time is alive
 /// and only cut off from the store; one whose entry was removed within this
 /// time may still serve its last flows.
 constexpr std::chrono::milliseconds kGoneGracePeriod{1000};
-/// Maximum number of unknown words remembered, so that forged ones can't
-/// exhaust memory.
-constexpr std::size_t kMaxUnknownWords = 256;
 
 /// Whether the packet is a bare ACK, by which a client confirms that data from
 /// the target arrived.
@@ -45,10 +37,16 @@
     return this->OnSyn(packet, grant, now);
   }
   const Route* const route = this->view.routes.Find(packet.flow.service);
-  if (route == nullptr) {
-    return this->OnUnknownRoute(now);
+  if (route == nullptr && this->IsUnpublished(packet.flow.service, now)) {
+    return Refuse{RefusalReason::kNoRoute};
   }
-  return this->OnEstablished(packet, *route, now);
+  return this->OnEstablished(packet, route, now);
+}
+
+bool FlowSteering::IsUnpublished(const common::Endpoint& route,
+                                 std::chrono::milliseconds now) {
+  return this->view.routes.WasWithdrawn(route, now) ||
+         this->unknown_routes.IsUnpublished(route, this->ConfirmedAt(now), now);
 }
 
 SteeringAction FlowSteering::OnUnknownRoute(
@@ -164,8 +162,10 @@
   return SendToTarget{chosen->target, SteeringReason::kRetried};
 }
 
+// Another instance may have opened the flow on a route that this one hasn't
+// learnt of (`route` is null then). The word shows that it has.
 SteeringAction FlowSteering::OnEstablished(const FlowPacket& packet,
-                                           const Route& route,
+                                           const Route* route,
                                            std::chrono::milliseconds now) {
   const auto index = this->view.targets.IndexOf(packet.word);
   if (!index) {
@@ -176,7 +176,8 @@
   // flows placed under an older one are still open, so it accepts the word of
   // any known target.
   const bool knows_old_routes = now > this->view.routes.FlowLife();
-  if (knows_old_routes && !route.MayUse(target.published.service, now)) {
+  if (route != nullptr && knows_old_routes &&
+      !route->MayUse(target.published.service, now)) {
     return SilentDrop{SilentDropReason::kOtherService};
   }
   // A client that acknowledges new data has received it from the target. In a
@@ -202,7 +203,7 @@
   return SendToTarget{*index, SteeringReason::kCarried};
 }
 
-void FlowSteering::TrackRequests(const FlowPacket& packet, const Route& route,
+void FlowSteering::TrackRequests(const FlowPacket& packet, const Route* route,
                                  TargetIndex target,
                                  const FlowProgress& progress,
                                  std::chrono::milliseconds now) {
@@ -222,7 +223,9 @@
       const PublishedTarget& from = this->view.targets.At(target).published;
       this->answer_times.OnAnswer(from.service, from.domain == this->domain,
                                   *timing, now);
-      this->limiter.OnAnswer(target, route, *timing, now);
+      if (route != nullptr) {
+        this->limiter.OnAnswer(target, *route, *timing, now);
+      }
       for (RequestObserver* const observer : this->observers) {
         observer->OnAnswer(target, *timing, now);
       }
@@ -262,32 +265,27 @@
 }
 
 // Another instance may already use a target that this one hasn't learnt of, so
-// the packet is first dropped, and the client retransmits it. Only if a view
-// that was confirmed after the first packet still lacks the word has the target
-// ended. The age of the view alone doesn't show that: a new target may be in
-// use elsewhere while the last confirmation is a second old.
+// the packet is first dropped, and the client retransmits it.
 SteeringAction FlowSteering::OnUnknownTarget(const FlowPacket& packet,
                                              std::chrono::milliseconds now) {
   if (this->view.contact.LapseLikely(now)) {
-    this->unknown_words.erase(packet.word);
-    return SilentDrop{SilentDropReason::kUnknownTarget};
-  }
-  const bool has_space = this->unknown_words.size() < kMaxUnknownWords;
-  const auto found = this->unknown_words.find(packet.word);
-  if (found == this->unknown_words.end()) {
-    if (has_space) {
-      this->unknown_words.emplace(packet.word, now);
-    }
+    this->unknown_words.Forget(packet.word);
     return SilentDrop{SilentDropReason::kUnknownTarget};
   }
-  const auto age = this->view.contact.Age(now);
-  const bool confirmed = age && now - *age >= found->second + kPropagationTime;
-  if (!confirmed || packet.payload_bytes == 0) {
+  const bool ended = this->unknown_words.IsUnpublished(
+      packet.word, this->ConfirmedAt(now), now);
+  if (!ended || packet.payload_bytes == 0) {
     return SilentDrop{SilentDropReason::kUnknownTarget};
   }
   return Refuse{RefusalReason::kTargetGone};
 }
 
+std::optional<std::chrono::milliseconds> FlowSteering::ConfirmedAt(
+    std::chrono::milliseconds now) const {
+  const auto age = this->view.contact.Age(now);
+  return age ? std::make_optional(now - *age) : std::nullopt;
+}
+
 bool FlowSteering::ViewIsFresh(std::chrono::milliseconds now) const {
   const auto age = this->view.contact.Age(now);
   return age && *age <= kMaxFreshAge;
@@ -297,9 +295,12 @@
   this->half_open_flows.Expire(now);
   this->memory.Expire(now);
   this->pending.Expire(now);
-  std::erase_if(this->unknown_words, [&](const auto& entry) {
-    return this->view.targets.Find(entry.first) != nullptr ||
-           now - entry.second > this->view.routes.FlowLife();
+  const auto oldest = now - this->view.routes.FlowLife();
+  this->unknown_words.Expire(oldest, [this](TargetWord word) {
+    return this->view.targets.Find(word) != nullptr;
+  });
+  this->unknown_routes.Expire(oldest, [this](const common::Endpoint& route) {
+    return this->view.routes.Find(route) != nullptr;
   });
 }
 
--- a/source/core/steering/flow_steering.h
+++ b/source/core/steering/flow_steering.h
@@ -6,8 +6,8 @@
 
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "core/steering/answer_times.h"
@@ -15,6 +15,7 @@
 #include "core/steering/flow_memory.h"
 #include "core/steering/flow_packet.h"
 #include "core/steering/half_open_table.h"
+#include "core/steering/missing_keys.h"
 #include "core/steering/pending_requests.h"
 #include "core/steering/shared_observations.h"
 #include "core/steering/target_choice.h"
@@ -107,11 +108,11 @@
   SteeringAction OnRepeatedSyn(const FlowPacket& packet,
                                HalfOpenFlow& half_open, const Route& route,
                                std::chrono::milliseconds now);
-  SteeringAction OnEstablished(const FlowPacket& packet, const Route& route,
+  SteeringAction OnEstablished(const FlowPacket& packet, const Route* route,
                                std::chrono::milliseconds now);
   /// A packet was sent of which the target left an earlier copy unanswered.
   void OnUnanswered(TargetIndex target, std::chrono::milliseconds now);
-  void TrackRequests(const FlowPacket& packet, const Route& route,
+  void TrackRequests(const FlowPacket& packet, const Route* route,
                      TargetIndex target, const FlowProgress& progress,
                      std::chrono::milliseconds now);
   SteeringAction OnGoneTarget(const FlowPacket& packet, TargetIndex index,
@@ -129,6 +130,13 @@
   /// that the route doesn't allow.
   bool EveryDomainExcluded(const Route& route) const;
   SteeringAction OnUnknownRoute(std::chrono::milliseconds now) const;
+  /// Whether an open flow's route, which the view lacks, isn't published: it
+  /// was withdrawn, or there never was one.
+  bool IsUnpublished(const common::Endpoint& route,
+                     std::chrono::milliseconds now);
+  /// When the view was last confirmed; nothing if never.
+  std::optional<std::chrono::milliseconds> ConfirmedAt(
+      std::chrono::milliseconds now) const;
   bool ViewIsFresh(std::chrono::milliseconds now) const;
 
   SteeringView view;
@@ -142,8 +150,10 @@
   ConcurrencyLimiter limiter;
   HalfOpenTable half_open_flows;
   FlowMemory memory;
-  /// Words that match no known target, with the time each was first seen.
-  std::unordered_map<TargetWord, std::chrono::milliseconds> unknown_words;
+  /// Words that match no known target.
+  MissingKeys<TargetWord> unknown_words;
+  /// Addresses of open flows that match no known route.
+  MissingKeys<common::Endpoint, EndpointHash> unknown_routes;
 };
 
 }  // namespace sassafrasdyke::core
--- a/source/core/view/route_table.cc
+++ b/source/core/view/route_table.cc
@@ -78,7 +78,15 @@
       AddFormerServices(*before, route, now, this->flow_life);
     }
   }
+  for (const auto& [address, route] : this->routes) {
+    if (!next.contains(address)) {
+      this->withdrawn[address] = now + this->flow_life;
+    }
+  }
   this->routes = std::move(next);
+  std::erase_if(this->withdrawn, [&](const auto& entry) {
+    return entry.second <= now || this->routes.contains(entry.first);
+  });
   this->warmup_rates.clear();
   for (const PublishedService& service : configuration.services) {
     if (service.warmup_rate) {
@@ -96,6 +104,12 @@
                                            : std::make_optional(found->second);
 }
 
+bool RouteTable::WasWithdrawn(const common::Endpoint& address,
+                              std::chrono::milliseconds now) const {
+  const auto found = this->withdrawn.find(address);
+  return found != this->withdrawn.end() && found->second > now;
+}
+
 const Route* RouteTable::Find(const common::Endpoint& address) const {
   const auto found = this->routes.find(address);
   return found == this->routes.end() ? nullptr : &found->second;
--- a/source/core/view/route_table.h
+++ b/source/core/view/route_table.h
@@ -72,6 +72,10 @@
   std::chrono::milliseconds FlowLife() const { return this->flow_life; }
   /// The published limit of the service's cold targets; see PublishedService.
   std::optional<double> WarmupRate(const std::string& service) const;
+  /// Whether the address had a route within the lifetime of a flow, and has
+  /// none now.
+  bool WasWithdrawn(const common::Endpoint& address,
+                    std::chrono::milliseconds now) const;
   /// The route of this address; null if there is none.
   const Route* Find(const common::Endpoint& address) const;
 
@@ -80,6 +84,10 @@
   std::uint64_t version{0};
   bool restricts_regions{false};
   std::unordered_map<common::Endpoint, Route, EndpointHash> routes;
+  /// Addresses whose route was withdrawn, each with the time until which its
+  /// flows may still be open.
+  std::unordered_map<common::Endpoint, std::chrono::milliseconds, EndpointHash>
+      withdrawn;
   std::unordered_map<std::string, double> warmup_rates;  ///< By service.
 };
 
--- a/tests/core/steering/flow_steering_test.cc
+++ b/tests/core/steering/flow_steering_test.cc
@@ -137,6 +137,56 @@
                                             20ms)) == "no-route");
 }
 
+/// A packet of an open flow on a route that the view lacks. Packets of the flow
+/// have come since 1000 ms; the view was last confirmed then.
+struct LackedRouteRow {
+  std::string name;
+  std::uint32_t word;
+  std::chrono::milliseconds at;
+  std::optional<std::chrono::milliseconds> confirmed_at;
+  std::string outcome;
+};
+
+std::ostream& operator<<(std::ostream& out, const LackedRouteRow& row) {
+  return out << row.name;
+}
+
+const LackedRouteRow kLackedRoutes[] = {
+    {"at once", 0xA1, 1000ms, std::nullopt, "carried"},
+    {"before a confirmation", 0xA1, 2900ms, std::nullopt, "carried"},
+    {"soon after a confirmation", 0xA1, 1500ms, 1400ms, "carried"},
+    {"a view that shows there is none", 0xA1, 1600ms, 1500ms, "no-route"},
+    {"an unknown target, at once", 0xC1, 1000ms, std::nullopt,
+     "unknown-target"},
+    {"an unknown target, later", 0xC1, 1600ms, 1500ms, "no-route"},
+};
+
+// Guards against resetting an open flow because this instance learns later than
+// another one of the route on which that one has opened it.
+BOOST_DATA_TEST_CASE(an_open_flow_outlives_a_view_without_its_route,
+                     kLackedRoutes, row) {
+  Scene scene;
+  const auto packet = [&row] {
+    FlowPacket packet = SteeringScene::Data(1000, row.word);
+    packet.flow.service = *common::Endpoint::Parse("198.18.0.9:443");
+    return packet;
+  };
+  scene.view.Contact().OnAnswer(1000ms);
+  std::string outcome(WordOf(scene.steering.OnPacket(packet(), 1000ms)));
+  if (row.confirmed_at) {
+    scene.view.Contact().OnAnswer(*row.confirmed_at);
+  }
+  if (row.at > 1000ms) {
+    outcome = WordOf(scene.steering.OnPacket(packet(), row.at));
+  }
+  BOOST_TEST(outcome == row.outcome);
+
+  if (row.word == 0xA1) {
+    scene.Configure("2 198.18.0.1:443=diary 198.18.0.9:443=diary", row.at);
+    BOOST_TEST(WordOf(scene.steering.OnPacket(packet(), row.at)) == "carried");
+  }
+}
+
 // A target's SYN-ACK that is misrouted to an instance must never reach a
 // target, which would take it for a forged one.
 BOOST_AUTO_TEST_CASE(a_syn_ack_is_dropped) {
