Test that a moved target's first address can be used again

Cause: the index of addresses kept the first address of a target that had moved and been erased since, and the next entry at it was looked up by a stale index.

Evidence: the test fails on with std::out_of_range from unordered_map::at in Publish, with a new name and word and no flow, which rules out the other indexes and the lists of serving targets.

--- a/tests/core/view/live_view_test.cc
+++ b/tests/core/view/live_view_test.cc
@@ -363,6 +363,29 @@
   BOOST_TEST(table.At(table.Serving("diary").front()).name == "second");
 }
 
+// Guards against an instance that ends by an exception: the address that a
+// target left is used again after the target has been erased.
+BOOST_AUTO_TEST_CASE(an_address_that_a_target_left_can_be_used_again) {
+  ViewFixture fixture;
+  const auto change = [&fixture](const Item& item,
+                                 std::chrono::milliseconds now) {
+    fixture.view.Contact().OnAnswer(now);
+    fixture.view.OnChanges({{item}, item.revision}, now);
+    fixture.view.OnTick(now);
+  };
+  change({"target/a1", {3}, TargetText("diary", "north", "10.0.0.2:80")},
+         1000ms);
+  change({"target/a1", {4}, std::nullopt}, 2000ms);
+  change({"target/c3", {5}, TargetText("diary", "north", "10.0.0.3:80")},
+         2001ms + kFlowLife);
+  BOOST_REQUIRE(fixture.view.Targets().Find({0xA1}) == nullptr);
+
+  change({"target/b2", {6}, TargetText("diary", "north", "10.0.0.1:80")},
+         2002ms + kFlowLife);
+
+  BOOST_TEST((fixture.PhaseOf(0xB2) == TargetPhase::kServing));
+}
+
 // Guards against misdirected packets when two numbers yield the same word: new
 // flows of the later target would go to the earlier one.
 BOOST_AUTO_TEST_CASE(the_later_of_two_targets_with_one_word_takes_no_flows) {
