Let no entry of an unnamed service take a target's address or word

Cause: an entry of any service took part in deciding who has an address.

With starts deciding no flow was reset, but the target was `shadowed` and got no new flows.

Change: targets of services that the configuration in force names come before others for an address and a word. Others are shadowed, not ended, as the configuration that names them may be on its way; a new configuration decides again. The fixture of live_view_test names the service `handover` in its configuration, as its successors belong to it; the checks are the same.

--- a/source/core/view/address_claim.cc
+++ b/source/core/view/address_claim.cc
@@ -15,7 +15,8 @@
 // start is published.
 bool Outranks(const AddressClaim& a, const AddressClaim& b) {
   const auto rank = [](const AddressClaim& claim) {
-    return std::make_tuple(claim.started_at.value_or(kNoStart), claim.revision,
+    return std::make_tuple(claim.service_known,
+                           claim.started_at.value_or(kNoStart), claim.revision,
                            claim.name);
   };
   return rank(a) > rank(b);
@@ -23,8 +24,10 @@
 
 AddressStanding StandingBeside(const AddressClaim& claim,
                                const AddressClaim& holder) {
-  // Not all programs that register targets need publish starts.
-  if (claim.started_at.has_value() != holder.started_at.has_value()) {
+  // A configuration that names the service may be on its way, and not all
+  // programs that register targets need publish starts.
+  if (claim.service_known != holder.service_known ||
+      claim.started_at.has_value() != holder.started_at.has_value()) {
     return AddressStanding::kContested;
   }
   const bool in_order =
--- a/source/core/view/address_claim.h
+++ b/source/core/view/address_claim.h
@@ -19,6 +19,8 @@
 
 /// What is known of a target that publishes an address.
 struct AddressClaim {
+  /// Whether the configuration in force names the target's service.
+  bool service_known{false};
   /// See PublishedTarget.
   std::optional<std::chrono::milliseconds> started_at;
   /// Of the last change of its entry.
--- a/source/core/view/live_view.cc
+++ b/source/core/view/live_view.cc
@@ -1,8 +1,27 @@
 #include "core/view/live_view.h"
 
+#include <unordered_set>
 #include <utility>
 
 namespace sassafrasdyke::core {
+namespace {
+
+/// The services that a configuration names, with routes or without.
+std::unordered_set<std::string> ServicesOf(
+    const PublishedConfiguration& configuration) {
+  std::unordered_set<std::string> names;
+  for (const PublishedService& service : configuration.services) {
+    names.insert(service.name);
+  }
+  for (const PublishedRoute& route : configuration.routes) {
+    for (const ServiceShare& share : route.shares) {
+      names.insert(share.service);
+    }
+  }
+  return names;
+}
+
+}  // namespace
 
 void LiveView::OnListing(std::vector<Item> items, common::Revision at,
                          std::chrono::milliseconds now) {
@@ -130,11 +149,13 @@
                                   std::chrono::milliseconds now) {
   const std::uint64_t version = configuration.version;
   const std::uint64_t before = this->routes.Version();
+  std::unordered_set<std::string> services = ServicesOf(configuration);
   const auto outcome = this->routes.Replace(std::move(configuration), now);
   if (outcome == ConfigurationOutcome::kOlder) {
     this->changes.emplace_back(ConfigurationRefused{version, before});
     return;
   }
+  this->targets.SetServices(std::move(services), now);
   this->changes.emplace_back(
       ConfigurationInForce{version, this->routes.Size()});
 }
--- a/source/core/view/published.h
+++ b/source/core/view/published.h
@@ -60,7 +60,7 @@
   std::vector<std::string> allowed_regions = {};
 };
 
-/// What a configuration says of a service.
+/// A service that a configuration names.
 struct PublishedService {
   std::string name;
   /// New flows that a cold target bears, per second and from all instances
--- a/source/core/view/target_table.cc
+++ b/source/core/view/target_table.cc
@@ -65,7 +65,8 @@
 AddressClaim TargetTable::ClaimOf(TargetIndex index) const {
   const TargetEntry& entry = this->At(index);
   const PublishedTarget& target = entry.published;
-  return {target.started_at, target.revision, entry.name};
+  return {this->IsKnownService(target.service), target.started_at,
+          target.revision, entry.name};
 }
 
 void TargetTable::ClaimAddress(TargetIndex index) {
@@ -112,8 +113,9 @@
   const auto rank = [this](TargetIndex target) {
     const TargetEntry& entry = this->At(target);
     const bool ended = !entry.listed || entry.replaced;
-    return std::make_tuple(ended, entry.published.started_at.value_or(
-                                      std::chrono::milliseconds::max()));
+    return std::make_tuple(
+        ended, !this->IsKnownService(entry.published.service),
+        entry.published.started_at.value_or(std::chrono::milliseconds::max()));
   };
   return rank(index) < rank(other);
 }
@@ -159,6 +161,24 @@
   }
 }
 
+void TargetTable::SetServices(std::unordered_set<std::string> names,
+                              std::chrono::milliseconds now) {
+  if (this->services == names) {
+    return;
+  }
+  this->services = std::move(names);
+  for (const auto& [address, claims] : this->by_address) {
+    if (claims.size() > 1) {
+      this->ResolveAddress(address, now);
+    }
+  }
+  for (const auto& [word, sharing] : this->by_word) {
+    if (sharing.size() > 1) {
+      this->ResolveWord(word, now);
+    }
+  }
+}
+
 void TargetTable::Remove(const std::string& name, std::chrono::milliseconds now,
                          std::optional<std::chrono::milliseconds> due) {
   const auto found = this->by_name.find(name);
--- a/source/core/view/target_table.h
+++ b/source/core/view/target_table.h
@@ -102,6 +102,11 @@
   /// Withholds new flows from all targets of a domain, or ends that; targets
   /// keep their phases. Returns how many serving targets it affects.
   std::size_t SetEvacuated(const std::string& domain, bool evacuated);
+  /// Replaces the names of the services that the configuration in force names.
+  /// An entry of another service may be another program's, so it takes no
+  /// address or word from a target.
+  void SetServices(std::unordered_set<std::string> names,
+                   std::chrono::milliseconds now);
   /// Applies deferred removals that were due when the view was last confirmed,
   /// and erases targets that ended long ago. An instance that has been
   /// disconnected since the removal can't know whether the target has
@@ -163,6 +168,9 @@
 
   TargetIndex IndexFor(const std::string& name, const PublishedTarget& target,
                        std::chrono::milliseconds now);
+  bool IsKnownService(const std::string& service) const {
+    return this->services.contains(service);
+  }
   AddressClaim ClaimOf(TargetIndex index) const;
   /// The target is no longer listed.
   void Unlist(TargetIndex index, std::chrono::milliseconds now);
@@ -201,6 +209,7 @@
   Claims<TargetWord> by_word;
   /// Listed targets by the address that they publish.
   Claims<common::Endpoint, EndpointHash> by_address;
+  std::unordered_set<std::string> services;
   /// Serving targets that accept new flows, by service. No element is empty.
   ServingByService serving;
   /// Serving targets in evacuated domains, by service. No element is empty.
--- a/tests/core/view/live_view_test.cc
+++ b/tests/core/view/live_view_test.cc
@@ -24,7 +24,9 @@
   ViewFixture() : view(publication, kFlowLife) {
     this->view.Contact().OnAnswer(0ms);
     this->view.OnListing(
-        {{"configuration", {1}, "1 198.18.0.1:443=diary"},
+        {{"configuration",
+          {1},
+          "1 198.18.0.1:443=diary 198.18.0.2:443=handover"},
          {"target/a1", {2}, TargetText("diary", "north", "10.0.0.1:80")}},
         {2}, 0ms);
   }
@@ -347,6 +349,72 @@
   BOOST_TEST(fixture.view.Targets().Serving("diary").size() == 1U);
 }
 
+/// An entry of a service that no configuration names, at the address of a
+/// living target.
+struct ForeignEntryRow {
+  const char* name;
+  const char* key;
+  std::string start;          ///< Words of the target's entry.
+  std::string foreign_start;  ///< Words of the foreign one.
+};
+
+std::ostream& operator<<(std::ostream& out, const ForeignEntryRow& row) {
+  return out << row.name;
+}
+
+const ForeignEntryRow kForeignEntries[] = {
+    {"no starts", "target/b2", "", ""},
+    {"a start in the foreign entry only", "target/b2", "", " start=90000"},
+    {"a later start", "target/b2", " start=1000", " start=90000"},
+    {"the same number", "target/0a1", " start=90000", " start=1000"},
+};
+
+// Guards against an entry of another program that ends a living target.
+BOOST_DATA_TEST_CASE(an_entry_of_an_unnamed_service_ends_no_target,
+                     kForeignEntries, row) {
+  ViewFixture fixture;
+  const std::string address = "10.0.0.1:80";
+  fixture.view.OnChanges(
+      {{{"target/a1", {3}, TargetText("diary", "north", address + row.start)}},
+       {3}},
+      50ms);
+
+  fixture.view.OnChanges(
+      {{{row.key,
+         {4},
+         TargetText("menu", "north", address + row.foreign_start)}},
+       {4}},
+      100ms);
+
+  BOOST_TEST((fixture.PhaseOf(0xA1) == TargetPhase::kServing));
+  BOOST_TEST(fixture.view.Targets().Serving("diary").size() == 1U);
+  BOOST_TEST(fixture.view.Targets().Serving("menu").empty());
+}
+
+// Guards against ending a target that another instance already uses, as the
+// configuration that names its service is on its way, and against keeping its
+// predecessor once the configuration is there.
+BOOST_AUTO_TEST_CASE(a_successor_of_a_new_service_waits_for_its_configuration) {
+  ViewFixture fixture;
+  fixture.view.OnChanges(
+      {{{"target/b1",
+         {3},
+         TargetText("diary", "north", "10.0.0.2:80 start=1000")},
+        {"target/c2",
+         {4},
+         TargetText("menu", "north", "10.0.0.2:80 start=60000")}},
+       {4}},
+      100ms);
+  BOOST_TEST((fixture.PhaseOf(0xB1) == TargetPhase::kServing));
+  BOOST_TEST((fixture.PhaseOf(0xC2) == TargetPhase::kShadowed));
+
+  fixture.view.OnChanges(
+      {{{"configuration", {5}, "2 198.18.0.1:443=diary,menu"}}, {5}}, 200ms);
+
+  BOOST_TEST((fixture.PhaseOf(0xB1) == TargetPhase::kGone));
+  BOOST_TEST((fixture.PhaseOf(0xC2) == TargetPhase::kServing));
+}
+
 // Guards against a target that gets no new flows for as long as it lives
 // because another one with the same word existed when it was published.
 BOOST_AUTO_TEST_CASE(a_target_takes_flows_once_its_word_is_free) {
--- a/tests/core/view/target_table_test.cc
+++ b/tests/core/view/target_table_test.cc
@@ -9,6 +9,8 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_set>
+#include <utility>
 
 #include "core/fleet/jitter.h"
 
@@ -51,11 +53,16 @@
   }
 
   std::map<std::string, Entry> entries;
+  std::unordered_set<std::string> services;
 
  private:
   AddressClaim ClaimOf(const std::string& name) const {
     const PublishedTarget& target = this->entries.at(name).target;
-    return {target.started_at, target.revision, name};
+    return {this->IsKnown(target), target.started_at, target.revision, name};
+  }
+
+  bool IsKnown(const PublishedTarget& target) const {
+    return this->services.contains(target.service);
   }
 
   AddressStanding StandingOf(const std::string& name) const {
@@ -72,13 +79,15 @@
   }
 
   /// Of the targets with this word that haven't ended, the one that started
-  /// first has it.
+  /// first has it. Those of configured services come before others.
   bool HasWord(const std::string& name) const {
     const PublishedTarget& target = this->entries.at(name).target;
     return std::ranges::none_of(this->entries, [&](const auto& other) {
       return other.second.target.number == target.number &&
              this->StandingOf(other.first) != AddressStanding::kReplaced &&
-             *other.second.target.started_at < *target.started_at;
+             std::pair(!this->IsKnown(other.second.target),
+                       other.second.target.started_at) <
+                 std::pair(!this->IsKnown(target), target.started_at);
     });
   }
 };
@@ -91,7 +100,7 @@
   void Step() {
     this->now += milliseconds(this->random.Below(400));
     const std::string name = "t" + std::to_string(this->random.Below(6));
-    switch (this->random.Below(6)) {
+    switch (this->random.Below(7)) {
       case 0:
       case 1:
       case 2:
@@ -103,6 +112,9 @@
       case 4:
         this->MarkUnreadable(name);
         break;
+      case 5:
+        this->Configure();
+        break;
       default:
         this->Expire();
     }
@@ -168,6 +180,15 @@
     }
   }
 
+  void Configure() {
+    std::unordered_set<std::string> services{"diary"};
+    if (this->random.Below(2) == 0) {
+      services.insert("handover");
+    }
+    this->table.SetServices(services, this->now);
+    this->reference.services = services;
+  }
+
   void Expire() {
     this->table.Expire(this->now, this->now);
     std::erase_if(this->reference.entries, [this](const auto& entry) {
--- a/tests/platform/store_codec_test.cc
+++ b/tests/platform/store_codec_test.cc
@@ -184,9 +184,14 @@
   BOOST_TEST(configuration.routes[0].shares[0].weight == 90U);
   BOOST_REQUIRE(configuration.routes[1].shares.size() == 1U);
   BOOST_TEST(configuration.routes[1].shares[0].service == "b");
-  BOOST_REQUIRE(configuration.services.size() == 1U);
+  BOOST_REQUIRE(configuration.services.size() == 4U);
   BOOST_TEST(configuration.services[0].name == "a");
   BOOST_TEST(*configuration.services[0].warmup_rate == 10.5);
+  for (std::size_t i = 1; i < configuration.services.size(); ++i) {
+    const core::PublishedService& service = configuration.services[i];
+    BOOST_TEST(service.name == std::string(1, static_cast<char>('a' + i)));
+    BOOST_TEST(!service.warmup_rate.has_value(), service.name);
+  }
 }
 
 std::string OneRoute(const std::string& fields) {
