Keep a target's state when an earlier write of it is applied late

Callers would have seen: new flows at a target that had reported draining, for up to a heartbeat, or until its entry expires if it had left.

Cause: an entry replaced the one before by its revision, which orders the writes as the store applied them, not as the target made them.

A write of the past changes the entry's revision only.

--- a/source/core/view/published.h
+++ b/source/core/view/published.h
@@ -30,6 +30,8 @@
   std::chrono::milliseconds warmup_left{0};
   /// When it started: Unix time by its own clock; nothing if not published.
   std::optional<std::chrono::milliseconds> started_at = std::nullopt;
+  /// Counts its writes since it started.
+  std::uint64_t sequence{0};
   /// Of the entry's last change. Set by LiveView.
   common::Revision revision = {};
   /// When the target is warm, on this instance's monotonic clock. Set by
--- a/source/core/view/target_table.cc
+++ b/source/core/view/target_table.cc
@@ -11,6 +11,17 @@
 
 constexpr std::uint64_t kWordSalt = 0x776F7264ULL;
 
+/// Whether `write` was made before `known` was, and applied after it: earlier
+/// in the same life of the target, or in a former one.
+bool IsOutdated(const PublishedTarget& write, const PublishedTarget& known) {
+  if (!write.started_at || !known.started_at) {
+    return false;
+  }
+  return write.started_at == known.started_at
+             ? write.sequence < known.sequence
+             : *known.started_at - *write.started_at > kMaxClockDifference;
+}
+
 }  // namespace
 
 TargetWord WordFor(TargetNumber number) {
@@ -50,8 +61,14 @@
   this->RemoveFromServing(index, entry);
   this->ReleaseAddress(index);
   const common::Endpoint before = entry.published.address;
-  entry.published = target;
-  this->last_cold_until = std::max(this->last_cold_until, target.cold_until);
+  if (IsOutdated(target, entry.published)) {
+    // The state that it replaced is the target's last.
+    entry.published.revision = target.revision;
+  } else {
+    entry.published = target;
+  }
+  this->last_cold_until =
+      std::max(this->last_cold_until, entry.published.cold_until);
   entry.listed = true;
   entry.readable = true;
   entry.removal_effective_at.reset();
--- a/tests/core/view/live_view_test.cc
+++ b/tests/core/view/live_view_test.cc
@@ -349,6 +349,61 @@
   BOOST_TEST(fixture.view.Targets().Serving("diary").size() == 1U);
 }
 
+/// A write of a target's past that the store applies late. The target started
+/// at 10 s; its last write was its tenth and published it as draining at
+/// 10.0.0.2:80.
+struct PastWriteRow {
+  const char* name;
+  std::string value;
+  bool removed;  ///< Its entry had been removed before.
+  TargetPhase phase;
+};
+
+std::ostream& operator<<(std::ostream& out, const PastWriteRow& row) {
+  return out << row.name;
+}
+
+const PastWriteRow kPastWrites[] = {
+    {"earlier in this life", "10.0.0.2:80 start=10000 seq=9", false,
+     TargetPhase::kDraining},
+    {"earlier in this life, after its end", "10.0.0.2:80 start=10000 seq=9",
+     true, TargetPhase::kDraining},
+    {"of a former life", "10.0.0.9:80 start=1000 seq=70", false,
+     TargetPhase::kDraining},
+    {"later in this life", "10.0.0.2:80 start=10000 seq=11", false,
+     TargetPhase::kServing},
+    {"of the next life", "10.0.0.2:80 start=60000 seq=1", false,
+     TargetPhase::kServing},
+    {"of a life whose start clocks can't order", "10.0.0.2:80 start=9000 seq=1",
+     false, TargetPhase::kServing},
+    {"without a start", "10.0.0.2:80 seq=9", false, TargetPhase::kServing},
+};
+
+// Guards against new flows to a target that has reported to be draining, and
+// against using its former address, because an earlier write is applied late.
+BOOST_DATA_TEST_CASE(a_write_of_a_targets_past_changes_nothing, kPastWrites,
+                     row) {
+  ViewFixture fixture;
+  const auto publish = [&fixture](std::uint64_t revision,
+                                  std::optional<std::string> value) {
+    fixture.view.OnChanges({{{"target/c1", {revision}, value}}, {revision}},
+                           100ms);
+  };
+  publish(3, TargetText("diary", "north",
+                        "10.0.0.2:80 draining start=10000 seq=10"));
+  if (row.removed) {
+    publish(4, std::nullopt);
+  }
+
+  publish(5, TargetText("diary", "north", row.value));
+
+  BOOST_TEST((fixture.PhaseOf(0xC1) == row.phase));
+  const PublishedTarget& target =
+      fixture.view.Targets().Find({0xC1})->published;
+  BOOST_TEST(target.address.ToString() == "10.0.0.2:80");
+  BOOST_TEST(target.revision.value == 5U);
+}
+
 /// An entry of a service that no configuration names, at the address of a
 /// living target.
 struct ForeignEntryRow {
--- a/tests/core/view/sample_publication.h
+++ b/tests/core/view/sample_publication.h
@@ -2,7 +2,7 @@
 /// depend on a platform's adapter. A configuration is
 /// "VERSION ADDRESS=SERVICE[,SERVICE][@REGION][#RANK]...
 /// [warmup:SERVICE=RATE]...", a target is "SERVICE DOMAIN ADDRESS [draining]
-/// [cold=MS] [start=MS]", and an evacuation is
+/// [cold=MS] [start=MS] [seq=N]", and an evacuation is
 /// "{}" under the key "evacuation/DOMAIN". Other texts can't be decoded.
 #pragma once
 
@@ -81,6 +81,7 @@
   static constexpr std::string_view kWarmup = "warmup:";
   static constexpr std::string_view kCold = "cold=";
   static constexpr std::string_view kStart = "start=";
+  static constexpr std::string_view kSequence = "seq=";
 
   static std::vector<Item> ReadItems(std::istringstream& lines) {
     std::vector<Item> items;
@@ -152,6 +153,8 @@
       } else if (state.starts_with(kStart)) {
         target.started_at =
             std::chrono::milliseconds(std::stol(state.substr(kStart.size())));
+      } else if (state.starts_with(kSequence)) {
+        target.sequence = std::stoul(state.substr(kSequence.size()));
       } else {
         target.draining = true;
       }
--- a/tests/core/view/target_table_test.cc
+++ b/tests/core/view/target_table_test.cc
@@ -128,6 +128,7 @@
         continue;
       }
       const TargetEntry& entry = this->table.At({index});
+      this->names[{index}] = entry.name;
       BOOST_TEST((entry.phase == this->reference.PhaseOf(entry.name)),
                  entry.name << " is " << Word(entry.phase));
       serving += entry.phase == TargetPhase::kServing ? 1 : 0;
@@ -154,10 +155,31 @@
       target.started_at = milliseconds(this->random.Below(20) * 1000) +
                           milliseconds(this->revision);
     }
+    target.sequence = this->random.Below(10);
+    const auto last = this->last.find(name);
+    if (last != this->last.end() && this->random.Below(3) == 0) {
+      target.started_at = last->second.started_at;
+    }
     this->table.Publish(name, target, this->now);
+    if (last != this->last.end() && IsPast(target, last->second)) {
+      target = last->second;
+      target.revision = {this->revision};
+    }
+    this->last[name] = target;
     this->reference.entries[name] = entry;
   }
 
+  /// Whether `write` belongs to the target's life before `known`.
+  static bool IsPast(const PublishedTarget& write,
+                     const PublishedTarget& known) {
+    if (!write.started_at || !known.started_at) {
+      return false;
+    }
+    const milliseconds later = *known.started_at - *write.started_at;
+    return later > kMaxClockDifference ||
+           (later == 0ms && write.sequence < known.sequence);
+  }
+
   void Remove(const std::string& name, bool deferred) {
     if (!deferred) {
       this->table.Remove(name, this->now, std::nullopt);
@@ -191,6 +213,9 @@
 
   void Expire() {
     this->table.Expire(this->now, this->now);
+    for (const TargetIndex index : this->table.TakeErased()) {
+      this->last.erase(this->names.at(index));
+    }
     std::erase_if(this->reference.entries, [this](const auto& entry) {
       return entry.second.removal_due && *entry.second.removal_due <= this->now;
     });
@@ -201,6 +226,9 @@
   std::uint64_t revision{0};
   TargetTable table{kRetention};
   Reference reference;
+  /// The last state of each target that the table still has.
+  std::map<std::string, PublishedTarget> last;
+  std::map<TargetIndex, std::string> names;
 };
 
 // Guards against a phase that outlives its reason, and against an index that
--- a/tests/platform/store_codec_test.cc
+++ b/tests/platform/store_codec_test.cc
@@ -31,6 +31,7 @@
   BOOST_TEST((target.warmup_left == 1500ms));
   BOOST_TEST(!target.draining);
   BOOST_TEST((target.started_at == 1774190374013ms));
+  BOOST_TEST(target.sequence == 4U);
 }
 
 struct Start {
