Send repeated SYNs to services that the route still uses

Cause: OnRepeatedSyn kept the target of the former copy without a look at the route in force.

Change: the target must also be of a service that the route uses now.

Measured: a_repeated_syn_follows_the_route_in_force failed in 2 of 3 rows on the code before (the third chose anew already); core_steering_tests (658) pass.

--- a/source/core/steering/flow_steering.cc
+++ b/source/core/steering/flow_steering.cc
@@ -133,12 +133,14 @@
 // attempt after 1.4 s; another target opens the flow 200 ms after the first
 // SYN. If the first answer was merely late, both targets answer; the client
 // then stays with the one whose answer came first, and the other discards the
-// flow.
+// flow. A target of a service that the route no longer uses opens no flow.
 SteeringAction FlowSteering::OnRepeatedSyn(const FlowPacket& packet,
                                            HalfOpenFlow& half_open,
                                            const Route& route,
                                            std::chrono::milliseconds now) {
-  const bool accepts = this->view.targets.AcceptsFlows(half_open.target);
+  const TargetEntry& former = this->view.targets.At(half_open.target);
+  const bool accepts = this->view.targets.AcceptsFlows(half_open.target) &&
+                       route.Uses(former.published.service);
   const bool is_retransmission =
       now - half_open.sent_at >= kMinRetransmitInterval;
   if (accepts && (!is_retransmission || half_open.retried)) {
--- a/source/core/view/route_table.cc
+++ b/source/core/view/route_table.cc
@@ -35,9 +35,13 @@
 
 }  // namespace
 
+bool Route::Uses(std::string_view service) const {
+  return Contains(this->shares, service);
+}
+
 bool Route::MayUse(std::string_view service,
                    std::chrono::milliseconds now) const {
-  if (Contains(this->shares, service)) {
+  if (this->Uses(service)) {
     return true;
   }
   return std::ranges::any_of(this->former, [&](const auto& former) {
--- a/source/core/view/route_table.h
+++ b/source/core/view/route_table.h
@@ -42,6 +42,8 @@
   /// flows to its targets may still be open.
   std::vector<std::pair<std::string, std::chrono::milliseconds>> former;
 
+  /// Whether new flows of this route may go to targets of `service`.
+  bool Uses(std::string_view service) const;
   /// Whether a flow of this route may belong to a target of `service`: the
   /// route uses the service, or did so within the lifetime of a flow.
   bool MayUse(std::string_view service, std::chrono::milliseconds now) const;
--- a/tests/core/steering/flow_steering_test.cc
+++ b/tests/core/steering/flow_steering_test.cc
@@ -234,6 +234,37 @@
   BOOST_TEST((scene.WordOf(action) == first) == (row.reason == "repeated"));
 }
 
+struct RerouteRow {
+  std::chrono::milliseconds after;  ///< Of the copy, after the one before.
+  bool retried;  ///< An earlier copy went to a second target.
+};
+
+std::ostream& operator<<(std::ostream& out, const RerouteRow& row) {
+  return out << row.after.count() << " ms" << (row.retried ? ", retried" : "");
+}
+
+const RerouteRow kReroutes[] = {{20ms, false}, {200ms, false}, {400ms, true}};
+
+// Guards against opening a flow at a service that its route no longer uses: a
+// configuration comes into force between two copies of the SYN.
+BOOST_DATA_TEST_CASE(a_repeated_syn_follows_the_route_in_force, kReroutes,
+                     row) {
+  Scene scene;
+  auto now = 10ms;
+  scene.steering.OnPacket(SteeringScene::Syn(1000), now);
+  if (row.retried) {
+    now += 200ms;
+    scene.steering.OnPacket(SteeringScene::Syn(1000, 1), now);
+  }
+  scene.Publish("c1", "menu north 10.0.0.3:80", now);
+  scene.Configure("2 198.18.0.1:443=menu", now);
+
+  now += row.after;
+  const auto action = scene.steering.OnPacket(SteeringScene::Syn(1000, 2), now);
+
+  BOOST_TEST(scene.WordOf(action) == 0xC1U);
+}
+
 // New flows avoid a target that left a SYN unanswered, until the suspicion
 // ends.
 BOOST_AUTO_TEST_CASE(a_target_that_missed_a_syn_is_avoided_for_a_while) {
