Soak: late writes, entries of unnamed services, published starts

Change: after half of the crashes whose address is used again, a write of the crashed target is applied late; half of the garbage comes with a complete entry of an unnamed service at a live target's address. They draw from their own numbers, so that seeds keep their other faults.

--- a/soak/run.py
+++ b/soak/run.py
@@ -33,6 +33,7 @@
 import socket
 import sys
 import tempfile
+import time
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 from soak import fleet, store, world  # noqa: E402
@@ -60,6 +61,7 @@
         # Load faults draw from their own numbers, so that a seed keeps the
         # others that it had before there were any.
         self.load_random = random.Random(f"{options.seed}/load")
+        self.write_random = random.Random(f"{options.seed}/write")
         self.load_faults = options.seed not in BEFORE_LOAD
         # Drawn from its own numbers as well, for the same reason.
         self.bound = (random.Random(f"{options.seed}/bound").choice(BOUNDS)
@@ -314,6 +316,15 @@
         self.store.put(f"servers/x-{self.random.randint(0, 99)}",
                        self.random.choice([b"\xff\x00", b"[]", b'{"service":7}',
                                            b'{"state":"resting"}']))
+        live = sorted(self.live(), key=lambda one: one.name)
+        if live and self.write_random.random() < 0.5:
+            # Another program's entry, complete but of an unknown service.
+            one = self.write_random.choice(live)
+            self.store.put("servers/y-0", {
+                "service": "inventory", "address": one.address,
+                "zone": one.domain, "version": "v1", "max-concurrency": 2,
+                "state": "ready", "warmup-left-ms": 0, "sequence": 1,
+                "born": int(time.time() * 1000)})
 
     async def fault_drain(self):
         one = self.spare()
@@ -354,6 +365,11 @@
             await asyncio.sleep(2.0)
             other = self.random.choice(["diary", "handover"])
             await self.add_target(other, one.domain, one.address)
+            if self.write_random.random() < 0.5:
+                # A write of before its end, done only now.
+                await asyncio.sleep(self.write_random.uniform(0, 2))
+                await self.store_up()
+                one.publish()
         else:
             await self.add_target(one.service, one.domain)
         await asyncio.sleep(lapse)
--- a/soak/world.py
+++ b/soak/world.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import random
+import time
 import zlib
 
 from soak import wire
@@ -51,6 +52,7 @@
         self.left_at = None  # When its leaving was published.
         self.ended_at = None
         self.sequence = 0
+        self.born = int(time.time() * 1000)
         self.hidden_until = 0.0  # The store doesn't hear it.
         self.failure, self.part = None, 0.0  # One of FAILURES, of what part.
         self.running = set()  # Requests.
@@ -70,7 +72,8 @@
             "service": self.service, "address": self.address,
             "zone": self.domain, "version": "v1", "max-concurrency": 2,
             "state": "draining" if self.draining else "ready",
-            "warmup-left-ms": 0, "sequence": self.sequence})
+            "warmup-left-ms": 0, "sequence": self.sequence,
+            "born": self.born})
 
     def end(self):
         """The process ends: nobody answers at the address any more."""
