Keep one flag for a target whose address is contested

Cause: TargetEntry held its standing among the targets at its address beside `replaced`, which says the same for one of the three values.

Change: `contested` in place of the standing. Behaviour stays.

Measured: core_steering_tests pass; clang-tidy has no finding in the files changed since.

--- a/source/core/view/target_table.cc
+++ b/source/core/view/target_table.cc
@@ -113,10 +113,12 @@
       });
   for (const TargetIndex index : claims->second) {
     TargetEntry& entry = this->entries.at(index);
-    entry.standing = index == holder ? AddressStanding::kHolder
-                                     : StandingBeside(this->ClaimOf(index),
-                                                      this->ClaimOf(holder));
-    entry.replaced = entry.standing == AddressStanding::kReplaced;
+    const AddressStanding standing =
+        index == holder
+            ? AddressStanding::kHolder
+            : StandingBeside(this->ClaimOf(index), this->ClaimOf(holder));
+    entry.contested = standing == AddressStanding::kContested;
+    entry.replaced = standing == AddressStanding::kReplaced;
     entry.replaced_by = entry.replaced ? this->At(holder).name : "";
   }
   for (const TargetIndex index : claims->second) {
@@ -151,11 +153,10 @@
 
 TargetPhase TargetTable::PhaseOf(TargetIndex index) const {
   const TargetEntry& entry = this->At(index);
-  if (!entry.listed || entry.standing == AddressStanding::kReplaced) {
+  if (!entry.listed || entry.replaced) {
     return TargetPhase::kGone;
   }
-  if (entry.standing == AddressStanding::kContested ||
-      this->by_word.at(entry.word).front() != index) {
+  if (entry.contested || this->by_word.at(entry.word).front() != index) {
     return TargetPhase::kShadowed;
   }
   if (!entry.readable) {
--- a/source/core/view/target_table.h
+++ b/source/core/view/target_table.h
@@ -47,8 +47,8 @@
   TargetPhase phase{TargetPhase::kServing};
   /// Whether an entry is published, or its removal is deferred.
   bool listed{false};
-  bool readable{true};  ///< Whether the published entry can be decoded.
-  AddressStanding standing{AddressStanding::kHolder};
+  bool readable{true};    ///< Whether the published entry can be decoded.
+  bool contested{false};  ///< Another target probably has its address.
   /// When a deferred removal takes effect; nothing if there is none. Removals
   /// are deferred if the entry may have expired while the target still serves.
   std::optional<std::chrono::milliseconds> removal_effective_at;
