Judge unknown routes and targets by the packets of each flow

Cause: the time of the first packet was kept by route and by word, for up to a minute. Once a view had shown that a route or target had ended, the first packet of any later flow on it was refused at once, also if it was published again and this instance hadn't learnt of it.

--- a/source/core/steering/flow_steering.cc
+++ b/source/core/steering/flow_steering.cc
@@ -37,16 +37,16 @@
     return this->OnSyn(packet, grant, now);
   }
   const Route* const route = this->view.routes.Find(packet.flow.service);
-  if (route == nullptr && this->IsUnpublished(packet.flow.service, now)) {
+  if (route == nullptr && this->HasNoRoute(packet.flow, now)) {
     return Refuse{RefusalReason::kNoRoute};
   }
   return this->OnEstablished(packet, route, now);
 }
 
-bool FlowSteering::IsUnpublished(const common::Endpoint& route,
-                                 std::chrono::milliseconds now) {
-  return this->view.routes.WasWithdrawn(route, now) ||
-         this->unknown_routes.IsUnpublished(route, this->ConfirmedAt(now), now);
+bool FlowSteering::HasNoRoute(const common::FlowKey& flow,
+                              std::chrono::milliseconds now) {
+  return this->view.routes.WasWithdrawn(flow.service, now) ||
+         this->unknown_flows.HasEnded(flow, this->ConfirmedAt(now), now);
 }
 
 SteeringAction FlowSteering::OnUnknownRoute(
@@ -271,11 +271,11 @@
 SteeringAction FlowSteering::OnUnknownTarget(const FlowPacket& packet,
                                              std::chrono::milliseconds now) {
   if (this->view.contact.LapseLikely(now)) {
-    this->unknown_words.Forget(packet.word);
+    this->unknown_flows.Forget(packet.flow);
     return SilentDrop{SilentDropReason::kUnknownTarget};
   }
-  const bool ended = this->unknown_words.IsUnpublished(
-      packet.word, this->ConfirmedAt(now), now);
+  const bool ended =
+      this->unknown_flows.HasEnded(packet.flow, this->ConfirmedAt(now), now);
   if (!ended || packet.payload_bytes == 0) {
     return SilentDrop{SilentDropReason::kUnknownTarget};
   }
@@ -297,13 +297,7 @@
   this->half_open_flows.Expire(now);
   this->memory.Expire(now);
   this->pending.Expire(now);
-  const auto oldest = now - this->view.routes.FlowLife();
-  this->unknown_words.Expire(oldest, [this](TargetWord word) {
-    return this->view.targets.Find(word) != nullptr;
-  });
-  this->unknown_routes.Expire(oldest, [this](const common::Endpoint& route) {
-    return this->view.routes.Find(route) != nullptr;
-  });
+  this->unknown_flows.Expire(now - this->view.routes.FlowLife());
 }
 
 }  // namespace sassafrasdyke::core
--- a/source/core/steering/flow_steering.h
+++ b/source/core/steering/flow_steering.h
@@ -15,11 +15,11 @@
 #include "core/steering/flow_memory.h"
 #include "core/steering/flow_packet.h"
 #include "core/steering/half_open_table.h"
-#include "core/steering/missing_keys.h"
 #include "core/steering/pending_requests.h"
 #include "core/steering/shared_observations.h"
 #include "core/steering/target_choice.h"
 #include "core/steering/target_watch.h"
+#include "core/steering/unknown_flows.h"
 #include "core/steering/warmup_budget.h"
 #include "core/view/region_map.h"
 #include "core/view/route_table.h"
@@ -130,10 +130,9 @@
   /// that the route doesn't allow.
   bool EveryDomainExcluded(const Route& route) const;
   SteeringAction OnUnknownRoute(std::chrono::milliseconds now) const;
-  /// Whether an open flow's route, which the view lacks, isn't published: it
-  /// was withdrawn, or there never was one.
-  bool IsUnpublished(const common::Endpoint& route,
-                     std::chrono::milliseconds now);
+  /// Whether the route of an open flow, which the view lacks, was withdrawn or
+  /// never existed.
+  bool HasNoRoute(const common::FlowKey& flow, std::chrono::milliseconds now);
   /// When the view was last confirmed; nothing if never.
   std::optional<std::chrono::milliseconds> ConfirmedAt(
       std::chrono::milliseconds now) const;
@@ -150,10 +149,7 @@
   ConcurrencyLimiter limiter;
   HalfOpenTable half_open_flows;
   FlowMemory memory;
-  /// Words that match no known target.
-  MissingKeys<TargetWord> unknown_words;
-  /// Addresses of open flows that match no known route.
-  MissingKeys<common::Endpoint, EndpointHash> unknown_routes;
+  UnknownFlows unknown_flows;
 };
 
 }  // namespace sassafrasdyke::core
--- a/tests/core/steering/flow_steering_test.cc
+++ b/tests/core/steering/flow_steering_test.cc
@@ -187,6 +187,39 @@
   }
 }
 
+struct LaterFlowRow {
+  std::string name;
+  std::string route;
+  std::uint32_t word;
+  std::string ended;    ///< The outcome for a flow that has ended.
+  std::string outcome;  ///< That for another flow's first packet.
+};
+
+std::ostream& operator<<(std::ostream& out, const LaterFlowRow& row) {
+  return out << row.name;
+}
+
+const LaterFlowRow kLaterFlows[] = {
+    {"a route", "198.18.0.9:443", 0xA1, "no-route", "carried"},
+    {"a target", "198.18.0.1:443", 0xC1, "target-gone", "unknown-target"}};
+
+// Guards against resetting an open flow because an earlier one has ended: its
+// route or target may have been published again since.
+BOOST_DATA_TEST_CASE(the_end_of_a_flow_shows_nothing_about_later_ones,
+                     kLaterFlows, row) {
+  Scene scene;
+  const auto outcome = [&](std::uint16_t port, std::chrono::milliseconds now) {
+    FlowPacket packet = SteeringScene::Data(port, row.word);
+    packet.flow.service = *common::Endpoint::Parse(row.route);
+    return WordOf(scene.steering.OnPacket(packet, now));
+  };
+  outcome(1000, 1000ms);
+  scene.view.Contact().OnAnswer(1600ms);
+  BOOST_TEST(outcome(1000, 1700ms) == row.ended);
+
+  BOOST_TEST(outcome(1001, 1800ms) == row.outcome);
+}
+
 // A target's SYN-ACK that is misrouted to an instance must never reach a
 // target, which would take it for a forged one.
 BOOST_AUTO_TEST_CASE(a_syn_ack_is_dropped) {
