--- a/source/core/view/target_table.h
+++ b/source/core/view/target_table.h
@@ -80,8 +80,8 @@
     std::map<std::string, std::vector<TargetIndex>, std::less<>>;
 
 /// Targets, indexed by name, word, address and service. The phase of a target
-/// follows from what is published now: a target that shares its address or word
-/// with another one is judged again whenever either of their entries changes.
+/// follows from what is published now: it is determined again whenever the
+/// entry of a target with the same address or word changes.
 class TargetTable {
  public:
   /// `gone_retention`: how long packets for a target that has ended may still
--- a/tests/platform/store_codec_test.cc
+++ b/tests/platform/store_codec_test.cc
@@ -50,7 +50,7 @@
                          {"\"1774190374013\"", std::nullopt},
                          {"18446744073709551615", std::nullopt}};
 
-// Guards against targets that are ordered by starts which nobody has published.
+// Guards against ordering targets by values that are no times.
 BOOST_DATA_TEST_CASE(a_start_is_read_if_it_is_a_time, kStarts, row) {
   std::string text = kTarget;
   const std::string born = "1774190374013";
