--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -393,6 +393,8 @@
 
     async def request(self, flow, name, route_by):
         """Returns the target's id, or None."""
+        if flow.ended_by is not None:
+            return None
         data = name.encode()
         answer = await self.send_until(flow, ACK, data, route_by,
                                        (0.2, 0.4, 0.8, 0.6))
