review: case 6, targets restarted in place during a rolling restart

A flow at the new start of a target is reset by an instance that takes it for silent, or gone, from before.

--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -282,10 +282,16 @@
             flow["run"][request] = now()
             self.world.note_run(request, self, packet)
             asyncio.get_running_loop().call_later(
-                0.02, self.send, packet, ACK,
+                0.02, self.respond, packet,
                 ("%s %s" % (request, self.ident)).encode())
         elif now() - flow["run"][request] > 0.02:  # A repeat; the answer again.
-            self.send(packet, ACK, ("%s %s" % (request, self.ident)).encode())
+            self.respond(packet, ("%s %s" % (request, self.ident)).encode())
+
+    def respond(self, packet, data):
+        """The response; a target that is draining closes the flow after it."""
+        self.send(packet, ACK, data)
+        if self.state == "draining":
+            self.send(packet, FIN | ACK, b"")
 
     def send(self, packet, flags, data):
         if not self.alive:
@@ -306,6 +312,8 @@
         self.client, self.port, self.route = client, port, route
         self.echo, self.seq, self.ack = 0, 1000, 0
         self.opened, self.ended_by = False, None
+        self.closing = False  # The target has closed it.
+        self.target = None  # The id of the target that answered last.
         self.waiting = None
 
     @property
@@ -351,6 +359,8 @@
             flow.echo = packet.echo
             if packet.data:
                 self.answer(flow, packet)
+            if packet.flags & FIN:
+                flow.closing = True
 
     def finish(self, flow, why):
         flow.ended_by = why
@@ -406,7 +416,8 @@
         node = route_by(flow.packet(ACK))
         if node is not None:
             node.deliver(self.udp, flow.packet(ACK))
-        return answer.data.decode().partition(" ")[2]
+        flow.target = answer.data.decode().partition(" ")[2]
+        return flow.target
 
     def close(self, flow, route_by):
         if self.flows.pop(flow.port, None) is not None:
