--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -406,17 +406,20 @@
         if flow.ended_by is not None:
             return None
         data = name.encode()
+        self.world.note(flow.name, "sends " + name.rpartition("/")[2])
         answer = await self.send_until(flow, ACK, data, route_by,
                                        (0.2, 0.4, 0.8, 0.6))
         flow.seq += len(data)
         if answer is None:
             if flow.ended_by is None:
                 flow.ended_by = "no answer to the request"
+            self.world.note(flow.name, flow.ended_by)
             return None
         node = route_by(flow.packet(ACK))
         if node is not None:
             node.deliver(self.udp, flow.packet(ACK))
         flow.target = answer.data.decode().partition(" ")[2]
+        self.world.note(flow.name, "is answered by " + flow.target)
         return flow.target
 
     def close(self, flow, route_by):
@@ -530,7 +533,6 @@
 
     def note(self, who, what):
         self.record.write("%8.3f  %-10s %s\n" % (now() - self.began, who, what))
-        self.record.flush()
 
     def note_run(self, request, target, packet):
         self.runs.setdefault(request, []).append(target)
