--- a/review/5/play.py
+++ b/review/5/play.py
@@ -14,8 +14,8 @@
 ZONES = ["zone-a", "zone-b", "zone-c"]
 NODES = {"zone-a": 3, "zone-b": 3, "zone-c": 2}
 GAP = 0.33  # config_storm's pause between two changes.
-STEP = 5.0  # From one restart to the next, at least.
-STEPS = 18
+STEP = 3.4  # From one restart to the next, at least.
+STEPS = 27
 
 MAIN = ("127.198.0.1", 8443)
 TOGGLED = ("127.198.0.1", 8080)
@@ -106,7 +106,7 @@
     await world.wait_ready(world.nodes)
     await asyncio.sleep(CONTACT + 1)
     for i, zone in enumerate(ZONES):
-        for j in range(4):
+        for j in range(10):
             client = rig.Client(world, world.ip(3, i, j + 1))
             await client.start()
             tasks.append(asyncio.create_task(case.run_client(client, zone)))
