review: each case names its record, and case 5 checks the handshake

The record was written by rig2/rig.py beside the case; now each play.py names it. Case 5 counted a reset when the client had the SYN+ACK; now only when a living target has had the end of the handshake, as the rule says.

--- a/review/5/play.py
+++ b/review/5/play.py
@@ -8,6 +8,9 @@
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "rig2"))
 import rig  # noqa: E402
 
+# What was sent, answered and run.
+RECORD = pathlib.Path(__file__).resolve().parent / "record.txt"
+
 # The site: bounds and machines of lensmoor-core.
 CONTACT = 4.0
 TIMES = {"grace_s": 6, "flow_life_s": 60, "apply_ms": 3000, "drain_ms": 3000}
@@ -79,7 +82,8 @@
             if flow.ended_by is not None:
                 self.world.note(flow.name, flow.ended_by)
             if flow.ended_by == "reset by the system" and added_at and \
-                    self.added_at == added_at:
+                    self.added_at == added_at and \
+                    self.world.holds_open(flow):
                 self.broken += 1
                 self.world.note("judge", "FLOW: the system reset %s, a flow "
                                 "that was open, whose target lives and whose "
@@ -134,4 +138,4 @@
 
 
 if __name__ == "__main__":
-    rig.main(__file__, play, zones=ZONES, times=TIMES)
+    rig.main(play, RECORD, zones=ZONES, times=TIMES)
--- a/review/rig2/rig.py
+++ b/review/rig2/rig.py
@@ -509,11 +509,10 @@
 class World:
     """Everything around the instances, and the record of what happened."""
 
-    def __init__(self, case, zones, times, history_s=20):
-        self.case = pathlib.Path(case).resolve().parent
+    def __init__(self, record, zones, times, history_s=20):
         self.zones, self.times = zones, times
         self.trouble = os.environ.get("TROUBLE", "1") != "0"
-        self.record = open(self.case / "record.txt", "w")
+        self.record = open(record, "w")
         self.temporary = tempfile.TemporaryDirectory()
         self.folder = pathlib.Path(
             os.environ.get("KEEP_LOGS", self.temporary.name))
@@ -571,6 +570,12 @@
                 raise CannotRun("the instances don't become ready")
             await asyncio.sleep(0.05)
 
+    def holds_open(self, flow):
+        """Whether a target that lives has had the end of the handshake."""
+        key = (flow.client.address, flow.port)
+        return any(target.alive and target.flows.get(key, {}).get("open")
+                   for target in self.targets)
+
     def check_processes(self):
         for node in self.nodes:
             if node.process is not None and node.process.poll() is not None \
@@ -610,10 +615,10 @@
     return lambda packet: address
 
 
-def main(case, play, **options):
+def main(play, record, **options):
     """Plays a case: exits with 1 if the rule was broken, 0 if it held, 2 if
     the case couldn't run."""
-    world = World(case, **options)
+    world = World(record, **options)
     code = 2
     try:
         if not PROGRAM.exists():
