Log when a flow came here and its route went

Cause: the line of a reset said that the view had no route, and not whether the flow or the withdrawal of its route came first.

Change: lines of refused and dropped packets name flow_seen_ms and route_withdrawn_ms, within the budget that these lines have. No decision changes.

--- a/source/core/steering/flow_memory.cc
+++ b/source/core/steering/flow_memory.cc
@@ -32,7 +32,7 @@
     if (this->flows.size() < kMaxFlows) {
       this->flows.emplace(
           packet.flow, Entry{target, packet.acknowledgement, next_sequence, now,
-                             packet.payload_bytes > 0});
+                             now, packet.payload_bytes > 0});
     }
     return {false, packet.payload_bytes > 0, false};
   }
@@ -46,7 +46,8 @@
   const bool fails = repeats && entry.awaits_answer;
   const bool awaits_answer =
       requests || (entry.awaits_answer && !answered && !fails);
-  entry = {target, packet.acknowledgement, next_sequence, now, awaits_answer};
+  entry = {target, packet.acknowledgement, next_sequence, entry.first_seen,
+           now,    awaits_answer};
   return {answered, requests, fails};
 }
 
@@ -62,6 +63,14 @@
   return {false, false, fails};
 }
 
+std::optional<std::chrono::milliseconds> FlowMemory::FirstSeen(
+    const common::FlowKey& flow) const {
+  const auto found = this->flows.find(flow);
+  return found == this->flows.end()
+             ? std::nullopt
+             : std::make_optional(found->second.first_seen);
+}
+
 bool FlowMemory::HasFlowsOf(TargetIndex target) const {
   return std::ranges::any_of(this->flows, [target](const auto& flow) {
     return flow.second.target == target;
--- a/source/core/steering/flow_memory.h
+++ b/source/core/steering/flow_memory.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -48,6 +49,9 @@
   /// Records a packet of a client that is forwarded to `target`.
   FlowProgress OnForwarded(const FlowPacket& packet, TargetIndex target,
                            std::chrono::milliseconds now);
+  /// When the first packet of the flow came; nothing if it isn't remembered.
+  std::optional<std::chrono::milliseconds> FirstSeen(
+      const common::FlowKey& flow) const;
   bool HasFlowsOf(TargetIndex target) const;
   /// Removes and returns the flows at `target`, each as a packet with those
   /// fields of the client's last one that a reset needs.
@@ -63,6 +67,7 @@
     std::uint32_t acknowledgement{0};
     /// The sequence number after the last byte.
     std::uint32_t next_sequence{0};
+    std::chrono::milliseconds first_seen{0};
     std::chrono::milliseconds seen_at{0};
     bool awaits_answer{false};  ///< And its failure hasn't been shown.
   };
--- a/source/core/steering/flow_steering.cc
+++ b/source/core/steering/flow_steering.cc
@@ -282,6 +282,15 @@
   return Refuse{RefusalReason::kTargetGone};
 }
 
+std::optional<std::chrono::milliseconds> FlowSteering::FirstSeen(
+    const common::FlowKey& flow) const {
+  const auto unknown_since = this->unknown_flows.FirstSeen(flow);
+  const auto carried_since = this->memory.FirstSeen(flow);
+  return unknown_since && carried_since
+             ? std::min(unknown_since, carried_since)
+             : std::max(unknown_since, carried_since);
+}
+
 std::optional<std::chrono::milliseconds> FlowSteering::ConfirmedAt(
     std::chrono::milliseconds now) const {
   const auto age = this->view.contact.Age(now);
--- a/source/core/steering/flow_steering.h
+++ b/source/core/steering/flow_steering.h
@@ -90,6 +90,10 @@
   bool HasFlowsOf(TargetIndex target) const {
     return this->memory.HasFlowsOf(target);
   }
+  /// When the first packet of an open flow came to this instance; nothing if
+  /// none is remembered.
+  std::optional<std::chrono::milliseconds> FirstSeen(
+      const common::FlowKey& flow) const;
   std::size_t RememberedFlows() const { return this->memory.Size(); }
   TargetWatch& Watch() { return this->watch; }
   const TargetWatch& Watch() const { return this->watch; }
--- a/source/core/steering/unknown_flows.cc
+++ b/source/core/steering/unknown_flows.cc
@@ -24,6 +24,13 @@
   return false;
 }
 
+std::optional<std::chrono::milliseconds> UnknownFlows::FirstSeen(
+    const common::FlowKey& flow) const {
+  const auto found = this->first_packets.find(flow);
+  return found == this->first_packets.end() ? std::nullopt
+                                            : std::make_optional(found->second);
+}
+
 void UnknownFlows::Expire(std::chrono::milliseconds oldest) {
   std::erase_if(this->first_packets,
                 [oldest](const auto& entry) { return entry.second < oldest; });
--- a/source/core/steering/unknown_flows.h
+++ b/source/core/steering/unknown_flows.h
@@ -24,6 +24,9 @@
   bool HasEnded(const common::FlowKey& flow,
                 std::optional<std::chrono::milliseconds> confirmed_at,
                 std::chrono::milliseconds now);
+  /// When the flow's first packet came; nothing if it isn't remembered.
+  std::optional<std::chrono::milliseconds> FirstSeen(
+      const common::FlowKey& flow) const;
   /// The view may lack what hasn't ended: forgets when the flow's first packet
   /// came.
   void Forget(const common::FlowKey& flow) { this->first_packets.erase(flow); }
--- a/source/core/view/route_table.cc
+++ b/source/core/view/route_table.cc
@@ -108,10 +108,13 @@
                                            : std::make_optional(found->second);
 }
 
-bool RouteTable::WasWithdrawn(const common::Endpoint& address,
-                              std::chrono::milliseconds now) const {
+std::optional<std::chrono::milliseconds> RouteTable::WithdrawnFor(
+    const common::Endpoint& address, std::chrono::milliseconds now) const {
   const auto found = this->withdrawn.find(address);
-  return found != this->withdrawn.end() && found->second > now;
+  if (found == this->withdrawn.end() || found->second <= now) {
+    return std::nullopt;
+  }
+  return this->flow_life - (found->second - now);
 }
 
 const Route* RouteTable::Find(const common::Endpoint& address) const {
--- a/source/core/view/route_table.h
+++ b/source/core/view/route_table.h
@@ -77,7 +77,13 @@
   /// Whether the address had a route within the lifetime of a flow, and has
   /// none now.
   bool WasWithdrawn(const common::Endpoint& address,
-                    std::chrono::milliseconds now) const;
+                    std::chrono::milliseconds now) const {
+    return this->WithdrawnFor(address, now).has_value();
+  }
+  /// How long ago the address's route was withdrawn; nothing if it has one, or
+  /// had none within the lifetime of a flow.
+  std::optional<std::chrono::milliseconds> WithdrawnFor(
+      const common::Endpoint& address, std::chrono::milliseconds now) const;
   /// The route of this address; null if there is none.
   const Route* Find(const common::Endpoint& address) const;
 
--- a/source/front/flow_port.cc
+++ b/source/front/flow_port.cc
@@ -185,11 +185,17 @@
   if (const auto age = this->context.view.Contact().Age(now)) {
     this->context.metrics.OnViewUsed(*age);
   }
+  std::optional<milliseconds> flow_seen;
+  if (const auto first_seen = this->steering.FirstSeen(packet.flow)) {
+    flow_seen = now - *first_seen;
+  }
   this->context.log.OnDecision(
       packet, action, this->TargetOf(action),
       {this->context.view.Routes().Version(),
        this->context.view.Items().Complete(),
-       this->context.view.Contact().Age(now), this->admission.Waiting()},
+       this->context.view.Contact().Age(now), this->admission.Waiting(),
+       flow_seen,
+       this->context.view.Routes().WithdrawnFor(packet.flow.service, now)},
       now);
 }
 
--- a/source/front/front_log.cc
+++ b/source/front/front_log.cc
@@ -105,6 +105,16 @@
   }
 }
 
+/// Names what shows whether the view is newer than the flow.
+void AddHistory(LineFields& fields, const DecisionInputs& inputs) {
+  if (inputs.flow_seen) {
+    fields["flow_seen_ms"] = inputs.flow_seen->count();
+  }
+  if (inputs.route_withdrawn) {
+    fields["route_withdrawn_ms"] = inputs.route_withdrawn->count();
+  }
+}
+
 /// Resets of open flows have a budget of their own: in the rush of new flows
 /// after a common end of targets, their lines would be left out.
 LineKind KindOf(const core::FlowPacket& packet,
@@ -134,6 +144,7 @@
     fields["reason"] = Word(refused->reason);
     fields["opening"] = packet.flags.syn;
     fields["word"] = packet.word.value;
+    AddHistory(fields, inputs);
     if (refused->reason == core::RefusalReason::kOverloaded) {
       fields["repeats"] = packet.repeats;
       fields["waiting"] = inputs.waiting;
@@ -151,6 +162,7 @@
     fields["reason"] = Word(std::get<core::SilentDrop>(action).reason);
     fields["opening"] = packet.flags.syn;
     fields["word"] = packet.word.value;
+    AddHistory(fields, inputs);
   }
   fields["configuration"] = inputs.configuration;
   fields["revision"] = inputs.revision.value;
--- a/source/front/front_log.h
+++ b/source/front/front_log.h
@@ -21,9 +21,14 @@
 /// What decided about a packet, for its line.
 struct DecisionInputs {
   std::uint64_t configuration{0};  ///< Version in force.
-  common::Revision revision;       ///< Of the view.
-  std::optional<std::chrono::milliseconds> view_age;
+  common::Revision revision = {};  ///< Of the view.
+  std::optional<std::chrono::milliseconds> view_age = std::nullopt;
   std::size_t waiting{0};  ///< SYNs that are held back.
+  /// Since the flow's first packet here; nothing if this is it.
+  std::optional<std::chrono::milliseconds> flow_seen = std::nullopt;
+  /// Since the view lost the flow's route; nothing if it has one, or never had
+  /// one.
+  std::optional<std::chrono::milliseconds> route_withdrawn = std::nullopt;
 };
 
 /// The way by which changes of the view came.
--- a/tests/front/front_log_test.cc
+++ b/tests/front/front_log_test.cc
@@ -107,6 +107,40 @@
   BOOST_TEST(!written[0].contains("probe") == !row.evidence.contains("probe"));
 }
 
+struct History {
+  std::optional<std::chrono::milliseconds> flow_seen;
+  std::optional<std::chrono::milliseconds> route_withdrawn;
+  Json fields;
+};
+
+std::ostream& operator<<(std::ostream& out, const History& row) {
+  return out << row.fields;
+}
+
+const History kHistories[] = {
+    {std::nullopt, std::nullopt, Json::object()},
+    {40ms, std::nullopt, {{"flow_seen_ms", 40}}},
+    {40ms, 900ms, {{"flow_seen_ms", 40}, {"route_withdrawn_ms", 900}}}};
+
+// Guards against a reset whose line doesn't tell whether the view lost the
+// route before or after the flow came.
+BOOST_DATA_TEST_CASE(a_reset_without_a_route_names_its_history, kHistories,
+                     row) {
+  Scene scene;
+
+  scene.log.OnDecision(
+      OpenFlowsPacket(), core::Refuse{core::RefusalReason::kNoRoute}, {},
+      {.flow_seen = row.flow_seen, .route_withdrawn = row.route_withdrawn},
+      1000ms);
+
+  const std::vector<Json> written = scene.Written(1000ms);
+  BOOST_REQUIRE(written.size() == 1U);
+  for (const char* const name : {"flow_seen_ms", "route_withdrawn_ms"}) {
+    BOOST_TEST(written[0].value(name, Json()) == row.fields.value(name, Json()),
+               name);
+  }
+}
+
 // Guards against a refusal whose line doesn't say how many SYNs waited, and how
 // often the client had sent this one.
 BOOST_AUTO_TEST_CASE(an_overloaded_refusal_names_the_queue) {
