End flows of a withdrawn route only if they are older than the withdrawal

Cause: RouteTable::WasWithdrawn was taken as true of any flow and at any age. The withdrawal had been read up to 1.2 s before; the flow was opened since, on the route's next publication.

Change: EndEvidence decides for every route that the view lacks, withdrawn or never known: the view was confirmed 0.5 s or more after the flow's first packet here. FlowMemory keeps that time for flows that are carried, UnknownFlows for those whose target isn't known. Flows that came before the withdrawal are reset with their next packet as before.

Why it works: a route that a flow was opened on was there before its first packet; if a later state of the store lacks it, it went after the flow was opened.

--- /dev/null
+++ b/source/core/steering/end_evidence.cc
@@ -0,0 +1,16 @@
+#include "core/steering/end_evidence.h"
+
+namespace sassafrasdyke::core {
+namespace {
+
+/// Covers the propagation delay of stores and peers.
+constexpr std::chrono::milliseconds kPropagationTime{500};
+
+}  // namespace
+
+bool EndEvidence::ViewShowsEnd(const std::optional<FlowSighting>& flow) const {
+  return flow && this->view_confirmed_at &&
+         *this->view_confirmed_at >= flow->first_seen + kPropagationTime;
+}
+
+}  // namespace sassafrasdyke::core
--- a/source/core/steering/flow_memory.cc
+++ b/source/core/steering/flow_memory.cc
@@ -31,8 +31,8 @@
   if (found == this->flows.end()) {
     if (this->flows.size() < kMaxFlows) {
       this->flows.emplace(
-          packet.flow, Entry{target, packet.acknowledgement, next_sequence, now,
-                             now, packet.payload_bytes > 0});
+          packet.flow, Entry{target, packet.acknowledgement, next_sequence,
+                             FlowSighting{now}, now, packet.payload_bytes > 0});
     }
     return {false, packet.payload_bytes > 0, false};
   }
@@ -46,7 +46,9 @@
   const bool fails = repeats && entry.awaits_answer;
   const bool awaits_answer =
       requests || (entry.awaits_answer && !answered && !fails);
-  entry = {target, packet.acknowledgement, next_sequence, entry.first_seen,
+  // A flow's target doesn't change; this is another flow.
+  const FlowSighting sighting = same ? entry.sighting : FlowSighting{now};
+  entry = {target, packet.acknowledgement, next_sequence, sighting,
            now,    awaits_answer};
   return {answered, requests, fails};
 }
@@ -63,12 +65,12 @@
   return {false, false, fails};
 }
 
-std::optional<std::chrono::milliseconds> FlowMemory::FirstSeen(
+std::optional<FlowSighting> FlowMemory::Sighting(
     const common::FlowKey& flow) const {
   const auto found = this->flows.find(flow);
   return found == this->flows.end()
              ? std::nullopt
-             : std::make_optional(found->second.first_seen);
+             : std::make_optional(found->second.sighting);
 }
 
 bool FlowMemory::HasFlowsOf(TargetIndex target) const {
--- a/source/core/steering/flow_memory.h
+++ b/source/core/steering/flow_memory.h
@@ -39,6 +39,11 @@
   bool shows_failure{false};
 };
 
+/// What an instance has seen of an open flow.
+struct FlowSighting {
+  std::chrono::milliseconds first_seen{0};  ///< When its first packet came.
+};
+
 /// Bounded in number: beyond the bound new flows aren't remembered.
 class FlowMemory {
  public:
@@ -49,9 +54,10 @@
   /// Records a packet of a client that is forwarded to `target`.
   FlowProgress OnForwarded(const FlowPacket& packet, TargetIndex target,
                            std::chrono::milliseconds now);
-  /// When the first packet of the flow came; nothing if it isn't remembered.
-  std::optional<std::chrono::milliseconds> FirstSeen(
-      const common::FlowKey& flow) const;
+  /// Nothing if the flow isn't remembered.
+  std::optional<FlowSighting> Sighting(const common::FlowKey& flow) const;
+  /// The client opens another flow under this key.
+  void Forget(const common::FlowKey& flow) { this->flows.erase(flow); }
   bool HasFlowsOf(TargetIndex target) const;
   /// Removes and returns the flows at `target`, each as a packet with those
   /// fields of the client's last one that a reset needs.
@@ -67,7 +73,7 @@
     std::uint32_t acknowledgement{0};
     /// The sequence number after the last byte.
     std::uint32_t next_sequence{0};
-    std::chrono::milliseconds first_seen{0};
+    FlowSighting sighting;
     std::chrono::milliseconds seen_at{0};
     bool awaits_answer{false};  ///< And its failure hasn't been shown.
   };
--- a/source/core/steering/flow_steering.cc
+++ b/source/core/steering/flow_steering.cc
@@ -37,18 +37,13 @@
     return this->OnSyn(packet, grant, now);
   }
   const Route* const route = this->view.routes.Find(packet.flow.service);
-  if (route == nullptr && this->HasNoRoute(packet.flow, now)) {
+  if (route == nullptr &&
+      this->Evidence(now).ViewShowsEnd(this->Sighting(packet.flow))) {
     return Refuse{RefusalReason::kNoRoute};
   }
   return this->OnEstablished(packet, route, now);
 }
 
-bool FlowSteering::HasNoRoute(const common::FlowKey& flow,
-                              std::chrono::milliseconds now) {
-  return this->view.routes.WasWithdrawn(flow.service, now) ||
-         this->unknown_flows.HasEnded(flow, this->ConfirmedAt(now), now);
-}
-
 SteeringAction FlowSteering::OnUnknownRoute(
     std::chrono::milliseconds now) const {
   // The route may have been added while this instance got no updates. A wrong
@@ -63,6 +58,8 @@
 SteeringAction FlowSteering::OnSyn(const FlowPacket& packet,
                                    const AdmissionGrant& grant,
                                    std::chrono::milliseconds now) {
+  this->memory.Forget(packet.flow);
+  this->unknown_flows.Forget(packet.flow);
   const Route* const route = this->view.routes.Find(packet.flow.service);
   if (route == nullptr) {
     return this->OnUnknownRoute(now);
@@ -165,7 +162,8 @@
 }
 
 // Another instance may have opened the flow on a route that this one hasn't
-// learnt of (`route` is null then). The word shows that it has.
+// learnt of, or has seen withdrawn before (`route` is null then). The word
+// shows that it has.
 SteeringAction FlowSteering::OnEstablished(const FlowPacket& packet,
                                            const Route* route,
                                            std::chrono::milliseconds now) {
@@ -274,27 +272,24 @@
     this->unknown_flows.Forget(packet.flow);
     return SilentDrop{SilentDropReason::kUnknownTarget};
   }
-  const bool ended =
-      this->unknown_flows.HasEnded(packet.flow, this->ConfirmedAt(now), now);
+  const bool ended = this->Evidence(now).ViewShowsEnd(
+      this->unknown_flows.Sighting(packet.flow));
+  this->unknown_flows.OnPacket(packet.flow, now);
   if (!ended || packet.payload_bytes == 0) {
     return SilentDrop{SilentDropReason::kUnknownTarget};
   }
   return Refuse{RefusalReason::kTargetGone};
 }
 
-std::optional<std::chrono::milliseconds> FlowSteering::FirstSeen(
+std::optional<FlowSighting> FlowSteering::Sighting(
     const common::FlowKey& flow) const {
-  const auto unknown_since = this->unknown_flows.FirstSeen(flow);
-  const auto carried_since = this->memory.FirstSeen(flow);
-  return unknown_since && carried_since
-             ? std::min(unknown_since, carried_since)
-             : std::max(unknown_since, carried_since);
+  const auto carried = this->memory.Sighting(flow);
+  return carried ? carried : this->unknown_flows.Sighting(flow);
 }
 
-std::optional<std::chrono::milliseconds> FlowSteering::ConfirmedAt(
-    std::chrono::milliseconds now) const {
+EndEvidence FlowSteering::Evidence(std::chrono::milliseconds now) const {
   const auto age = this->view.contact.Age(now);
-  return age ? std::make_optional(now - *age) : std::nullopt;
+  return {age ? std::make_optional(now - *age) : std::nullopt};
 }
 
 bool FlowSteering::ViewIsFresh(std::chrono::milliseconds now) const {
--- a/source/core/steering/flow_steering.h
+++ b/source/core/steering/flow_steering.h
@@ -12,6 +12,7 @@
 
 #include "core/steering/answer_times.h"
 #include "core/steering/concurrency_limiter.h"
+#include "core/steering/end_evidence.h"
 #include "core/steering/flow_memory.h"
 #include "core/steering/flow_packet.h"
 #include "core/steering/half_open_table.h"
@@ -90,10 +91,9 @@
   bool HasFlowsOf(TargetIndex target) const {
     return this->memory.HasFlowsOf(target);
   }
-  /// When the first packet of an open flow came to this instance; nothing if
-  /// none is remembered.
-  std::optional<std::chrono::milliseconds> FirstSeen(
-      const common::FlowKey& flow) const;
+  /// What this instance has seen of an open flow; nothing if the flow isn't
+  /// remembered.
+  std::optional<FlowSighting> Sighting(const common::FlowKey& flow) const;
   std::size_t RememberedFlows() const { return this->memory.Size(); }
   TargetWatch& Watch() { return this->watch; }
   const TargetWatch& Watch() const { return this->watch; }
@@ -134,12 +134,8 @@
   /// that the route doesn't allow.
   bool EveryDomainExcluded(const Route& route) const;
   SteeringAction OnUnknownRoute(std::chrono::milliseconds now) const;
-  /// Whether the route of an open flow, which the view lacks, was withdrawn or
-  /// never existed.
-  bool HasNoRoute(const common::FlowKey& flow, std::chrono::milliseconds now);
-  /// When the view was last confirmed; nothing if never.
-  std::optional<std::chrono::milliseconds> ConfirmedAt(
-      std::chrono::milliseconds now) const;
+  /// What may show that routes and targets that the view lacks have ended.
+  EndEvidence Evidence(std::chrono::milliseconds now) const;
   bool ViewIsFresh(std::chrono::milliseconds now) const;
 
   SteeringView view;
--- a/source/core/view/route_table.h
+++ b/source/core/view/route_table.h
@@ -74,12 +74,6 @@
   std::chrono::milliseconds FlowLife() const { return this->flow_life; }
   /// The published limit of the service's cold targets; see PublishedService.
   std::optional<double> WarmupRate(const std::string& service) const;
-  /// Whether the address had a route within the lifetime of a flow, and has
-  /// none now.
-  bool WasWithdrawn(const common::Endpoint& address,
-                    std::chrono::milliseconds now) const {
-    return this->WithdrawnFor(address, now).has_value();
-  }
   /// How long ago the address's route was withdrawn; nothing if it has one, or
   /// had none within the lifetime of a flow.
   std::optional<std::chrono::milliseconds> WithdrawnFor(
--- a/source/front/flow_port.cc
+++ b/source/front/flow_port.cc
@@ -186,8 +186,8 @@
     this->context.metrics.OnViewUsed(*age);
   }
   std::optional<milliseconds> flow_seen;
-  if (const auto first_seen = this->steering.FirstSeen(packet.flow)) {
-    flow_seen = now - *first_seen;
+  if (const auto sighting = this->steering.Sighting(packet.flow)) {
+    flow_seen = now - sighting->first_seen;
   }
   this->context.log.OnDecision(
       packet, action, this->TargetOf(action),
