Reset flows of a target that has ended only if they are older than its end

OnGoneTarget and the resets sent when a target is replaced trust the end that this instance once read, whenever the flow was opened. A flow that another instance has opened at the target's next start was refused with its first packet here.

Change: EndEvidence decides here too. The memory of flows hands out those that are shown to have ended, and keeps them: a reset that is lost is repeated at once when the client's next packet comes.

Why it works: a target that a flow was opened at lived before the flow's first packet; if a later state of the store lacks it, it ended after that.

Three tests of flow_steering_test.cc sent their flow's first packet after the target's end, where it proves nothing; the packet comes before it now, and the resets are required at the same times.

--- a/source/core/steering/flow_memory.cc
+++ b/source/core/steering/flow_memory.cc
@@ -75,23 +75,25 @@
 
 bool FlowMemory::HasFlowsOf(TargetIndex target) const {
   return std::ranges::any_of(this->flows, [target](const auto& flow) {
-    return flow.second.target == target;
+    return flow.second.target == target && !flow.second.taken;
   });
 }
 
-std::vector<FlowPacket> FlowMemory::Take(TargetIndex target) {
+std::vector<FlowPacket> FlowMemory::Take(
+    TargetIndex target, const std::function<bool(const FlowSighting&)>& ended) {
   std::vector<FlowPacket> taken;
-  std::erase_if(this->flows, [&](const auto& flow) {
-    if (flow.second.target != target) {
-      return false;
+  for (auto& [flow, entry] : this->flows) {
+    if (entry.target != target || entry.taken || !ended(entry.sighting)) {
+      continue;
     }
     FlowPacket packet;
-    packet.flow = flow.first;
+    packet.flow = flow;
     packet.flags.ack = true;
-    packet.acknowledgement = flow.second.acknowledgement;
+    packet.acknowledgement = entry.acknowledgement;
     taken.push_back(packet);
-    return true;
-  });
+    // Kept: if the reset is lost, the client's next packet is no younger.
+    entry.taken = true;
+  }
   return taken;
 }
 
--- a/source/core/steering/flow_memory.h
+++ b/source/core/steering/flow_memory.h
@@ -5,12 +5,13 @@
 /// that request isn't idempotent it can't be retried then, though it never ran:
 /// the booking is lost. After a reset in time the client opens another flow
 /// first. Nothing else depends on this: the client of a flow that isn't
-/// remembered gets a reset for its next packet.
+/// remembered gets a reset once the view shows that its target has ended.
 #pragma once
 
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -58,10 +59,14 @@
   std::optional<FlowSighting> Sighting(const common::FlowKey& flow) const;
   /// The client opens another flow under this key.
   void Forget(const common::FlowKey& flow) { this->flows.erase(flow); }
+  /// Whether there are flows at `target` that Take() hasn't returned.
   bool HasFlowsOf(TargetIndex target) const;
-  /// Removes and returns the flows at `target`, each as a packet with those
-  /// fields of the client's last one that a reset needs.
-  std::vector<FlowPacket> Take(TargetIndex target);
+  /// Returns those flows at `target` that `ended` accepts, each as a packet
+  /// with the fields of the client's last one that a reset needs. Returns a
+  /// flow once, unless further packets of it come.
+  std::vector<FlowPacket> Take(
+      TargetIndex target,
+      const std::function<bool(const FlowSighting&)>& ended);
   /// Removes flows that must have ended, in a scan of all of them every few
   /// seconds.
   void Expire(std::chrono::milliseconds now);
@@ -76,6 +81,7 @@
     FlowSighting sighting;
     std::chrono::milliseconds seen_at{0};
     bool awaits_answer{false};  ///< And its failure hasn't been shown.
+    bool taken{false};          ///< Take() has returned it.
   };
   using Flows = std::unordered_map<common::FlowKey, Entry, FlowHash>;
 
--- a/source/core/steering/flow_steering.cc
+++ b/source/core/steering/flow_steering.cc
@@ -248,7 +248,8 @@
 // client reconnect at once instead of waiting for its deadline. A target that
 // only lost its registration still answers, as its clients' acknowledgements or
 // a probe show, and keeps its flows. So does one whose address another entry
-// claims, if it has answered since: that entry is the outdated one.
+// claims, if it has answered since: that entry is the outdated one. A flow that
+// may be younger than the view may be at a later start of the target.
 SteeringAction FlowSteering::OnGoneTarget(const FlowPacket& packet,
                                           TargetIndex index,
                                           const TargetEntry& target,
@@ -258,7 +259,9 @@
   const bool may_serve =
       (answered_since || !target.replaced) &&
       now - std::max(answered, target.gone_at) <= kGoneGracePeriod;
-  if (may_serve || packet.payload_bytes == 0) {
+  const bool may_be_younger =
+      !this->Evidence(now).ViewShowsEnd(this->Sighting(packet.flow));
+  if (may_serve || may_be_younger || packet.payload_bytes == 0) {
     return SendToTarget{index, SteeringReason::kCarried};
   }
   return Refuse{RefusalReason::kTargetGone, index};
@@ -281,6 +284,16 @@
   return Refuse{RefusalReason::kTargetGone};
 }
 
+std::vector<FlowPacket> FlowSteering::TakeEndedFlows(
+    TargetIndex target, std::chrono::milliseconds now) {
+  const bool gone = this->view.targets.At(target).phase == TargetPhase::kGone;
+  const bool silent = this->watch.Silent(target);
+  const EndEvidence evidence = this->Evidence(now);
+  return this->memory.Take(target, [&](const FlowSighting& flow) {
+    return silent || (gone && evidence.ViewShowsEnd(flow));
+  });
+}
+
 std::optional<FlowSighting> FlowSteering::Sighting(
     const common::FlowKey& flow) const {
   const auto carried = this->memory.Sighting(flow);
--- a/source/core/steering/flow_steering.h
+++ b/source/core/steering/flow_steering.h
@@ -83,11 +83,10 @@
   /// Expires old state. The work per call is bounded.
   void OnTick(std::chrono::milliseconds now);
 
-  /// Removes and returns the remembered flows of a target that has certainly
-  /// ended, so that their clients can be sent resets.
-  std::vector<FlowPacket> TakeFlowsOf(TargetIndex target) {
-    return this->memory.Take(target);
-  }
+  /// Returns the remembered flows that have ended with their target, so that
+  /// their clients can be sent resets; each flow once.
+  std::vector<FlowPacket> TakeEndedFlows(TargetIndex target,
+                                         std::chrono::milliseconds now);
   bool HasFlowsOf(TargetIndex target) const {
     return this->memory.HasFlowsOf(target);
   }
--- a/source/front/flow_port.cc
+++ b/source/front/flow_port.cc
@@ -263,16 +263,17 @@
       return;
   }
   if (change.replaced) {
-    this->ResetFlowsOf(change.target, core::RefusalReason::kTargetGone);
+    this->ResetEndedFlows(change.target, core::RefusalReason::kTargetGone);
   } else {
     watch.OnUnpublished(change.target, now);
   }
 }
 
-void FlowPort::ResetFlowsOf(core::TargetIndex target,
-                            core::RefusalReason reason) {
+void FlowPort::ResetEndedFlows(core::TargetIndex target,
+                               core::RefusalReason reason) {
   const core::SteeringAction action = core::Refuse{reason, target};
-  for (const core::FlowPacket& packet : this->steering.TakeFlowsOf(target)) {
+  for (const core::FlowPacket& packet :
+       this->steering.TakeEndedFlows(target, this->context.clock.Now())) {
     this->Act(packet, action, {});
     this->LogDecision(packet, action);
   }
@@ -285,7 +286,7 @@
   const bool silent_now = this->steering.Watch().OnProbed(
       result.target, result.outcome, result.started_at, now);
   if (silent_now) {
-    this->ResetFlowsOf(result.target, core::RefusalReason::kTargetSilent);
+    this->ResetEndedFlows(result.target, core::RefusalReason::kTargetSilent);
   }
   if (result.outcome != core::ProbeOutcome::kAnswered &&
       this->context.view.Targets().Has(result.target)) {
--- a/source/front/flow_port.h
+++ b/source/front/flow_port.h
@@ -107,7 +107,7 @@
       core::TargetIndex target, std::chrono::milliseconds now) const;
   void OnProbeEnded(const ProbeResult& result) override;
   /// Tells the clients whose flows are at a target that has ended.
-  void ResetFlowsOf(core::TargetIndex target, core::RefusalReason reason);
+  void ResetEndedFlows(core::TargetIndex target, core::RefusalReason reason);
 
   const FlowContext context;
   const common::Endpoint listen;
--- a/tests/core/steering/end_evidence_test.cc
+++ b/tests/core/steering/end_evidence_test.cc
@@ -87,5 +87,92 @@
   }
 }
 
+/// A packet of an open flow at an instance that learnt at 5000 ms of the end of
+/// the flow's target. `successor`: of another target, which started later at
+/// the same address.
+struct GoneTargetRow {
+  std::string name;
+  bool successor;
+  std::chrono::milliseconds first_seen;
+  std::chrono::milliseconds at;
+  std::optional<std::chrono::milliseconds> confirmed_at;
+  std::string outcome;
+};
+
+std::ostream& operator<<(std::ostream& out, const GoneTargetRow& row) {
+  return out << row.name << (row.successor ? ", replaced" : ", removed");
+}
+
+const GoneTargetRow kGoneTargets[] = {
+    {"before", false, 4000ms, 6100ms, {}, "target-gone"},
+    {"before", true, 4000ms, 5100ms, {}, "target-gone"},
+    {"about", false, 4800ms, 6100ms, {}, "carried"},
+    {"about, confirmed since", false, 4800ms, 6100ms, 5300ms, "target-gone"},
+    {"since", false, 6100ms, 6100ms, {}, "carried"},
+    {"since", true, 5100ms, 5100ms, {}, "carried"},
+    {"since, not confirmed", false, 6100ms, 9000ms, {}, "carried"},
+    {"since, not confirmed", true, 5100ms, 9000ms, {}, "carried"},
+    {"since, soon confirmed", false, 6100ms, 6700ms, 6500ms, "carried"},
+    {"since, confirmed later", false, 6100ms, 6700ms, 6600ms, "target-gone"},
+    {"since, confirmed later", true, 5100ms, 5700ms, 5600ms, "target-gone"},
+};
+
+// Guards against resetting a flow that was opened after its target had started
+// again under its name, which this instance hasn't learnt of.
+BOOST_DATA_TEST_CASE(an_end_of_a_target_ends_no_flow_that_may_be_younger,
+                     kGoneTargets, row) {
+  Scene scene;
+  if (row.first_seen < 5000ms) {
+    scene.Request(0xA1, row.first_seen);
+  }
+  if (row.successor) {
+    scene.Publish("c1", "diary north 10.0.0.1:80 start=90000", 5000ms);
+  } else {
+    scene.Remove("a1", 5000ms);
+  }
+  if (row.first_seen >= 5000ms && row.first_seen < row.at) {
+    scene.Request(0xA1, row.first_seen);
+  }
+  scene.Confirm(row.confirmed_at);
+
+  BOOST_TEST(scene.Request(0xA1, row.at) == row.outcome);
+
+  scene.Publish("a1", "diary north 10.0.0.3:80 start=99000", row.at);
+  BOOST_TEST(scene.Request(0xA1, row.at) == "carried");
+}
+
+/// A flow that came at 4000 ms, and one that came at 5200 ms, with the view
+/// confirmed last at `confirmed_at`.
+struct ReplacedTargetRow {
+  std::chrono::milliseconds confirmed_at;
+  std::size_t told;
+};
+
+std::ostream& operator<<(std::ostream& out, const ReplacedTargetRow& row) {
+  return out << row.confirmed_at.count() << " ms";
+}
+
+const ReplacedTargetRow kReplacedTargets[] = {{5400ms, 1}, {5700ms, 2}};
+
+// Guards against resetting idle flows at a target that was replaced before they
+// were opened: it has started again elsewhere.
+BOOST_DATA_TEST_CASE(clients_are_told_of_the_end_of_older_flows_only,
+                     kReplacedTargets, row) {
+  Scene scene;
+  const TargetIndex target = scene.IndexOf(0xA1);
+  scene.steering.OnPacket(SteeringScene::Ack(1000, 0xA1), 4000ms);
+  scene.steering.OnPacket(SteeringScene::Ack(1001, 0xA1), 5200ms);
+  scene.view.Contact().OnAnswer(row.confirmed_at);
+  scene.view.OnPeerItems({{scene.revision},
+                          {scene.revision + 1},
+                          false,
+                          {{"target/c1",
+                            {scene.revision + 1},
+                            "diary north 10.0.0.1:80 start=90000"}}},
+                         6000ms);
+
+  BOOST_TEST(scene.steering.TakeEndedFlows(target, 6000ms).size() == row.told);
+}
+
 }  // namespace
 }  // namespace sassafrasdyke::core
--- a/tests/core/steering/flow_steering_test.cc
+++ b/tests/core/steering/flow_steering_test.cc
@@ -373,6 +373,7 @@
 // longer than its entry exists.
 BOOST_AUTO_TEST_CASE(flows_of_a_target_that_is_gone_are_reset) {
   Scene scene;
+  scene.steering.OnPacket(SteeringScene::Ack(1000, 0xA1), 4000ms);
   scene.Remove("a1", 5000ms);
 
   BOOST_TEST(WordOf(scene.steering.OnPacket(SteeringScene::Data(1000, 0xA1),
@@ -387,6 +388,7 @@
 // answering. Clients' acknowledgements show that; its flows are left alone.
 BOOST_AUTO_TEST_CASE(a_target_that_still_answers_keeps_its_flows) {
   Scene scene;
+  scene.steering.OnPacket(SteeringScene::Ack(1000, 0xA1), 4000ms);
   scene.Remove("a1", 5000ms);
   scene.steering.OnPacket(SteeringScene::Ack(1000, 0xA1), 5200ms);
 
@@ -429,6 +431,7 @@
   };
   Scene scene;
   scene.Publish("c1", text(20'000ms), 1000ms);
+  scene.steering.OnPacket(SteeringScene::Ack(1000, 0xC1), 1400ms);
   scene.Publish("c2", text(20'000ms + row.started_later.value_or(0ms)), 2000ms);
   if (row.answers) {
     scene.steering.OnPacket(SteeringScene::Ack(1000, 0xC1), 2100ms);
@@ -470,9 +473,9 @@
 
   BOOST_TEST(WordOf(scene.steering.OnPacket(SteeringScene::Data(1000, 0xA1),
                                             1800ms)) == "target-silent");
-  const auto told = scene.steering.TakeFlowsOf(target);
+  const auto told = scene.steering.TakeEndedFlows(target, 1800ms);
   BOOST_TEST(told.size() == 2U);
-  BOOST_TEST(scene.steering.TakeFlowsOf(target).empty());
+  BOOST_TEST(scene.steering.TakeEndedFlows(target, 1800ms).empty());
 }
 
 /// Counts what an observer is told.
