Reset flows of a silent target only if they are older than its failed probes

Cause: a silent target stays silent until a probe or a client is answered, and isn't probed while its entry is gone.

Change: a probe shows the end of flows that came before it began, at the address that was probed: the flow was opened from this instance, or by a view that was confirmed since. Of two probes that fail without an answer the first counts, as one may be lost. A silent target that is published again is probed at once.

Why it works: at a refused probe nobody listened, so a flow that was open at that address before has ended; a later one may be at a new start.

Tests: a_failed_probe_ends_no_flow_that_may_be_younger failed in 5 of 9 rows on the code before, a_silent_target_that_is_published_again_is_probed_at_once in its one; both pass. flows_of_a_silent_target_are_reset_after_failed_probes had flows that came from another instance by a view never confirmed since; the view is confirmed now before its last step, the resets are required as before.

--- a/source/core/steering/end_evidence.cc
+++ b/source/core/steering/end_evidence.cc
@@ -13,4 +13,10 @@
          *this->view_confirmed_at >= flow->first_seen + kPropagationTime;
 }
 
+bool EndEvidence::ProbesShowEnd(const std::optional<FlowSighting>& flow) const {
+  return flow && this->silent_as_of &&
+         *this->silent_as_of >= flow->first_seen &&
+         (flow->opened_here || this->ViewShowsEnd(flow));
+}
+
 }  // namespace sassafrasdyke::core
--- a/source/core/steering/end_evidence.h
+++ b/source/core/steering/end_evidence.h
@@ -19,10 +19,17 @@
   /// When the view, which lacks the route or target, was last confirmed;
   /// nothing if never.
   std::optional<std::chrono::milliseconds> view_confirmed_at;
+  /// As of when probes show that the flow's target doesn't answer at the
+  /// address that the view has; nothing if they don't.
+  std::optional<std::chrono::milliseconds> silent_as_of = std::nullopt;
 
   /// Whether the view shows that the flow has ended: it was confirmed once the
   /// flow was open.
   bool ViewShowsEnd(const std::optional<FlowSighting>& flow) const;
+  /// Whether probes show that the flow has ended: they began once it was open,
+  /// and its target was at their address then. That is known if the flow was
+  /// opened from here, or by a view that was confirmed since.
+  bool ProbesShowEnd(const std::optional<FlowSighting>& flow) const;
 };
 
 }  // namespace sassafrasdyke::core
--- a/source/core/steering/flow_memory.cc
+++ b/source/core/steering/flow_memory.cc
@@ -31,8 +31,9 @@
   if (found == this->flows.end()) {
     if (this->flows.size() < kMaxFlows) {
       this->flows.emplace(
-          packet.flow, Entry{target, packet.acknowledgement, next_sequence,
-                             FlowSighting{now}, now, packet.payload_bytes > 0});
+          packet.flow,
+          Entry{target, packet.acknowledgement, next_sequence,
+                FlowSighting{now, false}, now, packet.payload_bytes > 0});
     }
     return {false, packet.payload_bytes > 0, false};
   }
@@ -47,7 +48,8 @@
   const bool awaits_answer =
       requests || (entry.awaits_answer && !answered && !fails);
   // A flow's target doesn't change; this is another flow.
-  const FlowSighting sighting = same ? entry.sighting : FlowSighting{now};
+  const FlowSighting sighting =
+      same ? entry.sighting : FlowSighting{now, false};
   entry = {target, packet.acknowledgement, next_sequence, sighting,
            now,    awaits_answer};
   return {answered, requests, fails};
@@ -65,6 +67,12 @@
   return {false, false, fails};
 }
 
+void FlowMemory::OnOpenedHere(const common::FlowKey& flow) {
+  if (const auto found = this->flows.find(flow); found != this->flows.end()) {
+    found->second.sighting.opened_here = true;
+  }
+}
+
 std::optional<FlowSighting> FlowMemory::Sighting(
     const common::FlowKey& flow) const {
   const auto found = this->flows.find(flow);
--- a/source/core/steering/flow_memory.h
+++ b/source/core/steering/flow_memory.h
@@ -43,6 +43,8 @@
 /// What an instance has seen of an open flow.
 struct FlowSighting {
   std::chrono::milliseconds first_seen{0};  ///< When its first packet came.
+  /// Its SYN was sent from here to the target that it is at.
+  bool opened_here{false};
 };
 
 /// Bounded in number: beyond the bound new flows aren't remembered.
@@ -55,6 +57,8 @@
   /// Records a packet of a client that is forwarded to `target`.
   FlowProgress OnForwarded(const FlowPacket& packet, TargetIndex target,
                            std::chrono::milliseconds now);
+  /// The flow was opened by a SYN that was sent from here to its target.
+  void OnOpenedHere(const common::FlowKey& flow);
   /// Nothing if the flow isn't remembered.
   std::optional<FlowSighting> Sighting(const common::FlowKey& flow) const;
   /// The client opens another flow under this key.
--- a/source/core/steering/flow_steering.cc
+++ b/source/core/steering/flow_steering.cc
@@ -38,7 +38,7 @@
   }
   const Route* const route = this->view.routes.Find(packet.flow.service);
   if (route == nullptr &&
-      this->Evidence(now).ViewShowsEnd(this->Sighting(packet.flow))) {
+      this->Evidence({}, now).ViewShowsEnd(this->Sighting(packet.flow))) {
     return Refuse{RefusalReason::kNoRoute};
   }
   return this->OnEstablished(packet, route, now);
@@ -185,17 +185,21 @@
   // acknowledge an answer only with its next request; without comparing
   // acknowledgement numbers that request would look like an unanswered
   // retransmission and cost a probe.
-  const bool opened = this->half_open_flows.Finish(packet.flow).has_value();
+  const auto opened_at = this->half_open_flows.Finish(packet.flow);
   const FlowProgress progress = this->memory.OnForwarded(packet, *index, now);
+  if (opened_at == index) {
+    this->memory.OnOpenedHere(packet.flow);
+  }
   this->TrackRequests(packet, route, *index, progress, now);
-  if (opened || progress.answered || IsBareAck(packet)) {
+  if (opened_at || progress.answered || IsBareAck(packet)) {
     this->watch.OnAnswered(*index, now);
   }
   if (target.phase == TargetPhase::kGone) {
     return this->OnGoneTarget(packet, *index, target, now);
   }
   if (packet.payload_bytes > 0) {
-    if (this->watch.Silent(*index)) {
+    if (this->watch.Silent(*index) &&
+        this->Evidence(index, now).ProbesShowEnd(this->Sighting(packet.flow))) {
       return Refuse{RefusalReason::kTargetSilent, *index};
     }
     this->watch.OnSent(*index, now);
@@ -260,7 +264,7 @@
       (answered_since || !target.replaced) &&
       now - std::max(answered, target.gone_at) <= kGoneGracePeriod;
   const bool may_be_younger =
-      !this->Evidence(now).ViewShowsEnd(this->Sighting(packet.flow));
+      !this->Evidence({}, now).ViewShowsEnd(this->Sighting(packet.flow));
   if (may_serve || may_be_younger || packet.payload_bytes == 0) {
     return SendToTarget{index, SteeringReason::kCarried};
   }
@@ -275,7 +279,7 @@
     this->unknown_flows.Forget(packet.flow);
     return SilentDrop{SilentDropReason::kUnknownTarget};
   }
-  const bool ended = this->Evidence(now).ViewShowsEnd(
+  const bool ended = this->Evidence({}, now).ViewShowsEnd(
       this->unknown_flows.Sighting(packet.flow));
   this->unknown_flows.OnPacket(packet.flow, now);
   if (!ended || packet.payload_bytes == 0) {
@@ -287,10 +291,10 @@
 std::vector<FlowPacket> FlowSteering::TakeEndedFlows(
     TargetIndex target, std::chrono::milliseconds now) {
   const bool gone = this->view.targets.At(target).phase == TargetPhase::kGone;
-  const bool silent = this->watch.Silent(target);
-  const EndEvidence evidence = this->Evidence(now);
+  const EndEvidence evidence = this->Evidence(target, now);
   return this->memory.Take(target, [&](const FlowSighting& flow) {
-    return silent || (gone && evidence.ViewShowsEnd(flow));
+    return evidence.ProbesShowEnd(flow) ||
+           (gone && evidence.ViewShowsEnd(flow));
   });
 }
 
@@ -300,9 +304,11 @@
   return carried ? carried : this->unknown_flows.Sighting(flow);
 }
 
-EndEvidence FlowSteering::Evidence(std::chrono::milliseconds now) const {
+EndEvidence FlowSteering::Evidence(std::optional<TargetIndex> target,
+                                   std::chrono::milliseconds now) const {
   const auto age = this->view.contact.Age(now);
-  return {age ? std::make_optional(now - *age) : std::nullopt};
+  return {age ? std::make_optional(now - *age) : std::nullopt,
+          target ? this->watch.SilentAsOf(*target) : std::nullopt};
 }
 
 bool FlowSteering::ViewIsFresh(std::chrono::milliseconds now) const {
--- a/source/core/steering/flow_steering.h
+++ b/source/core/steering/flow_steering.h
@@ -133,8 +133,10 @@
   /// that the route doesn't allow.
   bool EveryDomainExcluded(const Route& route) const;
   SteeringAction OnUnknownRoute(std::chrono::milliseconds now) const;
-  /// What may show that routes and targets that the view lacks have ended.
-  EndEvidence Evidence(std::chrono::milliseconds now) const;
+  /// What may show that a flow at `target`, or at none that is known, has
+  /// ended.
+  EndEvidence Evidence(std::optional<TargetIndex> target,
+                       std::chrono::milliseconds now) const;
   bool ViewIsFresh(std::chrono::milliseconds now) const;
 
   SteeringView view;
--- a/source/core/steering/target_watch.cc
+++ b/source/core/steering/target_watch.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace sassafrasdyke::core {
 namespace {
@@ -52,7 +53,7 @@
   state.unanswered_since = now;
   state.failed_probes = 0;
   state.wants_probe = false;
-  state.silent = false;
+  state.silent_as_of.reset();
 }
 
 void TargetWatch::OnSent(TargetIndex target, std::chrono::milliseconds now) {
@@ -103,6 +104,10 @@
       found != this->states.end()) {
     found->second.leaving_since.reset();
     found->second.unpublished = false;
+    // It may be a new start, which would get no flows until the next probe.
+    if (found->second.silent_as_of) {
+      found->second.next_probe = std::chrono::milliseconds{0};
+    }
   }
 }
 
@@ -112,14 +117,14 @@
   for (auto candidate = this->probe_candidates.begin();
        candidate != this->probe_candidates.end();) {
     State& state = this->states.at(*candidate);
-    if (!state.wants_probe && !state.silent) {
+    if (!state.wants_probe && !state.silent_as_of) {
       candidate = this->probe_candidates.erase(candidate);
       continue;
     }
     if (state.next_probe <= now) {
       state.wants_probe = false;
       state.next_probe =
-          now + (state.silent ? kSilentProbeInterval : kProbeInterval);
+          now + (state.silent_as_of ? kSilentProbeInterval : kProbeInterval);
       probes.push_back(*candidate);
     }
     ++candidate;
@@ -162,10 +167,18 @@
     return false;
   }
   ++state.failed_probes;
-  const bool certain = outcome == ProbeOutcome::kRefused ||
-                       state.failed_probes >= kFailedProbesUntilSilent;
-  const bool newly = certain && !state.silent;
-  state.silent = certain;
+  const std::chrono::milliseconds previous =
+      std::exchange(state.last_failed_start, started);
+  const bool refused = outcome == ProbeOutcome::kRefused;
+  const bool certain =
+      refused || state.failed_probes >= kFailedProbesUntilSilent;
+  const bool newly = certain && !state.silent_as_of;
+  state.silent_as_of.reset();
+  if (certain) {
+    // Of two probes that show it together, the first may have been lost before
+    // a later flow was opened.
+    state.silent_as_of = refused ? started : previous;
+  }
   this->RequestProbe(target, state);
   state.wants_probe = !certain;  // Silent targets are always probed.
   state.next_probe = newly ? now + kSilentProbeInterval : state.next_probe;
@@ -186,7 +199,8 @@
   std::optional<TargetIndex> best;
   std::chrono::milliseconds latest = since;
   for (const auto& [target, state] : this->states) {
-    if (target != except && !state.silent && state.last_answered >= latest) {
+    if (target != except && !state.silent_as_of &&
+        state.last_answered >= latest) {
       best = target;
       latest = state.last_answered;
     }
@@ -194,9 +208,10 @@
   return best;
 }
 
-bool TargetWatch::Silent(TargetIndex target) const {
+std::optional<std::chrono::milliseconds> TargetWatch::SilentAsOf(
+    TargetIndex target) const {
   const State* const state = this->Find(target);
-  return state != nullptr && state->silent;
+  return state == nullptr ? std::nullopt : state->silent_as_of;
 }
 
 std::string_view Word(ProbeOutcome outcome) {
@@ -228,7 +243,8 @@
 bool TargetWatch::Suspected(TargetIndex target,
                             std::chrono::milliseconds now) const {
   const State* const state = this->Find(target);
-  return state != nullptr && (state->silent || state->suspected_until > now);
+  return state != nullptr &&
+         (state->silent_as_of || state->suspected_until > now);
 }
 
 std::chrono::milliseconds TargetWatch::LastUnansweredSyn(
--- a/source/core/steering/target_watch.h
+++ b/source/core/steering/target_watch.h
@@ -72,7 +72,12 @@
   /// The silent targets. Visits only those that may need a probe.
   std::vector<TargetIndex> SilentTargets() const;
   /// Whether probes have confirmed that the target doesn't answer.
-  bool Silent(TargetIndex target) const;
+  bool Silent(TargetIndex target) const {
+    return this->SilentAsOf(target).has_value();
+  }
+  /// The latest time as of which probes have confirmed that; nothing if they
+  /// haven't.
+  std::optional<std::chrono::milliseconds> SilentAsOf(TargetIndex target) const;
 
   /// A client has shown that the target answered.
   void OnAnswered(TargetIndex target, std::chrono::milliseconds now);
@@ -104,14 +109,17 @@
     /// was sent.
     unsigned unanswered{0};
     std::chrono::milliseconds unanswered_since{0};
-    /// Consecutive failed probes, with no answer in between.
+    /// Consecutive failed probes, with no answer in between, and the start of
+    /// the last one.
     unsigned failed_probes{0};
+    std::chrono::milliseconds last_failed_start{0};
     std::chrono::milliseconds next_probe{0};
     bool wants_probe{false};
     bool unpublished{false};
     /// Since when it has been leaving or unpublished; nothing while it serves.
     std::optional<std::chrono::milliseconds> leaving_since;
-    bool silent{false};
+    /// Nothing if it isn't silent.
+    std::optional<std::chrono::milliseconds> silent_as_of;
   };
   const State* Find(TargetIndex target) const;
   void RequestProbe(TargetIndex target, State& state);
--- a/tests/core/steering/end_evidence_test.cc
+++ b/tests/core/steering/end_evidence_test.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <ostream>
 #include <string>
+#include <vector>
 
 #include "core/steering/steering_scene.h"
 
@@ -174,5 +175,87 @@
   BOOST_TEST(scene.steering.TakeEndedFlows(target, 6000ms).size() == row.told);
 }
 
+struct FailedProbe {
+  ProbeOutcome outcome;
+  std::chrono::milliseconds started;
+};
+
+/// A packet of an open flow whose target has failed probes.
+struct SilentTargetRow {
+  std::string name;
+  std::vector<FailedProbe> probes;
+  bool opened_here;
+  std::chrono::milliseconds first_seen;
+  std::chrono::milliseconds at;
+  std::optional<std::chrono::milliseconds> confirmed_at;
+  std::string outcome;
+};
+
+std::ostream& operator<<(std::ostream& out, const SilentTargetRow& row) {
+  return out << row.name;
+}
+
+const std::vector<FailedProbe> kRefused = {{ProbeOutcome::kRefused, 5000ms}};
+const std::vector<FailedProbe> kRefusedTwice = {
+    {ProbeOutcome::kRefused, 5000ms}, {ProbeOutcome::kRefused, 6000ms}};
+const std::vector<FailedProbe> kSilentTwice = {{ProbeOutcome::kSilent, 4700ms},
+                                               {ProbeOutcome::kSilent, 5000ms}};
+
+const SilentTargetRow kSilentTargets[] = {
+    {"before", kRefused, false, 4000ms, 5100ms, 4600ms, "target-silent"},
+    {"opened here", kRefused, true, 4000ms, 5100ms, {}, "target-silent"},
+    // The target may have started again at another address.
+    {"before, not confirmed", kRefused, false, 4000ms, 5100ms, {}, "carried"},
+    {"since", kRefused, false, 5100ms, 5100ms, {}, "carried"},
+    {"since, confirmed", kRefused, false, 5100ms, 5800ms, 5700ms, "carried"},
+    {"since, opened here", kRefused, true, 5100ms, 5800ms, 5700ms, "carried"},
+    {"before the second", kRefusedTwice, false, 5100ms, 6100ms, 5700ms,
+     "target-silent"},
+    {"before both", kSilentTwice, false, 4600ms, 5300ms, 5200ms,
+     "target-silent"},
+    {"between two", kSilentTwice, false, 4800ms, 5400ms, 5350ms, "carried"},
+};
+
+// Guards against resetting a flow that was opened after its target had started
+// again, as probes of the former start failed.
+BOOST_DATA_TEST_CASE(a_failed_probe_ends_no_flow_that_may_be_younger,
+                     kSilentTargets, row) {
+  Scene scene;
+  std::uint32_t word = 0xA1;
+  const auto send_first = [&] {
+    if (row.opened_here) {
+      word = scene.SteeringScene::WordOf(
+          scene.steering.OnPacket(SteeringScene::Syn(1000), row.first_seen));
+    }
+    scene.Request(word, row.first_seen);
+  };
+  // Rows for flows of any target: all of them fail the probes.
+  const auto probe = [&](const FailedProbe& failed) {
+    for (const std::uint32_t probed : {0xA1U, 0xA2U}) {
+      scene.steering.Watch().OnReportedSilent(scene.IndexOf(probed));
+      scene.steering.Watch().OnProbed(scene.IndexOf(probed), failed.outcome,
+                                      failed.started, failed.started + 20ms);
+    }
+  };
+  bool sent = false;
+  for (const FailedProbe& failed : row.probes) {
+    if (!sent && row.first_seen < failed.started) {
+      send_first();
+      sent = true;
+    }
+    probe(failed);
+  }
+  if (!sent) {
+    send_first();
+  }
+  scene.Confirm(row.confirmed_at);
+
+  BOOST_TEST(scene.Request(word, row.at) == row.outcome);
+  const bool ended = row.outcome == "target-silent";
+  BOOST_TEST(
+      scene.steering.TakeEndedFlows(scene.IndexOf(word), row.at).size() ==
+      (ended ? 1U : 0U));
+}
+
 }  // namespace
 }  // namespace sassafrasdyke::core
--- a/tests/core/steering/flow_steering_test.cc
+++ b/tests/core/steering/flow_steering_test.cc
@@ -470,6 +470,7 @@
     scene.steering.Watch().OnProbed(target, ProbeOutcome::kSilent, at,
                                     at + 200ms);
   }
+  scene.view.Contact().OnAnswer(1750ms);
 
   BOOST_TEST(WordOf(scene.steering.OnPacket(SteeringScene::Data(1000, 0xA1),
                                             1800ms)) == "target-silent");
--- a/tests/core/steering/target_watch_test.cc
+++ b/tests/core/steering/target_watch_test.cc
@@ -161,6 +161,21 @@
   BOOST_TEST(watch.Silent(kTarget));
 }
 
+// Guards against a new start of a target that gets no flows for a second, as
+// its former start was silent.
+BOOST_AUTO_TEST_CASE(
+    a_silent_target_that_is_published_again_is_probed_at_once) {
+  TargetWatch watch;
+  watch.OnUnpublished(kTarget, 0ms);
+  watch.OnProbed(kTarget, ProbeOutcome::kRefused, 1500ms, 1501ms);
+  BOOST_REQUIRE(watch.Silent(kTarget));
+  BOOST_TEST(watch.TakeProbes(1600ms).empty());
+
+  watch.OnServing(kTarget);
+
+  BOOST_TEST(watch.TakeProbes(1600ms).size() == 1U);
+}
+
 struct Miss {
   unsigned misses;
   std::chrono::milliseconds until;
