Bound the length of texts in the log

Cause: names of services and failure domains in log lines are those of entries, which other programs write too, and may be as long as an item (1 MiB).

Change: the text of a field ends after 512 bytes.

Tests: a_long_text_is_shortened failed on the code before (the line was cut off by the pipe) and passes; front_tests pass.

--- a/source/front/line_log.cc
+++ b/source/front/line_log.cc
@@ -14,6 +14,10 @@
 /// Written at once without waiting for the next tick.
 constexpr std::size_t kWriteAt = 8U << 10U;
 
+/// Longest text of a field, in bytes. Names that others publish may be as long
+/// as an item; the rest is left out.
+constexpr std::size_t kMostTextBytes = 512;
+
 /// A line costs about 10 us; 40 a second are under a hundredth of a twentieth
 /// of a core. The bursts hold what a whole restart or a release brings.
 constexpr common::BucketLimits kProcessLines{20, 200};
@@ -94,6 +98,13 @@
   if (fields.is_object()) {
     line.update(fields);
   }
+  for (LineFields& field : line) {
+    if (auto* const text = field.get_ptr<std::string*>();
+        text != nullptr && text->size() > kMostTextBytes) {
+      text->resize(kMostTextBytes);
+      *text += "...";
+    }
+  }
   // Texts of others may hold bytes that are no UTF-8; they are replaced.
   this->unsent +=
       line.dump(-1, ' ', false, LineFields::error_handler_t::replace);
--- a/tests/front/line_log_test.cc
+++ b/tests/front/line_log_test.cc
@@ -31,6 +31,22 @@
   BOOST_TEST(line["target"].get<std::string>().starts_with("t"));
 }
 
+// Guards against a name of another program's entry that fills the log.
+BOOST_AUTO_TEST_CASE(a_long_text_is_shortened) {
+  ev::dynamic_loop loop;
+  const LogPipe pipe;
+  LineLog log(loop, pipe.WriteEnd(), {});
+  log.Write(LineKind::kView, "target",
+            {{"service", std::string(1U << 20U, 'x')}}, 5ms);
+  log.OnTick(5ms);
+
+  const std::string line = pipe.ReadAll();
+  BOOST_TEST(line.size() < 1000U);
+  BOOST_TEST(
+      nlohmann::json::parse(line)["service"].get<std::string>().ends_with(
+          "x..."));
+}
+
 // A flood of new flows would write a line each. The budget of the kind bounds
 // them, says how many were left out, and leaves the other kinds theirs.
 BOOST_AUTO_TEST_CASE(a_flood_costs_a_bounded_number_of_lines) {
