--- a/source/core/view/route_table.h
+++ b/source/core/view/route_table.h
@@ -33,7 +33,7 @@
 /// One route in force.
 struct Route {
   std::vector<ServiceShare> shares;
-  std::uint32_t total_weight{0};
+  std::uint64_t total_weight{0};
   /// These three as published; see PublishedRoute.
   std::optional<std::chrono::milliseconds> objective;
   std::uint32_t rank{0};
--- a/tests/core/view/route_table_test.cc
+++ b/tests/core/view/route_table_test.cc
@@ -62,6 +62,15 @@
   BOOST_TEST(!route.MayUse("other", 30s));
 }
 
+// Guards against shares that change when the sum of their weights overflows.
+BOOST_AUTO_TEST_CASE(great_weights_add_up) {
+  RouteTable table(60s);
+  const ServiceShare great{"a", UINT32_MAX};
+  table.Replace({1, {{kAddress, {great, great}}}}, 0ms);
+
+  BOOST_TEST(table.Find(kAddress)->total_weight == 2ULL * UINT32_MAX);
+}
+
 // Guards against serving a route that a newer configuration doesn't contain.
 BOOST_AUTO_TEST_CASE(a_withdrawn_route_is_gone) {
   RouteTable table(60s);
--- a/tests/platform/odd_entries_test.cc
+++ b/tests/platform/odd_entries_test.cc
@@ -124,6 +124,18 @@
   }
 }
 
+// Guards against a rate that no whole number of flows can hold.
+BOOST_AUTO_TEST_CASE(a_rate_out_of_range_is_bounded) {
+  const auto item = StoreCodec().ReadItem(
+      kConfigurationKey,
+      Configuration("", R"(,"services":[{"name":"a","warmup-per-s":1e308}])"));
+
+  BOOST_REQUIRE(item.has_value());
+  BOOST_TEST(*std::get<core::PublishedConfiguration>(*item)
+                  .services.at(0)
+                  .warmup_rate <= 1e6);
+}
+
 struct OddMember {
   std::string name;
   std::string json;
