Count an answer as a confirmation of the time when it began to arrive

A view was confirmed as of the last byte of an answer, of a listing the last page. The store made it before the first byte, of a listing before the first page, and a flow's route may have been published in between; from 0.5 s on that passed for proof. A peer's copy took the age that it had when it was sent.

Change: answers carry the time of their first bytes, and a view is confirmed as of that time.

--- a/source/core/view/store_contact.cc
+++ b/source/core/view/store_contact.cc
@@ -11,14 +11,15 @@
 // An instance that begins to read, after its start or because nobody notified
 // it, may do so just after an outage that it has seen no sign of but the age of
 // its view. Whether only the readers were gone instead can't be told then.
-void StoreContact::OnAnswer(std::chrono::milliseconds now) {
+void StoreContact::OnAnswer(std::chrono::milliseconds now,
+                            std::chrono::milliseconds age) {
   const bool first_call = !this->last_call_served;
   if (this->SeemsUnreachable(now) || (first_call && this->IsOld(now))) {
     this->OnReturn(now);
   }
   this->unreachable = false;
   this->last_call_served = true;
-  this->OnConfirmed(now);
+  this->OnConfirmed(now - age);
 }
 
 void StoreContact::OnFailure() {
--- a/source/core/view/store_contact.h
+++ b/source/core/view/store_contact.h
@@ -24,8 +24,10 @@
   /// At time `at` the store confirmed the current revision to this instance or
   /// to a peer at the same revision.
   void OnConfirmed(std::chrono::milliseconds at);
-  /// This instance's own call was served.
-  void OnAnswer(std::chrono::milliseconds now);
+  /// This instance's own call was served, by an answer that the store made
+  /// `age` ago or shortly before.
+  void OnAnswer(std::chrono::milliseconds now,
+                std::chrono::milliseconds age = std::chrono::milliseconds{0});
   /// This instance's own call was refused, lost or timed out.
   void OnFailure();
   /// This instance has stopped reading the store itself.
--- a/source/front/front_process.cc
+++ b/source/front/front_process.cc
@@ -128,11 +128,11 @@
   void OnPull(const common::Endpoint& peer, std::string_view what,
               bool differs) override;
 
-  void OnStoreListing(std::vector<core::Item> items,
-                      common::Revision at) override;
-  void OnStoreChanges(core::ChangeBatch batch) override;
+  void OnStoreListing(std::vector<core::Item> items, common::Revision at,
+                      milliseconds age) override;
+  void OnStoreChanges(core::ChangeBatch batch, milliseconds age) override;
   void OnStoreFailure(std::string_view what) override;
-  void OnStoreAnswer();
+  void OnStoreAnswer(milliseconds age);
 
   const config::FrontSettings& settings;
   const FrontAdapter& adapter;
@@ -338,9 +338,9 @@
 }
 
 void FrontProcess::OnStoreListing(std::vector<core::Item> items,
-                                  common::Revision at) {
+                                  common::Revision at, milliseconds age) {
   const auto unconfirmed = this->view.Contact().Age(this->Now());
-  this->OnStoreAnswer();
+  this->OnStoreAnswer(age);
   this->log.OnNote("listed", {{"items", items.size()}, {"revision", at.value}},
                    this->Now());
   const common::Revision before = this->view.Items().Complete();
@@ -351,9 +351,9 @@
   this->exchange->Act(this->sync.OnStoreRead(before, this->Now()));
 }
 
-void FrontProcess::OnStoreChanges(core::ChangeBatch batch) {
+void FrontProcess::OnStoreChanges(core::ChangeBatch batch, milliseconds age) {
   const auto unconfirmed = this->view.Contact().Age(this->Now());
-  this->OnStoreAnswer();
+  this->OnStoreAnswer(age);
   const common::Revision before = this->view.Items().Complete();
   const auto started = std::chrono::steady_clock::now();
   this->view.OnChanges(std::move(batch), this->Now());
@@ -362,9 +362,9 @@
   this->exchange->Act(this->sync.OnStoreRead(before, this->Now()));
 }
 
-void FrontProcess::OnStoreAnswer() {
+void FrontProcess::OnStoreAnswer(milliseconds age) {
   const milliseconds now = this->Now();
-  this->view.Contact().OnAnswer(now);
+  this->view.Contact().OnAnswer(now, age);
   if (!this->reading) {
     // The last call of a reading that ended.
     this->view.Contact().OnReadingStopped();
--- a/source/front/peer_exchange.cc
+++ b/source/front/peer_exchange.cc
@@ -145,6 +145,10 @@
                    : this->sync.OnPullFailed(instead));
     return;
   }
+  if (copy->mark.age) {
+    // It was told before the copy was sent, which may take a while.
+    *copy->mark.age += http::TimeSince(outcome->began_at);
+  }
   const std::chrono::milliseconds now = this->clock.Now();
   const auto unconfirmed = this->view.Contact().Age(now);
   const common::Endpoint source = this->pulled_from;
--- a/source/front/store_reader.cc
+++ b/source/front/store_reader.cc
@@ -115,7 +115,7 @@
   }
   switch (this->publication.StatusOf(outcome->status)) {
     case core::StoreStatus::kServed:
-      this->OnServed(outcome->body);
+      this->OnServed(*outcome);
       return;
     case core::StoreStatus::kHistoryGone:
       this->ListAnew();
@@ -127,16 +127,16 @@
   }
 }
 
-void StoreReader::OnServed(const std::string& body) {
+void StoreReader::OnServed(const http::GetAnswer& answer) {
   if (this->Watches()) {
-    this->OnChanges(body);
+    this->OnChanges(answer);
   } else {
-    this->OnPage(body);
+    this->OnPage(answer);
   }
 }
 
-void StoreReader::OnPage(const std::string& body) {
-  auto page = this->publication.ReadPage(body);
+void StoreReader::OnPage(const http::GetAnswer& answer) {
+  auto page = this->publication.ReadPage(answer.body);
   if (!page) {
     this->OnFailure("unreadable");
     return;
@@ -146,6 +146,7 @@
   // if it starts where the first page was read.
   if (this->listed_at.value == 0) {
     this->listed_at = page->at;
+    this->listing_began_at = answer.began_at;
   }
   std::ranges::move(page->items, std::back_inserter(this->listed));
   if (page->more) {
@@ -156,14 +157,15 @@
   ++this->counts.listings;
   this->known = this->listed_at;
   this->listener.OnStoreListing(std::exchange(this->listed, {}),
-                                this->listed_at);
+                                this->listed_at,
+                                http::TimeSince(this->listing_began_at));
   this->listed_at = {};
   this->list_after.clear();
   this->CallAfter(std::chrono::milliseconds{0});
 }
 
-void StoreReader::OnChanges(const std::string& body) {
-  auto batch = this->publication.ReadChanges(body);
+void StoreReader::OnChanges(const http::GetAnswer& answer) {
+  auto batch = this->publication.ReadChanges(answer.body);
   if (!batch) {
     this->OnFailure("unreadable");
     return;
@@ -171,7 +173,8 @@
   this->backoff.OnSuccess();
   this->known = std::max(this->known, batch->at);
   const bool no_news = batch->changes.empty();
-  this->listener.OnStoreChanges(std::move(*batch));
+  this->listener.OnStoreChanges(std::move(*batch),
+                                http::TimeSince(answer.began_at));
   if (no_news) {
     this->CallAfter(std::chrono::milliseconds{0});
     return;
--- a/source/front/store_reader.h
+++ b/source/front/store_reader.h
@@ -60,14 +60,17 @@
 core::BackoffLimits RetriesFor(const StoreLimits& limits,
                                core::StoreReading reading);
 
-/// Takes what the store says.
+/// Takes what the store says. `age`: the time since an answer began to arrive,
+/// of a listing the one to its first page. The store may have changed since.
 class StoreListener {
  public:
   virtual ~StoreListener() = default;
 
   virtual void OnStoreListing(std::vector<core::Item> items,
-                              common::Revision at) = 0;
-  virtual void OnStoreChanges(core::ChangeBatch batch) = 0;
+                              common::Revision at,
+                              std::chrono::milliseconds age) = 0;
+  virtual void OnStoreChanges(core::ChangeBatch batch,
+                              std::chrono::milliseconds age) = 0;
   /// A call failed; `what` is the log's word for how.
   virtual void OnStoreFailure(std::string_view what) = 0;
 };
@@ -105,9 +108,9 @@
   void OnTimer(ev::timer& timer, int events);
   void OnGetOutcome(
       const tl::expected<http::GetAnswer, http::GetFailure>& outcome) override;
-  void OnServed(const std::string& body);
-  void OnPage(const std::string& body);
-  void OnChanges(const std::string& body);
+  void OnServed(const http::GetAnswer& answer);
+  void OnPage(const http::GetAnswer& answer);
+  void OnChanges(const http::GetAnswer& answer);
   void OnFailure(std::string_view what);
   void ListAnew();
   void CallAfter(std::chrono::milliseconds wait);
@@ -128,6 +131,8 @@
   common::Revision known;
   std::vector<core::Item> listed;  ///< Pages so far of the running listing.
   common::Revision listed_at;      ///< Revision of the first page.
+  /// When the first page began to arrive.
+  std::chrono::steady_clock::time_point listing_began_at;
   std::string list_after;
 };
 
--- a/source/http/get_connection.cc
+++ b/source/http/get_connection.cc
@@ -206,7 +206,10 @@
     this->OnLost();
     return;
   }
-  this->any_bytes = true;
+  if (!this->any_bytes) {
+    this->any_bytes = true;
+    this->answer.began_at = std::chrono::steady_clock::now();
+  }
   http_parser_execute(&this->parser, &GetCallbacks::Settings(), bytes, size);
   if (this->complete) {
     this->answer.status = this->parser.status_code;
--- a/source/http/get_connection.h
+++ b/source/http/get_connection.h
@@ -35,8 +35,16 @@
 struct GetAnswer {
   unsigned status{0};
   std::string body;
+  /// When its first bytes came: the server made it before then.
+  std::chrono::steady_clock::time_point began_at{};
 };
 
+inline std::chrono::milliseconds TimeSince(
+    std::chrono::steady_clock::time_point began_at) {
+  return std::chrono::ceil<std::chrono::milliseconds>(
+      std::chrono::steady_clock::now() - began_at);
+}
+
 /// Why there is no answer.
 enum class GetFailure {
   kUnreachable,  ///< No connection, or it was lost.
--- a/tests/core/steering/end_evidence_test.cc
+++ b/tests/core/steering/end_evidence_test.cc
@@ -175,6 +175,33 @@
   BOOST_TEST(scene.steering.TakeEndedFlows(target, 6000ms).size() == row.told);
 }
 
+/// Ages of the store's answer, made or begun that long before it was whole.
+struct SlowAnswerRow {
+  std::chrono::milliseconds age;
+  std::string outcome;
+};
+
+std::ostream& operator<<(std::ostream& out, const SlowAnswerRow& row) {
+  return out << row.age.count() << " ms";
+}
+
+const SlowAnswerRow kSlowAnswers[] = {{0ms, "no-route"},
+                                      {200ms, "no-route"},
+                                      {700ms, "carried"},
+                                      {3000ms, "carried"}};
+
+// Guards against an answer that takes long to arrive and counts as proof for
+// flows that were opened meanwhile.
+BOOST_DATA_TEST_CASE(an_answer_shows_what_was_true_when_it_was_made,
+                     kSlowAnswers, row) {
+  Scene scene;
+  scene.Configure("2", 5000ms);
+  scene.Request(0xA1, 5100ms);
+  scene.view.Contact().OnAnswer(6000ms, row.age);
+
+  BOOST_TEST(scene.Request(0xA1, 6010ms) == row.outcome);
+}
+
 struct FailedProbe {
   ProbeOutcome outcome;
   std::chrono::milliseconds started;
--- a/tests/front/store_reader_test.cc
+++ b/tests/front/store_reader_test.cc
@@ -20,12 +20,14 @@
 
 class Recorder final : public StoreListener {
  public:
-  void OnStoreListing(std::vector<core::Item> items,
-                      common::Revision at) override {
+  void OnStoreListing(std::vector<core::Item> items, common::Revision at,
+                      milliseconds age) override {
     this->listings.push_back({at.value, items.size()});
+    this->last_age = age;
   }
-  void OnStoreChanges(core::ChangeBatch batch) override {
+  void OnStoreChanges(core::ChangeBatch batch, milliseconds age) override {
     this->revisions.push_back(batch.at.value);
+    this->last_age = age;
   }
   void OnStoreFailure(std::string_view what) override {
     this->failures.emplace_back(what);
@@ -38,6 +40,7 @@
   std::vector<Listing> listings;
   std::vector<std::uint64_t> revisions;
   std::vector<std::string> failures;
+  milliseconds last_age{0};
 };
 
 /// Notes how long the store was asked to hold each watch.
@@ -145,6 +148,51 @@
   BOOST_TEST(scene.recorder.listings[0].items == 1U);
 }
 
+/// Parts of an answer that arrive 100 ms apart.
+struct SlowAnswer {
+  std::string name;
+  bool watch;  ///< Of a watch, or the first of two pages of a listing.
+  std::vector<std::string> parts;
+};
+
+std::ostream& operator<<(std::ostream& out, const SlowAnswer& row) {
+  return out << row.name;
+}
+
+const SlowAnswer kSlowAnswers[] = {
+    {"a watch", true, {"6", "\n", "b", " ", "6", " y\n"}},
+    {"a listing", false, {"5 more\n", "a", " ", "1", " ", "x\n"}}};
+
+// Guards against a view that seems as new as the last byte of an answer: the
+// store may have changed while it was on its way.
+BOOST_DATA_TEST_CASE(an_answer_is_as_old_as_its_first_bytes, kSlowAnswers,
+                     row) {
+  StoreLimits limits = QuickLimits();
+  limits.wait = 2000ms;
+  limits.slack = 2000ms;
+  Scene scene(limits);
+  if (row.watch) {
+    scene.Answer(200, "5\na 1 x\n");
+  }
+  std::size_t size = 0;
+  for (const std::string& part : row.parts) {
+    size += part.size();
+  }
+  scene.server.Script(
+      {"HTTP/1.1 200 X\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n",
+       false, row.parts, 100ms});
+  if (!row.watch) {
+    scene.Answer(200, "8\nb 7 y\n");
+  }
+
+  scene.RunUntil([&] {
+    return row.watch ? !scene.recorder.revisions.empty()
+                     : !scene.recorder.listings.empty();
+  });
+
+  BOOST_TEST((scene.recorder.last_age >= 500ms));
+}
+
 // Guards against all instances of a fleet receiving a large listing at once
 // when no peer has answered yet.
 BOOST_AUTO_TEST_CASE(a_probe_rejects_a_large_listing) {
