List all items when an answer with changes can't be taken

Cause: the answer to a watch holds each version since the known revision, and has no pages. Beyond 2 MiB it was refused and asked for again from the same revision, and it only grows.

Change: after an answer to a watch that is too large, no HTTP or unreadable, the reader lists all items, as it does after a lost history, with pauses that grow until a watch is served. The log says lists-anew and why.

Why it works: a listing holds the last version of each item, in pages of 1 MB.

Tests: changes_that_cant_be_taken_are_listed failed in 3 of 3 rows on the code before, and passes; listings_in_place_of_changes_become_rarer passes.

--- a/source/front/front_process.cc
+++ b/source/front/front_process.cc
@@ -136,6 +136,7 @@
                       milliseconds age) override;
   void OnStoreChanges(core::ChangeBatch batch, milliseconds age) override;
   void OnStoreFailure(std::string_view what) override;
+  void OnStoreListsAnew(std::string_view why) override;
   void OnStoreAnswer(milliseconds age);
 
   const config::FrontSettings& settings;
@@ -381,6 +382,13 @@
   }
 }
 
+void FrontProcess::OnStoreListsAnew(std::string_view why) {
+  this->log.OnNote(
+      "lists-anew",
+      {{"why", why}, {"revision", this->view.Items().Complete().value}},
+      this->Now());
+}
+
 void FrontProcess::OnStoreFailure(std::string_view what) {
   if (!this->reading) {
     return;  // The last call of a reading that ended says nothing new.
--- a/source/front/store_reader.cc
+++ b/source/front/store_reader.cc
@@ -9,6 +9,12 @@
 
 constexpr double kMillisecondsPerSecond = 1000.0;
 
+/// Whether the server's answer, and not the way to it, was at fault.
+bool IsOfAnswer(http::GetFailure failure) {
+  return failure == http::GetFailure::kTooLarge ||
+         failure == http::GetFailure::kMalformed;
+}
+
 }  // namespace
 
 StoreLimits StoreLimitsFor(const core::PropagationScale& pace) {
@@ -110,7 +116,11 @@
 void StoreReader::OnGetOutcome(
     const tl::expected<http::GetAnswer, http::GetFailure>& outcome) {
   if (!outcome) {
-    this->OnFailure(Word(outcome.error()));
+    if (IsOfAnswer(outcome.error())) {
+      this->OnUntaken(Word(outcome.error()));
+    } else {
+      this->OnFailure(Word(outcome.error()));
+    }
     return;
   }
   switch (this->publication.StatusOf(outcome->status)) {
@@ -118,6 +128,7 @@
       this->OnServed(*outcome);
       return;
     case core::StoreStatus::kHistoryGone:
+      this->listener.OnStoreListsAnew("history-gone");
       this->ListAnew();
       this->CallAfter(std::chrono::milliseconds{0});
       return;
@@ -141,7 +152,6 @@
     this->OnFailure("unreadable");
     return;
   }
-  this->backoff.OnSuccess();
   // Pages aren't a snapshot. What changed between them is told by the watch,
   // if it starts where the first page was read.
   if (this->listed_at.value == 0) {
@@ -167,7 +177,7 @@
 void StoreReader::OnChanges(const http::GetAnswer& answer) {
   auto batch = this->publication.ReadChanges(answer.body);
   if (!batch) {
-    this->OnFailure("unreadable");
+    this->OnUntaken("unreadable");
     return;
   }
   this->backoff.OnSuccess();
@@ -189,6 +199,20 @@
   this->CallAfter(this->backoff.OnFailure(this->jitter));
 }
 
+// An answer with changes holds each version since the known revision, so it
+// only grows until the store drops its history. A listing holds the last ones,
+// in pages.
+void StoreReader::OnUntaken(std::string_view what) {
+  if (!this->Watches()) {
+    this->OnFailure(what);
+    return;
+  }
+  ++this->counts.failures;
+  this->listener.OnStoreListsAnew(what);
+  this->ListAnew();
+  this->CallAfter(this->backoff.OnFailure(this->jitter));
+}
+
 void StoreReader::ListAnew() {
   this->known = {};
   this->listed.clear();
--- a/source/front/store_reader.h
+++ b/source/front/store_reader.h
@@ -1,5 +1,6 @@
 /// Reads the platform's store: lists what is published, then watches for
-/// changes, and lists anew when the history is gone.
+/// changes, and lists anew when the history is gone or an answer with changes
+/// can't be taken.
 #pragma once
 
 #include <ev++.h>
@@ -73,6 +74,9 @@
                               std::chrono::milliseconds age) = 0;
   /// A call failed; `what` is the log's word for how.
   virtual void OnStoreFailure(std::string_view what) = 0;
+  /// The changes since the known revision can't be had, so all items are
+  /// listed; `why` is the log's word for the reason.
+  virtual void OnStoreListsAnew(std::string_view why) = 0;
 };
 
 /// Counts since the process started.
@@ -112,6 +116,10 @@
   void OnPage(const http::GetAnswer& answer);
   void OnChanges(const http::GetAnswer& answer);
   void OnFailure(std::string_view what);
+  /// An answer can't be taken, and would be no other if it were asked for
+  /// again.
+  void OnUntaken(std::string_view what);
+  /// Forgets the listing so far, and what is known.
   void ListAnew();
   void CallAfter(std::chrono::milliseconds wait);
 
--- a/tests/front/store_reader_test.cc
+++ b/tests/front/store_reader_test.cc
@@ -32,6 +32,9 @@
   void OnStoreFailure(std::string_view what) override {
     this->failures.emplace_back(what);
   }
+  void OnStoreListsAnew(std::string_view why) override {
+    this->listed_anew.emplace_back(why);
+  }
 
   struct Listing {
     std::uint64_t at;
@@ -40,6 +43,7 @@
   std::vector<Listing> listings;
   std::vector<std::uint64_t> revisions;
   std::vector<std::string> failures;
+  std::vector<std::string> listed_anew;
   milliseconds last_age{0};
 };
 
@@ -248,6 +252,58 @@
   BOOST_TEST(scene.recorder.failures.empty());
 }
 
+struct Untaken {
+  std::string why;
+  std::string response;  ///< To a watch.
+};
+
+std::ostream& operator<<(std::ostream& out, const Untaken& row) {
+  return out << row.why;
+}
+
+const Untaken kUntaken[] = {
+    {"too-large", "HTTP/1.1 200 X\r\nContent-Length: 31\r\n\r\n"},
+    {"malformed", "nothing of HTTP\r\n\r\n"},
+    {"unreadable", "HTTP/1.1 200 X\r\nContent-Length: 5\r\n\r\nnoise"}};
+
+// Guards against asking again and again for changes that are never taken, while
+// an old configuration stays in force.
+BOOST_DATA_TEST_CASE(changes_that_cant_be_taken_are_listed, kUntaken, row) {
+  StoreLimits limits = QuickLimits();
+  limits.max_answer = 30;
+  Scene scene(limits);
+  scene.Answer(200, "5\na 1 x\n");
+  scene.server.Script({row.response, false});
+  scene.Answer(200, "90\na 88 x\n");
+
+  scene.RunUntil([&] { return scene.recorder.listings.size() == 2; });
+
+  BOOST_TEST(scene.recorder.listings[1].at == 90U);
+  BOOST_TEST(scene.recorder.failures.empty());
+  BOOST_REQUIRE(scene.recorder.listed_anew.size() == 1U);
+  BOOST_TEST(scene.recorder.listed_anew[0] == row.why);
+}
+
+// Guards against listing without a pause while the store answers no watch in a
+// way that can be taken.
+BOOST_AUTO_TEST_CASE(listings_in_place_of_changes_become_rarer) {
+  constexpr std::size_t kListings = 8;
+  StoreLimits limits = QuickLimits();
+  limits.first_retry = 20ms;
+  limits.longest_retry = 1000ms;
+  Scene scene(limits);
+  for (std::size_t i = 0; i < kListings; ++i) {
+    scene.Answer(200, "5\na 1 x\n");
+    scene.Answer(200, "noise");
+  }
+  const auto started = std::chrono::steady_clock::now();
+
+  scene.RunUntil([&] { return scene.recorder.listings.size() == kListings; });
+
+  // Seven pauses up to the first limit would take 140 ms at most.
+  BOOST_TEST((std::chrono::steady_clock::now() - started > 140ms));
+}
+
 // A copy from another instance comes while a long listing is under way. The
 // listing is older; going on with it would cost the store a call for each page.
 BOOST_AUTO_TEST_CASE(a_newer_copy_ends_a_listing) {
