--- a/rig/load/balancer_variant.cc
+++ b/rig/load/balancer_variant.cc
@@ -108,7 +108,7 @@
     if (target &&
         this->steering.Watch().OnProbed(*target, outcome, started, now)) {
       for (const core::FlowPacket& packet :
-           this->steering.TakeFlowsOf(*target)) {
+           this->steering.TakeEndedFlows(*target, now)) {
         resets.push_back({packet, 0});
       }
     }
