--- a/source/front/front_log.h
+++ b/source/front/front_log.h
@@ -24,7 +24,7 @@
   common::Revision revision = {};  ///< Of the view.
   std::optional<std::chrono::milliseconds> view_age = std::nullopt;
   std::size_t waiting{0};  ///< SYNs that are held back.
-  /// Since the flow's first packet here; nothing if this is it.
+  /// Since the flow's first packet here; 0 or nothing if this is it.
   std::optional<std::chrono::milliseconds> flow_seen = std::nullopt;
   /// Since the view lost the flow's route; nothing if it has one, or never had
   /// one.
--- a/source/http/get_connection.h
+++ b/source/http/get_connection.h
@@ -39,6 +39,7 @@
   std::chrono::steady_clock::time_point began_at{};
 };
 
+/// The time since `began_at`, rounded up.
 inline std::chrono::milliseconds TimeSince(
     std::chrono::steady_clock::time_point began_at) {
   return std::chrono::ceil<std::chrono::milliseconds>(
