--- a/source/core/steering/flow_steering.cc
+++ b/source/core/steering/flow_steering.cc
@@ -290,6 +290,9 @@
 
 std::vector<FlowPacket> FlowSteering::TakeEndedFlows(
     TargetIndex target, std::chrono::milliseconds now) {
+  if (!this->view.targets.Has(target)) {
+    return {};
+  }
   const bool gone = this->view.targets.At(target).phase == TargetPhase::kGone;
   const EndEvidence evidence = this->Evidence(target, now);
   return this->memory.Take(target, [&](const FlowSighting& flow) {
--- a/tests/core/steering/end_evidence_test.cc
+++ b/tests/core/steering/end_evidence_test.cc
@@ -230,6 +230,14 @@
   BOOST_TEST(scene.Request(0xA1, now) == row.outcome);
 }
 
+// Guards against an end of the process when a probe ends after its target was
+// forgotten.
+BOOST_AUTO_TEST_CASE(a_forgotten_target_has_no_flows) {
+  Scene scene;
+
+  BOOST_TEST(scene.steering.TakeEndedFlows({99}, 1000ms).empty());
+}
+
 struct FailedProbe {
   ProbeOutcome outcome;
   std::chrono::milliseconds started;
