--- a/fuzz/store_codec_fuzz.cc
+++ b/fuzz/store_codec_fuzz.cc
@@ -1,6 +1,6 @@
 /// Fuzzes what the store answers, and the items of other programs in it.
+#include "../platform/store_codec.h"
 #include "fuzz_input.h"
-#include "platform/store_codec.h"
 
 namespace sassafrasdyke::platform {
 namespace {
