Simplify what is kept of flows and of the histories' resets

Cause: read once more: sightings spelled out a default, and the test of late views kept reset ports in a map whose value was never read, and passed the same count to each reading.

Change: the default is left out, the ports are a set, a reading takes all that is pending; missing includes. Behaviour and checks stay.

--- a/source/core/steering/flow_memory.cc
+++ b/source/core/steering/flow_memory.cc
@@ -31,9 +31,8 @@
   if (found == this->flows.end()) {
     if (this->flows.size() < kMaxFlows) {
       this->flows.emplace(
-          packet.flow,
-          Entry{target, packet.acknowledgement, next_sequence,
-                FlowSighting{now, false}, now, packet.payload_bytes > 0});
+          packet.flow, Entry{target, packet.acknowledgement, next_sequence,
+                             FlowSighting{now}, now, packet.payload_bytes > 0});
     }
     return {false, packet.payload_bytes > 0, false};
   }
@@ -48,8 +47,7 @@
   const bool awaits_answer =
       requests || (entry.awaits_answer && !answered && !fails);
   // A flow's target doesn't change; this is another flow.
-  const FlowSighting sighting =
-      same ? entry.sighting : FlowSighting{now, false};
+  const FlowSighting sighting = same ? entry.sighting : FlowSighting{now};
   entry = {target, packet.acknowledgement, next_sequence, sighting,
            now,    awaits_answer};
   return {answered, requests, fails};
--- a/source/core/steering/unknown_flows.cc
+++ b/source/core/steering/unknown_flows.cc
@@ -20,7 +20,7 @@
   const auto found = this->first_packets.find(flow);
   return found == this->first_packets.end()
              ? std::nullopt
-             : std::make_optional(FlowSighting{found->second, false});
+             : std::make_optional(FlowSighting{found->second});
 }
 
 void UnknownFlows::Expire(std::chrono::milliseconds oldest) {
--- a/tests/core/steering/late_view_test.cc
+++ b/tests/core/steering/late_view_test.cc
@@ -1,13 +1,15 @@
 /// Random histories of a route and a target that come and go, read late by an
 /// instance that carries flows which others have opened.
+#include <algorithm>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/steering/steering_scene.h"
@@ -49,7 +51,7 @@
   explicit LateInstance(std::uint32_t seed) : random(seed) {
     this->PublishRoute();
     this->PublishTarget();
-    this->Read(this->pending.size());
+    this->Read();
   }
 
   /// Plays the history; returns how many flows that are open were reset.
@@ -57,7 +59,7 @@
     for (; this->now < kLength; this->now += kStep) {
       this->ChangeWorld();
       if (this->now >= this->next_reading) {
-        this->Read(this->pending.size());
+        this->Read();
         this->next_reading =
             this->now + milliseconds(this->Draw(kMinPauseMs, kMaxPauseMs));
       } else if (this->Draw(0, 20) == 0) {
@@ -136,9 +138,9 @@
       }
     }
   }
-  void Read(std::size_t count) {
+  void Read() {
     this->scene.view.Contact().OnAnswer(this->now);
-    this->Learn(count);
+    this->Learn(this->pending.size());
   }
 
   /// Probes end at once: a probe is refused unless the target lives at the
@@ -179,7 +181,7 @@
 
   void OnReset(std::uint16_t port) {
     const auto flow = std::ranges::find(this->flows, port, &OpenFlow::port);
-    if (flow == this->flows.end() || !this->reset.emplace(port, true).second) {
+    if (flow == this->flows.end() || !this->reset.insert(port).second) {
       return;
     }
     const bool open = this->world.has_route && this->world.alive &&
@@ -198,7 +200,7 @@
   std::vector<std::pair<std::string, std::optional<std::string>>> pending;
   std::uint16_t last_port{1000};
   std::vector<OpenFlow> flows;
-  std::map<std::uint16_t, bool> reset;  ///< By port.
+  std::set<std::uint16_t> reset;  ///< Their ports.
   std::size_t wrong{0};
   std::size_t ended{0};
 };
